Lay out the workspace

Cause: an empty repository. Change: one crate per job with dependencies one way, the public types between them, the instance that joins them, and the daemon's loops around it. The parts behind the types are empty and are filled next. Measured: nothing runs yet; the workspace compiles without a warning.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -0,0 +1,74 @@
+//! Calls at the daemon that a caller reached.
+
+use std::time::Duration;
+
+use cyclamen_moves::{CallSample, MoveStatus};
+use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal};
+use cyclamen_types::{MoveName, Now};
+
+use crate::event::Effects;
+use crate::instance::Instance;
+
+/// Lowest status that is the backend server's own fault.
+const SERVER_FAULT: u16 = 500;
+
+/// How an attempt ended, with what the evidence needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Finished {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// From the choice of the server to the head of the answer, or to the failure.
+    pub latency: Duration,
+    /// Whether a connection had to be opened for it.
+    pub cold: bool,
+}
+
+impl Instance {
+    /// Begins a call at the daemon that the caller reached.
+    ///
+    /// # Errors
+    /// The refusal to tell the caller; nothing was run.
+    pub fn begin(&mut self, now: Now, head: &CallHead<'_>) -> Result<Attempt, Refusal> {
+        self.router.begin(now, head)
+    }
+
+    /// Ends an attempt: the router learns from it, and so does the evidence of a move.
+    pub fn finish(
+        &mut self,
+        now: Now,
+        attempt: &Attempt,
+        finished: Finished,
+        out: &mut Effects,
+    ) -> Next {
+        if let Some(failed) = convicts(finished.outcome) {
+            let sample = CallSample {
+                route: &attempt.route,
+                service: &attempt.service,
+                version: &attempt.version,
+                failed,
+                latency: finished.latency,
+                cold: finished.cold,
+            };
+            self.moves.record(now, &sample, &mut self.moves_out);
+        }
+        let next = self.router.finish(now, attempt.id, finished.outcome);
+        if !self.moves_out.is_empty() {
+            self.settle(now, out);
+        }
+        next
+    }
+
+    /// One move as an operator reads it.
+    pub fn move_status(&self, name: &MoveName) -> Option<MoveStatus> {
+        self.moves.status(name)
+    }
+}
+
+/// Whether an outcome says something about a version: `Some(true)` for a failure.
+fn convicts(outcome: Outcome) -> Option<bool> {
+    match outcome {
+        Outcome::Answered { status } => Some(status >= SERVER_FAULT),
+        Outcome::Reset | Outcome::TimedOut | Outcome::Truncated => Some(true),
+        Outcome::NotRun { .. } | Outcome::NotConnected | Outcome::Cancelled => None,
+    }
+}
--- /dev/null
+++ b/crates/cyclamenmoor/src/settings.rs
@@ -0,0 +1,29 @@
+//! Settings of one instance, already checked.
+
+use std::time::Duration;
+
+use cyclamen_declarations::Labels;
+use cyclamen_distribution::DistributionSettings;
+use cyclamen_membership::{MemberRecord, MembershipSettings};
+
+/// Settings of one instance.
+#[derive(Clone, Debug)]
+pub struct InstanceSettings {
+    /// This daemon.
+    pub me: MemberRecord,
+    /// Labels of this proxy, for selectors. The instance adds `instance`, `failure-domain` and
+    /// `region`.
+    pub labels: Labels,
+    /// Settings of membership.
+    pub membership: MembershipSettings,
+    /// Settings of distribution.
+    pub distribution: DistributionSettings,
+    /// A backend server that does not renew its announcement for this long is gone.
+    pub announcement_lease: Duration,
+    /// Longest time between two payloads of evidence.
+    pub evidence_period: Duration,
+    /// Calls that may wait beside one backend server where no policy says otherwise.
+    pub queue: u32,
+    /// Longest wait beside one backend server where no policy says otherwise.
+    pub queue_wait: Duration,
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,19 @@
+//! The daemon: moves bytes between sockets and an instance.
+//!
+//! [`start`] binds the sockets of checked [`Settings`] and runs one [`cyclamenmoor::Instance`]
+//! behind them until [`Running::stop`]. All decisions are the instance's; the modules here read,
+//! write and wait.
+
+pub mod admin;
+pub mod calls;
+mod fetch;
+mod gossip;
+pub mod log_client;
+mod peers;
+mod run;
+mod settings;
+mod shared;
+
+pub use run::{Running, StartError, start};
+pub use settings::{LimitSettings, OperatorToken, Settings, TokenHash};
+pub use shared::{Shared, SlotTurn};
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,193 @@
+//! Starts and stops one daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cyclamen_distribution::DistributionSettings;
+use cyclamen_membership::{Addresses, MemberRecord, MembershipSettings};
+use cyclamen_types::Incarnation;
+use cyclamenmoor::{Event, Instance, InstanceSettings};
+use thiserror::Error;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::admin::AdminServer;
+use crate::calls::CallServer;
+use crate::fetch::{self, Carrier};
+use crate::log_client::LogClient;
+use crate::settings::Settings;
+use crate::shared::{self, Shared};
+use crate::{gossip, peers};
+
+/// Largest gossip datagram, in bytes; fits the smallest common path MTU.
+const DATAGRAM_BYTES: usize = 1_200;
+
+/// How long a suspect member may take to refute, in gossip periods.
+const SUSPICION_PERIODS: u32 = 3;
+
+/// Longest wait of a read of the log.
+const LONG_POLL: Duration = Duration::from_secs(10);
+
+/// Silence of the relays after which a daemon reads the log itself, in gossip periods.
+const RELAY_SILENCE_PERIODS: u32 = 5;
+
+/// Snapshots served at a time.
+const SNAPSHOT_TRANSFERS: u32 = 4;
+
+/// Peers whose answers a fresh daemon waits for.
+const FRESH_PEERS: u32 = 3;
+
+/// Time for the last datagrams to leave when a daemon stops.
+const LAST_WORDS: Duration = Duration::from_millis(50);
+
+/// Tries to find a port that is free for both TCP and UDP.
+const PEER_PORT_TRIES: u32 = 16;
+
+/// Why a daemon did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A socket could not be bound.
+    #[error("cannot listen on {address} for {purpose}: {cause}; free the port or choose another")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What for.
+        purpose: &'static str,
+        /// The system's word.
+        cause: std::io::Error,
+    },
+    /// The administration API did not start.
+    #[error("the administration API does not start: {0}; check the address in the settings")]
+    Admin(String),
+}
+
+/// A running daemon.
+pub struct Running {
+    /// The instance.
+    pub shared: Shared,
+    /// Where it listens, with the ports it got.
+    pub addresses: Addresses,
+    calls: CallServer,
+    admin: AdminServer,
+    tasks: JoinSet<()>,
+}
+
+/// Starts a daemon on the present tokio runtime.
+///
+/// # Errors
+/// A port in use, or an address that this machine does not have.
+pub async fn start(settings: Settings) -> Result<Running, StartError> {
+    let started = Instant::now();
+    let (socket, peer_listener) = bind_peer(settings.listen.peer).await?;
+    let call_listener = bind(settings.listen.calls, "calls").await?;
+    let admin_listener = std::net::TcpListener::bind(settings.listen.admin)
+        .map_err(|cause| bind_error(settings.listen.admin, "administration", cause))?;
+    let addresses = Addresses {
+        calls: local(call_listener.local_addr(), settings.listen.calls),
+        peer: local(peer_listener.local_addr(), settings.listen.peer),
+        admin: local(admin_listener.local_addr(), settings.listen.admin),
+    };
+    drop(admin_listener);
+    let now = shared::now(started);
+    let incarnation = Incarnation(now.wall.0);
+    let seed = settings.seed.unwrap_or_else(rand::random);
+    let instance = Instance::new(instance_settings(&settings, addresses, incarnation), seed, now);
+    let (tx, rx) = mpsc::unbounded_channel();
+    let shared = Shared::new(instance, started, tx);
+    let carrier = Carrier {
+        shared: shared.clone(),
+        socket: Arc::new(socket),
+        log: LogClient::new(settings.log_service),
+        key: settings.mesh_key.clone(),
+    };
+    let admin = AdminServer::start(shared.clone(), &settings, addresses.admin).await?;
+    let calls = CallServer::start(shared.clone(), &settings, call_listener);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(gossip::receive(shared.clone(), Arc::clone(&carrier.socket)));
+    tasks.spawn(peers::serve(shared.clone(), peer_listener, settings.mesh_key.clone()));
+    tasks.spawn(fetch::carry(carrier, rx));
+    tasks.spawn(gossip::keep_time(shared.clone()));
+    Ok(Running { shared, addresses, calls, admin, tasks })
+}
+
+impl Running {
+    /// Stops gracefully: new calls are refused as not run, calls in flight end.
+    pub async fn stop(mut self) {
+        self.shared.with(|instance, now, out| instance.handle(now, Event::Stop, out));
+        self.calls.stop().await;
+        tokio::time::sleep(LAST_WORDS).await;
+        self.admin.stop().await;
+        self.tasks.shutdown().await;
+    }
+
+    /// Ends at once, as a killed process would.
+    pub async fn kill(mut self) {
+        self.tasks.shutdown().await;
+        self.calls.kill();
+        self.admin.stop().await;
+    }
+}
+
+fn instance_settings(
+    settings: &Settings,
+    addresses: Addresses,
+    incarnation: Incarnation,
+) -> InstanceSettings {
+    let limits = &settings.limits;
+    InstanceSettings {
+        me: MemberRecord {
+            instance: settings.instance.clone(),
+            incarnation,
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            addresses,
+        },
+        labels: settings.labels.clone(),
+        membership: MembershipSettings {
+            period: limits.gossip_period,
+            suspicion: limits.gossip_period * SUSPICION_PERIODS,
+            datagram_bytes: DATAGRAM_BYTES,
+            bytes_per_second: limits.gossip_bytes_per_second,
+            seeds: settings.peers.clone(),
+            key: settings.mesh_key.clone(),
+        },
+        distribution: DistributionSettings {
+            long_poll: LONG_POLL,
+            relay_silence: limits.gossip_period * RELAY_SILENCE_PERIODS,
+            snapshot_transfers: SNAPSHOT_TRANSFERS,
+            fresh_peers: FRESH_PEERS,
+        },
+        announcement_lease: limits.announcement_lease,
+        evidence_period: limits.evidence_period,
+        queue: limits.queue,
+        queue_wait: limits.queue_wait,
+    }
+}
+
+async fn bind(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|cause| bind_error(address, purpose, cause))
+}
+
+/// Binds one port number for TCP and UDP.
+async fn bind_peer(address: SocketAddr) -> Result<(UdpSocket, TcpListener), StartError> {
+    let mut tries = 0;
+    loop {
+        let listener = bind(address, "peers (TCP)").await?;
+        let bound = local(listener.local_addr(), address);
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => return Ok((socket, listener)),
+            Err(_) if address.port() == 0 && tries < PEER_PORT_TRIES => tries += 1,
+            Err(cause) => return Err(bind_error(bound, "peers (UDP)", cause)),
+        }
+    }
+}
+
+fn bind_error(address: SocketAddr, purpose: &'static str, cause: std::io::Error) -> StartError {
+    StartError::Bind { address, purpose, cause }
+}
+
+fn local(bound: std::io::Result<SocketAddr>, asked: SocketAddr) -> SocketAddr {
+    bound.unwrap_or(asked)
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,88 @@
+//! Checked settings of one daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cyclamen_declarations::Labels;
+use cyclamen_membership::{Addresses, MeshKey};
+use cyclamen_types::{FailureDomain, InstanceName, RegionName, TeamName};
+use derive_more::Debug;
+
+/// Everything a daemon needs to start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its region.
+    pub region: RegionName,
+    /// Labels of the proxy, for selectors.
+    pub labels: Labels,
+    /// Where to listen; port 0 takes a free port.
+    pub listen: Addresses,
+    /// Peer addresses to ask first.
+    pub peers: Vec<SocketAddr>,
+    /// Address of the platform's log service (HTTP).
+    pub log_service: SocketAddr,
+    /// The key of the mesh.
+    pub mesh_key: MeshKey,
+    /// Tokens that may publish.
+    pub tokens: Vec<OperatorToken>,
+    /// Limits.
+    pub limits: LimitSettings,
+    /// Where metrics go (statsd over UDP); none by default.
+    pub metrics: Option<SocketAddr>,
+    /// Seed of all randomness; from the system when absent.
+    pub seed: Option<u64>,
+}
+
+/// A token of an operator, as a hash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorToken {
+    /// The team it belongs to.
+    pub team: TeamName,
+    /// Its hash.
+    pub hash: TokenHash,
+}
+
+/// BLAKE3 hash of a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[debug("TokenHash(hidden)")]
+pub struct TokenHash(pub [u8; 32]);
+
+/// Limits of one daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// Connections of callers at a time.
+    pub caller_connections: u32,
+    /// Calls that may wait beside one backend server.
+    pub queue: u32,
+    /// Longest wait beside one backend server.
+    pub queue_wait: Duration,
+    /// Longest time for calls in flight to end when the daemon stops.
+    pub stop_grace: Duration,
+    /// One gossip round and one probe per period.
+    pub gossip_period: Duration,
+    /// Bound on gossip sent, in bytes per second.
+    pub gossip_bytes_per_second: u32,
+    /// A backend server that does not renew its announcement for this long is gone.
+    pub announcement_lease: Duration,
+    /// Longest time between two payloads of evidence.
+    pub evidence_period: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            caller_connections: 2_000,
+            queue: 32,
+            queue_wait: Duration::from_millis(200),
+            stop_grace: Duration::from_secs(30),
+            gossip_period: Duration::from_secs(1),
+            gossip_bytes_per_second: 2_048,
+            announcement_lease: Duration::from_secs(6),
+            evidence_period: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/config.rs
@@ -0,0 +1,95 @@
+//! The configuration that the fold reaches.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cyclamen_declarations::{Move, OrderAction, Policy, Route, Service, Version, VersionId};
+use cyclamen_types::{
+    ConfigVersion, InstanceName, MoveName, Offset, PolicyName, RouteName, ServiceName, TeamName,
+    Wall,
+};
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Everything that is in force after a prefix of the log.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Config {
+    /// How much of the log it was folded from.
+    pub version: ConfigVersion,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, Held<Service>>,
+    /// Versions by service and name.
+    pub versions: BTreeMap<VersionId, Held<Version>>,
+    /// Routes by name.
+    pub routes: BTreeMap<RouteName, Held<Route>>,
+    /// Policies by name.
+    pub policies: BTreeMap<PolicyName, Held<Policy>>,
+    /// Moves by name, with orders and verdicts.
+    pub moves: BTreeMap<MoveName, HeldMove>,
+}
+
+/// A declaration with who wrote it and where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Held<T> {
+    /// The record that wrote it last; an edit names it as its base.
+    pub offset: Offset,
+    /// Whose it is.
+    pub team: TeamName,
+    /// The declaration.
+    pub body: Arc<T>,
+}
+
+/// A move with what the log decided about it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldMove {
+    /// The declaration.
+    pub held: Held<Move>,
+    /// The last order of an operator.
+    pub order: Option<OrderAction>,
+    /// The verdict, once the log holds one.
+    pub verdict: Option<MoveVerdict>,
+}
+
+/// Names one publication of a move: the same name published anew is another move.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{name}@{declared}")]
+pub struct MoveId {
+    /// Its name.
+    pub name: MoveName,
+    /// The record that declared it.
+    pub declared: Offset,
+}
+
+impl HeldMove {
+    /// The publication this is.
+    pub fn id(&self) -> MoveId {
+        MoveId { name: self.held.body.name.clone(), declared: self.held.offset }
+    }
+}
+
+/// A verdict as the log holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveVerdict {
+    /// Done or taken back.
+    pub kind: VerdictKind,
+    /// Why, in one sentence.
+    pub reason: Arc<str>,
+    /// The daemon that appended it.
+    pub by: InstanceName,
+    /// When that daemon decided, by its clock.
+    pub at: Wall,
+}
+
+/// The verdicts, by rank: a later one outranks an earlier one.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum VerdictKind {
+    /// All traffic is on the new version; the watch may go on.
+    #[display("done")]
+    Done,
+    /// All traffic is back on the old version, for good.
+    #[display("taken back")]
+    TakenBack,
+}
--- /dev/null
+++ b/crates/ledger/src/record.rs
@@ -0,0 +1,16 @@
+//! Records as the log keeps them.
+
+use std::sync::Arc;
+
+use cyclamen_types::Offset;
+use serde::{Deserialize, Serialize};
+
+/// One record of the platform's log. The payload is JSON text of the committed schema; it travels
+/// between daemons untouched, so that every reader folds the same bytes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogRecord {
+    /// Its position.
+    pub offset: Offset,
+    /// Its text.
+    pub payload: Arc<str>,
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! The measurements behind docs/.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,14 @@
+//! Calls: route match, choice of backend server, limits, retries.
+//!
+//! [`Router`] decides at the daemon that a caller reached; [`Slots`] decides at the daemon beside
+//! a backend server. Both are pure: calls and their outcomes go in, decisions come out.
+
+mod call;
+mod router;
+mod slots;
+mod table;
+
+pub use call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal, RefusalKind};
+pub use router::{Router, RouterCounters, RouterSettings, ServerInfo, VersionSplit};
+pub use slots::{Admission, CallId, Slots, SlotsCounters, SlotsSettings};
+pub use table::{RouteIndex, RouteTable, ServiceIndex, TableFault};
--- /dev/null
+++ b/crates/schemagen/src/main.rs
@@ -0,0 +1,3 @@
+//! Writes the committed border types from their schema.
+
+fn main() {}
