--- a/crates/measure/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The measurements behind docs/.
