--- /dev/null
+++ b/crates/declarations/src/change.rs
@@ -0,0 +1,128 @@
+//! Whole changes: from an operator's text, to and from records of the log.
+
+use cyclamen_types::{ChangeId, TeamName, Wall};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::checked::Change;
+use crate::entries::check_items;
+use crate::fault::{Fault, Faults, Problem};
+use crate::generated::{ChangeFile, ChangeRecord, Item, MoveBody};
+use crate::shape::read_border;
+use crate::text::{format_time, resolve_time};
+
+/// Reads a change file (YAML). Times such as `+30s` count from `now`; a move without a start
+/// starts at `now`.
+///
+/// # Errors
+/// All faults of the file, each with its place and remedy.
+pub fn parse_change(yaml: &str, id: ChangeId, team: TeamName, now: Wall) -> Result<Change, Faults> {
+    let mut faults = Faults::default();
+    let Some(value) = faults.take("", parse_yaml(yaml)) else {
+        return Err(faults);
+    };
+    let file: ChangeFile = read_border(value, &mut faults).unwrap_or_default();
+    let mut semantic = Faults::default();
+    let mut items = file.declarations;
+    for (i, item) in items.iter_mut().enumerate() {
+        resolve_item(item, &format!("declarations[{i}]"), now, &mut semantic);
+    }
+    check_whole(id, team, items, faults, semantic)
+}
+
+/// Reads a change from a record's border type.
+///
+/// # Errors
+/// All faults of the record.
+impl TryFrom<ChangeRecord> for Change {
+    type Error = Faults;
+
+    fn try_from(record: ChangeRecord) -> Result<Self, Faults> {
+        let mut faults = Faults::default();
+        let id = faults.name("id", record.id);
+        let team = faults.name("team", record.team);
+        let (Some(id), Some(team)) = (id, team) else {
+            return Err(faults);
+        };
+        check_whole(id, team, record.declarations, faults, Faults::default())
+    }
+}
+
+impl From<&Change> for ChangeRecord {
+    fn from(change: &Change) -> Self {
+        Self {
+            format: Some(1),
+            kind: Some("change".into()),
+            id: Some(change.id.to_string()),
+            team: Some(change.team.to_string()),
+            declarations: change.entries.iter().map(Item::from).collect(),
+        }
+    }
+}
+
+/// Reads a border type from JSON text.
+///
+/// # Errors
+/// All faults of shape.
+pub fn parse_json<T: DeserializeOwned>(text: &str) -> Result<T, Faults> {
+    let mut faults = Faults::default();
+    let parsed = serde_json::from_str(text).map_err(|e| Problem::Syntax(e.to_string()));
+    let Some(value) = faults.take::<Value, _>("", parsed) else {
+        return Err(faults);
+    };
+    let border = read_border(value, &mut faults);
+    match border {
+        Some(border) if faults.0.is_empty() => Ok(border),
+        _ => Err(faults),
+    }
+}
+
+fn parse_yaml(yaml: &str) -> Result<Value, Problem> {
+    let syntax = |message: String| Problem::Syntax(message);
+    let value: serde_yaml_ng::Value =
+        serde_yaml_ng::from_str(yaml).map_err(|e| syntax(e.to_string()))?;
+    serde_json::to_value(value).map_err(|e| syntax(e.to_string()))
+}
+
+fn check_whole(
+    id: ChangeId,
+    team: TeamName,
+    items: Vec<Item>,
+    mut faults: Faults,
+    mut semantic: Faults,
+) -> Result<Change, Faults> {
+    if items.is_empty() {
+        semantic.push("declarations", Problem::Empty);
+    }
+    let entries = check_items(items, &mut semantic);
+    for fault in semantic.0 {
+        if !is_known(&faults, &fault) {
+            faults.0.push(fault);
+        }
+    }
+    faults.or(Change { id, team, entries })
+}
+
+/// Whether a fault only follows from one already reported at its place.
+fn is_known(faults: &Faults, fault: &Fault) -> bool {
+    faults.0.iter().any(|known| known.place == fault.place)
+}
+
+/// Replaces relative times by absolute ones.
+fn resolve_item(item: &mut Item, place: &str, now: Wall, faults: &mut Faults) {
+    let Some(MoveBody { start, deadline, .. }) = &mut item.move_ else {
+        return;
+    };
+    start.get_or_insert_with(|| "+0s".into());
+    for (key, time) in [("start", start), ("deadline", deadline)] {
+        let Some(text) = time else {
+            continue;
+        };
+        match resolve_time(text, now) {
+            Ok(resolved) => *text = format_time(resolved),
+            Err(problem) => {
+                faults.push(&format!("{place}.move.{key}"), problem);
+            }
+        }
+    }
+}
--- a/crates/declarations/src/checked.rs
+++ b/crates/declarations/src/checked.rs
@@ -148,18 +148,21 @@
 pub struct RouteMatch {
     /// Any of these hosts; empty for all.
     pub hosts: Vec<HostPattern>,
-    /// The path starts with this, at a `/` boundary.
+    /// The path starts with this, at a `/` boundary. It starts with `/` and does not end in one;
+    /// empty for all paths.
     pub path_prefix: Arc<str>,
     /// All of these headers.
     pub headers: Vec<HeaderMatch>,
 }
 
 /// A host that a route takes, in lower case, without port.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum HostPattern {
     /// This host.
+    #[display("{_0}")]
     Exact(Arc<str>),
     /// All hosts that end in this, which starts with `.`; written `*.example`.
+    #[display("*{_0}")]
     Suffix(Arc<str>),
 }
 
--- a/crates/declarations/src/labels.rs
+++ b/crates/declarations/src/labels.rs
@@ -15,6 +15,9 @@
         "`{0}` is no selector: write `key=value`, `key!=value`, `key in (a,b)`, `key notin (a,b)`, `key` or `!key`, joined by commas"
     )]
     Syntax(String),
+    /// A key or a value has a character that labels do not have, or a length they may not have.
+    #[error("`{0}` is no label key or value: use 1 to 63 letters, digits, `-`, `.`, `_` and `/`")]
+    Token(String),
 }
 
 /// The labels of a service, a proxy or a backend server, in order of key.
--- a/crates/declarations/src/lib.rs
+++ b/crates/declarations/src/lib.rs
@@ -4,8 +4,23 @@
 //! schema, and those become the checked types of this crate by `TryFrom`. Only checked types
 //! reach the other crates.
 
+mod bodies;
+mod border;
+mod change;
 mod checked;
+mod entries;
+mod fault;
+#[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+pub mod generated;
 mod labels;
+mod routes;
+mod selector;
+mod shape;
+mod text;
+
+pub use change::{parse_change, parse_json};
+pub use fault::{Fault, Faults, Problem};
 
 pub use checked::{
     Change, ChangeEntry, ClashRule, Criticality, Declaration, DeclarationKey, DeclarationKind,
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -2,13 +2,21 @@
 
 use std::sync::Arc;
 
-use cyclamen_declarations::Change;
+use cyclamen_declarations::generated::SnapshotRecord;
+use cyclamen_declarations::{Change, Faults};
 use cyclamen_types::{ChangeId, ConfigVersion, Offset};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::apply::{apply_change, apply_verdict};
 use crate::config::{Config, MoveId, MoveVerdict};
+use crate::hash;
+use crate::outcomes::Outcomes;
+use crate::payload::{self, Payload};
 use crate::record::LogRecord;
+use crate::snapshot::{self, Restored};
+use crate::verify::verify;
+use crate::window::Window;
 
 /// A hash over the canonical form of a configuration.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -58,14 +66,30 @@
     pub repeated: u64,
     /// Records of a kind this release does not know.
     pub unknown: u64,
-    /// Snapshots that disagreed with our own fold.
+    /// Records that are no record of any release: not JSON, or without format, kind or id.
+    pub malformed: u64,
+    /// Verdicts that counted.
+    pub verdicts: u64,
+    /// Verdicts outranked, repeated or of an older publication.
+    pub verdicts_ignored: u64,
+    /// Parts of snapshots in the log that disagreed with our own fold.
     pub snapshots_ignored: u64,
+    /// Snapshots taken over.
+    pub snapshots_installed: u64,
+    /// Snapshots that were broken.
+    pub snapshots_broken: u64,
 }
 
+/// Most faults kept of one refused change.
+const MAX_FAULTS_KEPT: usize = 20;
+
 /// The fold of the log.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     config: Arc<Config>,
+    hash: StateHash,
+    outcomes: Outcomes,
+    window: Window,
     counters: LedgerCounters,
 }
 
@@ -76,8 +100,95 @@
         if record.offset != wanted {
             return FoldOutcome::OutOfOrder { wanted };
         }
+        let changed = self.fold_payload(record);
         Arc::make_mut(&mut self.config).version = record.offset.version_after();
-        FoldOutcome::Unchanged
+        self.window.push(record.clone(), self.hash);
+        if changed { FoldOutcome::Changed } else { FoldOutcome::Unchanged }
+    }
+
+    fn fold_payload(&mut self, record: &LogRecord) -> bool {
+        match payload::parse(&record.payload) {
+            Payload::Change(change) => return self.fold_change(change, record.offset),
+            Payload::BadChange(id, faults) => self.refuse_malformed(id, &faults, record.offset),
+            Payload::Verdict(id, verdict) => {
+                return self.fold_verdict(&id, verdict, record.offset);
+            }
+            Payload::Snapshot(part) => self.compare(&part),
+            Payload::Unknown => self.counters.unknown += 1,
+            Payload::Malformed => self.counters.malformed += 1,
+            Payload::Peers => {}
+        }
+        false
+    }
+
+    fn fold_change(&mut self, change: Change, offset: Offset) -> bool {
+        if self.outcomes.get(&change.id).is_some() {
+            self.counters.repeated += 1;
+            return false;
+        }
+        let id = change.id.clone();
+        let report = verify(&change, &self.config);
+        if !report.accepts() {
+            let faults = report.faults.iter().map(ToString::to_string);
+            let faults = faults.take(MAX_FAULTS_KEPT).map(Arc::from).collect();
+            let refusal = Refusal { faults, stale_base: report.stale_base() };
+            self.settle(id, ChangeOutcome::Refused(offset, refusal));
+            self.counters.refused += 1;
+            return false;
+        }
+        let config = Arc::make_mut(&mut self.config);
+        let changed = apply_change(config, &mut self.hash, change, offset);
+        self.settle(id, ChangeOutcome::Accepted(offset));
+        self.counters.accepted += 1;
+        changed
+    }
+
+    /// Refuses a change whose record has faults of its own, so that its publisher is told.
+    fn refuse_malformed(&mut self, id: Option<ChangeId>, faults: &Faults, offset: Offset) {
+        let Some(id) = id else {
+            self.counters.malformed += 1;
+            return;
+        };
+        if self.outcomes.get(&id).is_some() {
+            self.counters.repeated += 1;
+            return;
+        }
+        let faults = faults.0.iter().map(ToString::to_string);
+        let faults = faults.take(MAX_FAULTS_KEPT).map(Arc::from).collect();
+        let refusal = Refusal { faults, stale_base: false };
+        self.settle(id, ChangeOutcome::Refused(offset, refusal));
+        self.counters.refused += 1;
+    }
+
+    fn settle(&mut self, id: ChangeId, outcome: ChangeOutcome) {
+        self.hash.add(hash::of_outcome(&id, &outcome));
+        if let Some((id, outcome)) = self.outcomes.push(id, outcome) {
+            self.hash.remove(hash::of_outcome(&id, &outcome));
+        }
+    }
+
+    fn fold_verdict(&mut self, id: &MoveId, verdict: MoveVerdict, offset: Offset) -> bool {
+        let config = Arc::make_mut(&mut self.config);
+        let counts = apply_verdict(config, &mut self.hash, id, verdict, offset);
+        if counts {
+            self.counters.verdicts += 1;
+        } else {
+            self.counters.verdicts_ignored += 1;
+        }
+        counts
+    }
+
+    /// Counts a snapshot in the log that disagrees with the fold.
+    fn compare(&mut self, part: &SnapshotRecord) {
+        let version = ConfigVersion(part.version.unwrap_or_default());
+        let own = match version == self.version() {
+            true => Some(self.hash),
+            false => self.window.hash_at(version),
+        };
+        let stated = part.hash.as_deref().unwrap_or_default();
+        if own.is_some_and(|own| own.to_string() != stated) {
+            self.counters.snapshots_ignored += 1;
+        }
     }
 
     /// The configuration in force.
@@ -90,9 +201,10 @@
         self.config.version
     }
 
-    /// The hash of the configuration in force.
+    /// The hash of the state: the configuration without its version, and the outcomes of recent
+    /// changes. Ledgers of equal version that folded the same records have equal hashes.
     pub fn hash(&self) -> StateHash {
-        StateHash(0)
+        self.hash
     }
 
     /// Counters so far.
@@ -100,40 +212,77 @@
         &self.counters
     }
 
-    /// What became of a change; `None` while its record is not folded, or long after.
-    pub fn outcome(&self, _id: &ChangeId) -> Option<&ChangeOutcome> {
-        None
+    /// What became of a change; `None` while its record is not folded, or once more than
+    /// [`OUTCOMES_KEPT`](crate::OUTCOMES_KEPT) later changes are.
+    pub fn outcome(&self, id: &ChangeId) -> Option<&ChangeOutcome> {
+        self.outcomes.get(id)
     }
 
-    /// The records from `from` on, up to `max_bytes` of payload; `None` when some of them are no
-    /// longer kept, so that only a snapshot helps.
-    pub fn records_from(&self, _from: ConfigVersion, _max_bytes: usize) -> Option<Vec<LogRecord>> {
-        None
+    /// The records from `from` on, up to `max_bytes` of payload but at least one where there is
+    /// one; `None` when some of them are no longer kept, so that only a snapshot helps.
+    pub fn records_from(&self, from: ConfigVersion, max_bytes: usize) -> Option<Vec<LogRecord>> {
+        if from >= self.version() {
+            return Some(Vec::new());
+        }
+        self.window.from(from, max_bytes)
     }
 
     /// The whole state as text that [`Ledger::install_snapshot`] takes.
     pub fn snapshot(&self) -> String {
-        String::new()
+        snapshot::write(&self.config, self.hash, &self.outcomes)
     }
 
     /// Takes over a snapshot if it is newer than what is held; returns whether it was. A broken
     /// or older one changes nothing.
-    pub fn install_snapshot(&mut self, _text: &str) -> bool {
-        false
+    pub fn install_snapshot(&mut self, text: &str) -> bool {
+        let Some(restored) = snapshot::read(text) else {
+            self.counters.snapshots_broken += 1;
+            return false;
+        };
+        self.install(restored)
+    }
+
+    /// Starts from a log whose oldest records are gone: takes over the newest whole snapshot in
+    /// `records`, then folds the records after it. `records` are consecutive, from the oldest
+    /// offset that the log keeps to its end. Returns whether a snapshot newer than what is held
+    /// was found; nothing changes otherwise.
+    pub fn restore_from_records(&mut self, records: &[LogRecord]) -> bool {
+        let Some(restored) = snapshot::newest_in(records) else {
+            return false;
+        };
+        if !self.install(restored) {
+            return false;
+        }
+        for record in records {
+            self.fold(record);
+        }
+        true
+    }
+
+    fn install(&mut self, restored: Restored) -> bool {
+        if restored.config.version <= self.version() {
+            return false;
+        }
+        self.config = Arc::new(restored.config);
+        self.hash = restored.hash;
+        self.outcomes = restored.outcomes;
+        self.window.clear();
+        self.counters.snapshots_installed += 1;
+        true
     }
 
     /// The payload of a record that publishes `change`.
-    pub fn change_payload(_change: &Change) -> String {
-        String::new()
+    pub fn change_payload(change: &Change) -> String {
+        payload::change_text(change)
     }
 
     /// The payload of a record that states a verdict.
-    pub fn verdict_payload(_id: &MoveId, _verdict: &MoveVerdict) -> String {
-        String::new()
+    pub fn verdict_payload(id: &MoveId, verdict: &MoveVerdict) -> String {
+        payload::verdict_text(id, verdict)
     }
 
     /// Payloads of the records that carry the present snapshot, each at most `max_bytes`.
-    pub fn snapshot_payloads(&self, _max_bytes: usize) -> Vec<String> {
-        Vec::new()
+    pub fn snapshot_payloads(&self, max_bytes: usize) -> Vec<String> {
+        snapshot::write_parts(&self.config, self.hash, &self.outcomes, max_bytes)
     }
 }
--- /dev/null
+++ b/crates/ledger/src/snapshot.rs
@@ -0,0 +1,257 @@
+//! Whole states as text, whole or in parts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use cyclamen_declarations::generated::{HeldItem, OutcomeItem, SnapshotRecord, StateSnapshot};
+use cyclamen_declarations::{ChangeEntry, Declaration, EntryAction, VersionId, parse_json};
+use cyclamen_types::{ChangeId, ConfigVersion, Offset, TeamName};
+
+use crate::config::{Config, Held, HeldMove};
+use crate::hash;
+use crate::ledger::{ChangeOutcome, Refusal, StateHash};
+use crate::outcomes::Outcomes;
+use crate::payload::{FORMAT, Payload, json, parse, verdict_of};
+use crate::record::LogRecord;
+
+/// Bytes of a part's payload beside its text, at most.
+const PART_OVERHEAD_BYTES: usize = 320;
+
+/// Least text in a part, in bytes, however small the limit.
+const MIN_PART_BYTES: usize = 64;
+
+/// A state that was read from text and found whole.
+#[derive(Debug)]
+pub(crate) struct Restored {
+    pub(crate) config: Config,
+    pub(crate) hash: StateHash,
+    pub(crate) outcomes: Outcomes,
+}
+
+/// Writes a state.
+pub(crate) fn write(config: &Config, hash: StateHash, outcomes: &Outcomes) -> String {
+    let mut recent = Vec::new();
+    for (id, outcome) in outcomes.oldest_first() {
+        recent.push(outcome_item(id, outcome));
+    }
+    json(&StateSnapshot {
+        format: Some(FORMAT),
+        version: Some(config.version.0),
+        hash: Some(hash.to_string()),
+        held: config.items(),
+        outcomes: recent,
+    })
+}
+
+fn outcome_item(id: &ChangeId, outcome: &ChangeOutcome) -> OutcomeItem {
+    let id = Some(id.to_string());
+    match outcome {
+        ChangeOutcome::Accepted(offset) => {
+            OutcomeItem { id, offset: Some(offset.0), faults: Vec::new(), stale_base: None }
+        }
+        ChangeOutcome::Refused(offset, refusal) => OutcomeItem {
+            id,
+            offset: Some(offset.0),
+            faults: refusal.faults.iter().map(ToString::to_string).collect(),
+            stale_base: Some(refusal.stale_base),
+        },
+    }
+}
+
+/// Reads a state; `None` when it is broken in any way or its hash differs.
+pub(crate) fn read(text: &str) -> Option<Restored> {
+    let snapshot: StateSnapshot = parse_json(text).ok()?;
+    if snapshot.format? != FORMAT {
+        return None;
+    }
+    let mut hash = StateHash::default();
+    let mut config = Config { version: ConfigVersion(snapshot.version?), ..Config::default() };
+    for item in snapshot.held {
+        insert(&mut config, item)?;
+    }
+    for item in config.items() {
+        hash.add(hash::of_item(&item));
+    }
+    let mut outcomes = Outcomes::default();
+    for item in snapshot.outcomes {
+        let (id, outcome) = read_outcome(item)?;
+        hash.add(hash::of_outcome(&id, &outcome));
+        outcomes.push(id, outcome);
+    }
+    let whole = hash.to_string() == snapshot.hash? && is_closed(&config);
+    whole.then_some(Restored { config, hash, outcomes })
+}
+
+fn read_outcome(item: OutcomeItem) -> Option<(ChangeId, ChangeOutcome)> {
+    let id = item.id?.parse().ok()?;
+    let offset = Offset(item.offset?);
+    let Some(stale_base) = item.stale_base else {
+        return Some((id, ChangeOutcome::Accepted(offset)));
+    };
+    let faults = item.faults.into_iter().map(Arc::from).collect();
+    Some((id, ChangeOutcome::Refused(offset, Refusal { faults, stale_base })))
+}
+
+fn insert(config: &mut Config, item: HeldItem) -> Option<()> {
+    let offset = Offset(item.offset?);
+    let team: TeamName = item.team?.parse().ok()?;
+    let entry = ChangeEntry::try_from(item.item?).ok()?;
+    let EntryAction::Put(declaration) = entry.action else {
+        return None;
+    };
+    match declaration {
+        Declaration::Service(body) => {
+            config.services.insert(body.name.clone(), held(body, team, offset));
+        }
+        Declaration::Version(body) => {
+            config.versions.insert(body.id.clone(), held(body, team, offset));
+        }
+        Declaration::Route(body) => {
+            config.routes.insert(body.name.clone(), held(body, team, offset));
+        }
+        Declaration::Policy(body) => {
+            config.policies.insert(body.name.clone(), held(body, team, offset));
+        }
+        Declaration::Move(body) => {
+            let name = body.name.clone();
+            let verdict = match item.verdict {
+                Some(verdict) => Some(verdict_of(verdict)?),
+                None => None,
+            };
+            let held = held(body, team, offset);
+            config.moves.insert(name, HeldMove { held, order: item.order, verdict });
+        }
+    }
+    Some(())
+}
+
+fn held<T>(body: T, team: TeamName, offset: Offset) -> Held<T> {
+    Held { offset, team, body: Arc::new(body) }
+}
+
+/// Whether everything that a declaration points at is held.
+fn is_closed(config: &Config) -> bool {
+    let has = |service: &_, version: &_| {
+        let id = VersionId { service: Clone::clone(service), version: Clone::clone(version) };
+        config.versions.contains_key(&id)
+    };
+    for (name, held) in &config.services {
+        if !has(name, &held.body.version) {
+            return false;
+        }
+    }
+    for id in config.versions.keys() {
+        if !config.services.contains_key(&id.service) {
+            return false;
+        }
+    }
+    for held in config.routes.values() {
+        let route = &held.body;
+        let split = route.split.iter().all(|weighted| has(&route.service, &weighted.version));
+        if !config.services.contains_key(&route.service) || !split {
+            return false;
+        }
+    }
+    for held in config.moves.values() {
+        let mv = &held.held.body;
+        if !has(&mv.service, &mv.from) || !has(&mv.service, &mv.to) {
+            return false;
+        }
+    }
+    true
+}
+
+/// Writes the payloads of the records that carry a state, each at most `max_bytes`.
+pub(crate) fn write_parts(
+    config: &Config,
+    hash: StateHash,
+    outcomes: &Outcomes,
+    max_bytes: usize,
+) -> Vec<String> {
+    let text = write(config, hash, outcomes);
+    let digest = blake3::hash(text.as_bytes()).to_hex().to_string();
+    let room = max_bytes.saturating_sub(PART_OVERHEAD_BYTES).max(MIN_PART_BYTES);
+    let parts = cut(&text, room);
+    let count = u32::try_from(parts.len()).ok();
+    let mut payloads = Vec::new();
+    for (part, text) in (0..).zip(parts) {
+        payloads.push(json(&SnapshotRecord {
+            format: Some(FORMAT),
+            kind: Some("snapshot".into()),
+            version: Some(config.version.0),
+            hash: Some(hash.to_string()),
+            digest: Some(digest.clone()),
+            part: Some(part),
+            parts: count,
+            text: Some(text.into()),
+        }));
+    }
+    payloads
+}
+
+/// Cuts a text into parts that take at most `room` bytes each as the inside of a JSON string.
+fn cut(text: &str, room: usize) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut start = 0;
+    let mut bytes = 0;
+    for (i, c) in text.char_indices() {
+        let width = match c {
+            '"' | '\\' => 2,
+            c if c.is_control() => 6,
+            c => c.len_utf8(),
+        };
+        if bytes + width > room {
+            parts.push(&text[start..i]);
+            start = i;
+            bytes = 0;
+        }
+        bytes += width;
+    }
+    parts.push(&text[start..]);
+    parts
+}
+
+/// The newest whole state that these records carry and that reaches at least `first`, the offset
+/// of the first of them.
+pub(crate) fn newest_in(records: &[LogRecord]) -> Option<Restored> {
+    let first = records.first()?.offset;
+    let mut by_text: BTreeMap<(u64, String), BTreeMap<u32, SnapshotRecord>> = BTreeMap::new();
+    for record in records {
+        let Payload::Snapshot(part) = parse(&record.payload) else {
+            continue;
+        };
+        let (Some(version), Some(digest), Some(number)) =
+            (part.version, part.digest.clone(), part.part)
+        else {
+            continue;
+        };
+        if version >= first.0 && version <= record.offset.0 {
+            by_text.entry((version, digest)).or_default().insert(number, part);
+        }
+    }
+    for ((version, digest), parts) in by_text.into_iter().rev() {
+        let Some(text) = join(&digest, parts) else {
+            continue;
+        };
+        let Some(restored) = read(&text) else {
+            continue;
+        };
+        if restored.config.version.0 == version {
+            return Some(restored);
+        }
+    }
+    None
+}
+
+fn join(digest: &str, parts: BTreeMap<u32, SnapshotRecord>) -> Option<String> {
+    let wanted = parts.values().next()?.parts?;
+    let numbers: BTreeSet<u32> = parts.keys().copied().collect();
+    if !numbers.into_iter().eq(0..wanted) {
+        return None;
+    }
+    let mut text = String::new();
+    for part in parts.into_values() {
+        text.push_str(&part.text?);
+    }
+    (blake3::hash(text.as_bytes()).to_hex().as_str() == digest).then_some(text)
+}
