--- a/crates/ledger/src/conflict.rs
+++ b/crates/ledger/src/conflict.rs
@@ -64,6 +64,18 @@
         /// The version in force.
         held: VersionName,
     },
+    /// The version of a service would change back, past the verdict of a move.
+    #[error(
+        "move `{by}` put the service on `{held}`: keep that, or give `base: {base}` to change it at once"
+    )]
+    PastVerdict {
+        /// The move.
+        by: MoveName,
+        /// The version in force.
+        held: VersionName,
+        /// The record that wrote the service last.
+        base: Offset,
+    },
     /// A move starts from a version that does not have the traffic.
     #[error("the traffic is on `{held}`: start the move from that version")]
     NotFrom {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -26,7 +26,7 @@
 /// Why the fold refused a change. The texts name the remedy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
-    /// Every fault found, each with its place and remedy.
+    /// The first faults found, each with its place and remedy; empty long after.
     pub faults: Vec<Arc<str>>,
     /// Whether another operator's change came in between.
     pub stale_base: bool,
@@ -80,9 +80,6 @@
     pub snapshots_broken: u64,
 }
 
-/// Most faults kept of one refused change.
-const MAX_FAULTS_KEPT: usize = 20;
-
 /// The fold of the log.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
@@ -100,19 +97,20 @@
         if record.offset != wanted {
             return FoldOutcome::OutOfOrder { wanted };
         }
-        let changed = self.fold_payload(record);
+        let payload = payload::parse(&record.payload);
+        let is_part = matches!(payload, Payload::Snapshot(_));
+        let changed = self.fold_payload(payload, record.offset);
         Arc::make_mut(&mut self.config).version = record.offset.version_after();
-        self.window.push(record.clone(), self.hash);
+        let kept = if is_part { record.without_text() } else { record.clone() };
+        self.window.push(kept, self.hash);
         if changed { FoldOutcome::Changed } else { FoldOutcome::Unchanged }
     }
 
-    fn fold_payload(&mut self, record: &LogRecord) -> bool {
-        match payload::parse(&record.payload) {
-            Payload::Change(change) => return self.fold_change(change, record.offset),
-            Payload::BadChange(id, faults) => self.refuse_malformed(id, &faults, record.offset),
-            Payload::Verdict(id, verdict) => {
-                return self.fold_verdict(&id, verdict, record.offset);
-            }
+    fn fold_payload(&mut self, payload: Payload, offset: Offset) -> bool {
+        match payload {
+            Payload::Change(change) => return self.fold_change(change, offset),
+            Payload::BadChange(id, faults) => self.refuse_malformed(id, &faults, offset),
+            Payload::Verdict(id, verdict) => return self.fold_verdict(&id, verdict, offset),
             Payload::Snapshot(part) => self.compare(&part),
             Payload::Unknown => self.counters.unknown += 1,
             Payload::Malformed => self.counters.malformed += 1,
@@ -130,8 +128,7 @@
         let report = verify(&change, &self.config);
         if !report.accepts() {
             let faults = report.faults.iter().map(ToString::to_string);
-            let faults = faults.take(MAX_FAULTS_KEPT).map(Arc::from).collect();
-            let refusal = Refusal { faults, stale_base: report.stale_base() };
+            let refusal = Refusal::new(faults, report.stale_base());
             self.settle(id, ChangeOutcome::Refused(offset, refusal));
             self.counters.refused += 1;
             return false;
@@ -153,9 +150,7 @@
             self.counters.repeated += 1;
             return;
         }
-        let faults = faults.0.iter().map(ToString::to_string);
-        let faults = faults.take(MAX_FAULTS_KEPT).map(Arc::from).collect();
-        let refusal = Refusal { faults, stale_base: false };
+        let refusal = Refusal::new(faults.0.iter().map(ToString::to_string), false);
         self.settle(id, ChangeOutcome::Refused(offset, refusal));
         self.counters.refused += 1;
     }
@@ -180,7 +175,9 @@
 
     /// Counts a snapshot in the log that disagrees with the fold.
     fn compare(&mut self, part: &SnapshotRecord) {
-        let version = ConfigVersion(part.version.unwrap_or_default());
+        let Some(version) = part.version.map(ConfigVersion) else {
+            return;
+        };
         let own = match version == self.version() {
             true => Some(self.hash),
             false => self.window.hash_at(version),
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -5,6 +5,8 @@
 use cyclamen_types::Offset;
 use serde::{Deserialize, Serialize};
 
+use crate::payload::{self, Payload};
+
 /// One record of the platform's log. The payload is JSON text of the committed schema; it travels
 /// between daemons untouched, so that every reader folds the same bytes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,3 +16,20 @@
     /// Its text.
     pub payload: Arc<str>,
 }
+
+/// Payload of a part of a snapshot whose text was left out.
+const PART_WITHOUT_TEXT: &str = r#"{"format":1,"kind":"snapshot"}"#;
+
+impl LogRecord {
+    /// The record as peers need it: a part of a snapshot changes no state, so its text stays out.
+    pub fn for_peers(&self) -> Self {
+        match payload::parse(&self.payload) {
+            Payload::Snapshot(_) => self.without_text(),
+            _ => self.clone(),
+        }
+    }
+
+    pub(crate) fn without_text(&self) -> Self {
+        Self { offset: self.offset, payload: PART_WITHOUT_TEXT.into() }
+    }
+}
--- a/crates/ledger/src/verify.rs
+++ b/crates/ledger/src/verify.rs
@@ -6,7 +6,7 @@
     Change, ChangeEntry, Declaration, DeclarationKey, DeclarationKind, EntryAction, Labels, Move,
     MoveOrder, OrderAction, Policy, Route, Selector, Service, Version, VersionId,
 };
-use cyclamen_types::{ServiceName, TeamName, VersionName};
+use cyclamen_types::{MoveName, ServiceName, TeamName, VersionName};
 
 use crate::config::{Config, VerdictKind};
 use crate::conflict::{Caution, Conflict, Finding, Report};
@@ -75,7 +75,9 @@
         self.base(entry, key);
         self.owner("", key);
         match &entry.action {
-            EntryAction::Put(Declaration::Service(service)) => self.service(service),
+            EntryAction::Put(Declaration::Service(service)) => {
+                self.service(service, entry.base.is_some());
+            }
             EntryAction::Put(Declaration::Version(version)) => self.version(version),
             EntryAction::Put(Declaration::Route(route)) => self.route(route),
             EntryAction::Put(Declaration::Policy(policy)) => self.policy(policy),
@@ -123,11 +125,13 @@
         }
     }
 
-    fn service(&mut self, service: &Service) {
+    fn service(&mut self, service: &Service, has_base: bool) {
         self.needs_version("service.version", &service.name, &service.version);
-        let Some(held) = self.draft.config.services.get(&service.name) else {
+        let config = self.draft.config;
+        let Some(held) = config.services.get(&service.name) else {
             return;
         };
+        let base = held.offset;
         let held = held.body.version.clone();
         if held == service.version {
             return;
@@ -137,7 +141,12 @@
             self.fault("service.version", Conflict::VersionMoving { by, held });
             return;
         }
-        self.warn("service.version", Caution::Jumps { held, to: service.version.clone() });
+        match decided_by(config, &service.name, &held) {
+            Some(by) if !has_base => {
+                self.fault("service.version", Conflict::PastVerdict { by, held, base });
+            }
+            _ => self.warn("service.version", Caution::Jumps { held, to: service.version.clone() }),
+        }
     }
 
     fn version(&mut self, version: &Version) {
@@ -165,16 +174,16 @@
     }
 
     fn mv(&mut self, mv: &Move) {
-        if self.draft.is_ended_alike(mv) {
-            self.warn("move", Caution::EndedAlike(mv.name.clone()));
-            return;
-        }
         if !self.needs_service("move.service", &mv.service) {
             return;
         }
-        self.owner("move.service", &service_key(&mv.service));
         self.needs_version("move.from", &mv.service, &mv.from);
         self.needs_version("move.to", &mv.service, &mv.to);
+        if self.draft.is_ended_alike(mv) {
+            self.warn("move", Caution::EndedAlike(mv.name.clone()));
+            return;
+        }
+        self.owner("move.service", &service_key(&mv.service));
         if let Some(other) = self.draft.running_move(&mv.service, Some(&mv.name)) {
             let other = other.clone();
             let service = mv.service.clone();
@@ -279,6 +288,18 @@
     }
 }
 
+/// The move that put a service on this version, if one did.
+fn decided_by(config: &Config, service: &ServiceName, version: &VersionName) -> Option<MoveName> {
+    for (name, held) in &config.moves {
+        let mv = &held.held.body;
+        let done = held.verdict.as_ref().is_some_and(|verdict| verdict.kind == VerdictKind::Done);
+        if done && mv.service == *service && mv.to == *version {
+            return Some(name.clone());
+        }
+    }
+    None
+}
+
 /// Whether a selector of services selects this one. Each service has the label `service` with
 /// its name, unless it sets that label itself.
 pub(crate) fn selects(selector: &Selector, service: &Service) -> bool {
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -1,7 +1,8 @@
-//! Declarations of a small mesh, and a log that keeps records.
+//! Declarations of a small mesh, and what tests do with a ledger.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use cyclamen_declarations::{Change, parse_change};
-use cyclamen_ledger::{FoldOutcome, Ledger, LogRecord};
+use cyclamen_ledger::{FoldOutcome, Ledger, LogRecord, MoveVerdict, VerdictKind, verify};
 use cyclamen_types::{Offset, Wall};
 
 /// When everything is published.
@@ -49,6 +50,28 @@
     append(ledger, &Ledger::change_payload(&change(id, yaml)))
 }
 
+/// Folds a verdict on the present publication of a move.
+pub fn verdict(ledger: &mut Ledger, name: &str, kind: VerdictKind) -> FoldOutcome {
+    let id = ledger.config().moves[name].id();
+    append(ledger, &Ledger::verdict_payload(&id, &verdict_of(kind)))
+}
+
+/// A verdict of some daemon.
+pub fn verdict_of(kind: VerdictKind) -> MoveVerdict {
+    let by = "praha-a-1".parse().expect("an instance");
+    MoveVerdict { kind, reason: "as the figures say".into(), by, at: NOW }
+}
+
+/// The faults that a change is refused for, as text.
+pub fn faults(ledger: &Ledger, change: &Change) -> Vec<String> {
+    verify(change, ledger.config()).faults.iter().map(ToString::to_string).collect()
+}
+
+/// The warnings about a change, as text.
+pub fn warnings(ledger: &Ledger, change: &Change) -> Vec<String> {
+    verify(change, ledger.config()).warnings.iter().map(ToString::to_string).collect()
+}
+
 /// A ledger that holds [`MESH`], from record 0.
 pub fn mesh() -> Ledger {
     let mut ledger = Ledger::default();
