--- a/crates/declarations/src/generated.rs
+++ b/crates/declarations/src/generated.rs
@@ -1109,6 +1109,10 @@
 ///      "format": "uint32",
 ///      "minimum": 0.0
 ///    },
+///    "seal": {
+///      "description": "BLAKE3 of this record without its seal, in hexadecimal.",
+///      "type": "string"
+///    },
 ///    "text": {
 ///      "description": "This part of the text.",
 ///      "type": "string"
@@ -1145,6 +1149,9 @@
     ///How many parts the text has.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub parts: ::std::option::Option<u32>,
+    ///BLAKE3 of this record without its seal, in hexadecimal.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub seal: ::std::option::Option<::std::string::String>,
     ///This part of the text.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub text: ::std::option::Option<::std::string::String>,
@@ -1166,6 +1173,7 @@
             kind: Default::default(),
             part: Default::default(),
             parts: Default::default(),
+            seal: Default::default(),
             text: Default::default(),
             version: Default::default(),
         }
--- a/crates/ledger/src/apply.rs
+++ b/crates/ledger/src/apply.rs
@@ -91,7 +91,8 @@
     }
 }
 
-fn put(config: &mut Config, declaration: Declaration, team: &TeamName, offset: Offset) {
+/// Adds or replaces a declaration; a move loses its order and verdict.
+pub(crate) fn put(config: &mut Config, declaration: Declaration, team: &TeamName, offset: Offset) {
     match declaration {
         Declaration::Service(body) => {
             config.services.insert(body.name.clone(), held(body, team, offset));
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use cyclamen_declarations::generated::{HeldItem, OutcomeItem, SnapshotRecord, StateSnapshot};
-use cyclamen_declarations::{ChangeEntry, Declaration, EntryAction, VersionId, parse_json};
+use cyclamen_declarations::{ChangeEntry, DeclarationKind, EntryAction, VersionId, parse_json};
 use cyclamen_types::{ChangeId, ConfigVersion, Offset, TeamName};
 
-use crate::config::{Config, Held, HeldMove};
+use crate::apply::put;
+use crate::config::Config;
 use crate::hash;
 use crate::ledger::{ChangeOutcome, Refusal, StateHash};
 use crate::outcomes::Outcomes;
@@ -15,7 +16,7 @@
 use crate::record::LogRecord;
 
 /// Bytes of a part's payload beside its text, at most.
-const PART_OVERHEAD_BYTES: usize = 320;
+const PART_OVERHEAD_BYTES: usize = 400;
 
 /// Least text in a part, in bytes, however small the limit.
 const MIN_PART_BYTES: usize = 64;
@@ -99,36 +100,20 @@
     let EntryAction::Put(declaration) = entry.action else {
         return None;
     };
-    match declaration {
-        Declaration::Service(body) => {
-            config.services.insert(body.name.clone(), held(body, team, offset));
-        }
-        Declaration::Version(body) => {
-            config.versions.insert(body.id.clone(), held(body, team, offset));
-        }
-        Declaration::Route(body) => {
-            config.routes.insert(body.name.clone(), held(body, team, offset));
-        }
-        Declaration::Policy(body) => {
-            config.policies.insert(body.name.clone(), held(body, team, offset));
-        }
-        Declaration::Move(body) => {
-            let name = body.name.clone();
-            let verdict = match item.verdict {
-                Some(verdict) => Some(verdict_of(verdict)?),
-                None => None,
-            };
-            let held = held(body, team, offset);
-            config.moves.insert(name, HeldMove { held, order: item.order, verdict });
-        }
+    let verdict = match item.verdict {
+        Some(verdict) => Some(verdict_of(verdict)?),
+        None => None,
+    };
+    let key = declaration.key();
+    put(config, declaration, &team, offset);
+    if key.kind == DeclarationKind::Move {
+        let held = config.moves.get_mut(key.name.as_ref())?;
+        held.order = item.order;
+        held.verdict = verdict;
     }
     Some(())
 }
 
-fn held<T>(body: T, team: TeamName, offset: Offset) -> Held<T> {
-    Held { offset, team, body: Arc::new(body) }
-}
-
 /// Whether everything that a declaration points at is held.
 fn is_closed(config: &Config) -> bool {
     let has = |service: &_, version: &_| {
@@ -175,7 +160,7 @@
     let count = u32::try_from(parts.len()).ok();
     let mut payloads = Vec::new();
     for (part, text) in (0..).zip(parts) {
-        payloads.push(json(&SnapshotRecord {
+        payloads.push(json(&sealed(SnapshotRecord {
             format: Some(FORMAT),
             kind: Some("snapshot".into()),
             version: Some(config.version.0),
@@ -184,11 +169,23 @@
             part: Some(part),
             parts: count,
             text: Some(text.into()),
-        }));
+            seal: None,
+        })));
     }
     payloads
 }
 
+/// Adds the hash by which a reader tells a part that was altered.
+fn sealed(part: SnapshotRecord) -> SnapshotRecord {
+    let seal = blake3::hash(json(&part).as_bytes()).to_hex().to_string();
+    SnapshotRecord { seal: Some(seal), ..part }
+}
+
+fn is_sealed(part: &SnapshotRecord) -> bool {
+    let bare = SnapshotRecord { seal: None, ..part.clone() };
+    sealed(bare).seal == part.seal
+}
+
 /// Cuts a text into parts that take at most `room` bytes each as the inside of a JSON string.
 fn cut(text: &str, room: usize) -> Vec<&str> {
     let mut parts = Vec::new();
@@ -220,6 +217,9 @@
         let Payload::Snapshot(part) = parse(&record.payload) else {
             continue;
         };
+        if !is_sealed(&part) {
+            continue;
+        }
         let (Some(version), Some(digest), Some(number)) =
             (part.version, part.digest.clone(), part.part)
         else {
--- a/crates/ledger/tests/common/mod.rs
+++ b/crates/ledger/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Declarations of a small mesh, and what tests do with a ledger.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod ops;
+
 use cyclamen_declarations::{Change, parse_change};
 use cyclamen_ledger::{FoldOutcome, Ledger, LogRecord, MoveVerdict, VerdictKind, verify};
 use cyclamen_types::{Offset, Wall};
--- a/crates/ledger/tests/snapshot.rs
+++ b/crates/ledger/tests/snapshot.rs
@@ -108,6 +108,20 @@
     assert_same(&other, &ledger);
 }
 
+#[test]
+fn restore_altered_copy() {
+    let mut ledger = full();
+    let mut records = log_with_snapshot(&mut ledger);
+    let altered = records[0].payload.replace("tier", "rank");
+    assert_ne!(*altered, *records[0].payload);
+    append(&mut ledger, &altered);
+    let offset = Offset(records[records.len() - 1].offset.0 + 1);
+    records.push(LogRecord { offset, payload: altered.into() });
+    let mut other = Ledger::default();
+    assert!(other.restore_from_records(&records));
+    assert_same(&other, &ledger);
+}
+
 #[test]
 fn restore_part_missing() {
     let mut ledger = full();
