Read well-formed JSON in one pass

A record went through a tree of values, which only a report of all faults needs. Now the border type is read at once, and the tree is built when that fails.

--- a/crates/declarations/src/change.rs
+++ b/crates/declarations/src/change.rs
@@ -65,6 +65,9 @@
 /// # Errors
 /// All faults of shape.
 pub fn parse_json<T: DeserializeOwned>(text: &str) -> Result<T, Faults> {
+    if let Ok(border) = serde_json::from_str(text) {
+        return Ok(border);
+    }
     let mut faults = Faults::default();
     let parsed = serde_json::from_str(text).map_err(|e| Problem::Syntax(e.to_string()));
     let Some(value) = faults.take::<Value, _>("", parsed) else {
