Stand in for the log service, a backend server and a caller

Cause: nothing can be run or measured without the platform's log, backend servers that fail on request, and callers that know what they were told. Change: cyclamen-standins, as a library and as processes. The log keeps records for a limited time, limits appends and loses answers after they took effect; a backend server counts how often each key ran; a caller tells answered, failed, not run, unknown, cut and wrong apart. Found on the way: a connection cut in the middle of an answer reached the caller as no answer at all, since its head had not left yet; the cut now waits for it (call_truncated).

--- /dev/null
+++ b/crates/standins/src/caller/mod.rs
@@ -0,0 +1,9 @@
+//! A caller's stand-in: makes calls and tallies what it was told.
+
+mod client;
+mod load;
+mod tally;
+
+pub use client::{Answer, CallPlan, Client, Told};
+pub use load::{Load, LoadOptions};
+pub use tally::{OnceCall, Tally};
