Let callers change daemons and tell an unmade connection from a broken one

Cause: an experiment that stops and starts daemons needs callers that follow, and a caller that never connected knows that its call was not run. Change: Targets may be replaced under a running load; Told::NotConnected; a backend server counts the calls that arrived.

--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -4,7 +4,7 @@
 //! answer, `ms=N` of work and `chain=N` further calls through the daemon beside the server.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -64,6 +64,7 @@
     started: Instant,
     in_flight: AtomicU32,
     peak: AtomicU32,
+    begun: AtomicU64,
     onward: Client,
 }
 
@@ -91,6 +92,7 @@
             started: Instant::now(),
             in_flight: AtomicU32::new(0),
             peak: AtomicU32::new(0),
+            begun: AtomicU64::new(0),
             onward: Client::default(),
             options,
         });
@@ -119,6 +121,11 @@
         self.inner.peak.load(Ordering::Relaxed)
     }
 
+    /// Calls that arrived so far.
+    pub fn begun(&self) -> u64 {
+        self.inner.begun.load(Ordering::Relaxed)
+    }
+
     /// Calls that run now.
     pub fn in_flight(&self) -> u32 {
         self.inner.in_flight.load(Ordering::Relaxed)
@@ -137,6 +144,7 @@
     fn start(inner: &Arc<Inner>) -> Self {
         let now = inner.in_flight.fetch_add(1, Ordering::Relaxed) + 1;
         inner.peak.fetch_max(now, Ordering::Relaxed);
+        inner.begun.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(inner))
     }
 }
--- a/crates/standins/src/caller/client.rs
+++ b/crates/standins/src/caller/client.rs
@@ -56,7 +56,10 @@
     /// The answer broke off.
     #[display("cut")]
     Cut,
-    /// No connection, or it broke without an answer.
+    /// No connection: nothing was sent.
+    #[display("not connected")]
+    NotConnected,
+    /// The connection broke without an answer.
     #[display("no answer")]
     NoAnswer,
     /// The answer belongs to another call.
@@ -131,10 +134,11 @@
         let Ok(req) = req else {
             return Answer::without(Told::NoAnswer);
         };
-        let Ok(response) = self.client.request(req).await else {
-            return Answer::without(Told::NoAnswer);
-        };
-        read_answer(response, plan).await
+        match self.client.request(req).await {
+            Ok(response) => read_answer(response, plan).await,
+            Err(err) if err.is_connect() => Answer::without(Told::NotConnected),
+            Err(_) => Answer::without(Told::NoAnswer),
+        }
     }
 }
 
--- a/crates/standins/src/caller/load.rs
+++ b/crates/standins/src/caller/load.rs
@@ -20,7 +20,33 @@
     /// How long calls are begun.
     pub duration: Duration,
     /// Daemons called, in turn.
-    pub daemons: Vec<SocketAddr>,
+    pub daemons: Targets,
+}
+
+/// The daemons that callers know; may change while a load runs.
+#[derive(Clone, Debug, Default)]
+pub struct Targets(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl From<Vec<SocketAddr>> for Targets {
+    fn from(daemons: Vec<SocketAddr>) -> Self {
+        Self(Arc::new(Mutex::new(daemons)))
+    }
+}
+
+impl Targets {
+    /// Replaces the daemons.
+    pub fn set(&self, daemons: Vec<SocketAddr>) {
+        *lock(&self.0) = daemons;
+    }
+
+    /// The daemon for a call; `None` when none is known.
+    fn pick(&self, call: u64) -> Option<SocketAddr> {
+        let daemons = lock(&self.0);
+        if daemons.is_empty() {
+            return None;
+        }
+        Some(daemons[usize::try_from(call).unwrap_or(0) % daemons.len()])
+    }
 }
 
 /// A load that runs; it stops by itself.
@@ -72,9 +98,12 @@
     while started.elapsed() < options.duration {
         ticks.tick().await;
         while due(&options, started, begun) {
-            let daemon = options.daemons[daemon_of(begun, options.daemons.len())];
-            calls.spawn(one_call(client.clone(), daemon, plan(begun), Arc::clone(&tally)));
+            let call = begun;
             begun += 1;
+            let Some(daemon) = options.daemons.pick(call) else {
+                continue;
+            };
+            calls.spawn(one_call(client.clone(), daemon, plan(call), Arc::clone(&tally)));
         }
         while calls.try_join_next().is_some() {}
     }
@@ -91,10 +120,6 @@
     (begun as f64) < elapsed * options.calls_per_second
 }
 
-fn daemon_of(call: u64, daemons: usize) -> usize {
-    usize::try_from(call).unwrap_or(0) % daemons
-}
-
-fn lock(tally: &Mutex<Tally>) -> MutexGuard<'_, Tally> {
-    tally.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/standins/src/caller/mod.rs
+++ b/crates/standins/src/caller/mod.rs
@@ -5,5 +5,5 @@
 mod tally;
 
 pub use client::{Answer, CallPlan, Client, Told};
-pub use load::{Load, LoadOptions};
+pub use load::{Load, LoadOptions, Targets};
 pub use tally::{OnceCall, Tally};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,5 +13,5 @@
 pub use backend::{
     Announcer, BackendOptions, BackendServer, CallKey, Fault, FaultEffect, RunRecord, Scope,
 };
-pub use caller::{Answer, CallPlan, Client, Load, LoadOptions, OnceCall, Tally, Told};
+pub use caller::{Answer, CallPlan, Client, Load, LoadOptions, OnceCall, Tally, Targets, Told};
 pub use log::{LogCounters, LogFaults, LogOptions, LogService, LogStore, ReadError, StoredRecord};
