Give membership and distribution their first whole form

A daemon knew only itself and read nothing. Distribution lets two members per domain tail the log, pushes what they read, and pulls gaps from whoever holds more; a started daemon is ready once the log or enough ready peers confirmed what it holds.

Instance: states the version held before records are pushed, tells distribution what peers hold after each datagram, and reads the log at once after an acknowledged append.

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -11,10 +11,10 @@
 use cyclamen_membership::{Held, Membership, Outgoing, Rider, RiderKind};
 use cyclamen_moves::{Moves, MovesEffect, MovesSettings};
 use cyclamen_routing::{RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
-use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, ServerName};
+use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, Offset, ServerName};
 
 use crate::appends::Appends;
-use crate::event::{Effect, Effects, Event};
+use crate::event::{AppendError, Effect, Effects, Event, Ticket};
 use crate::servers::Beside;
 use crate::settings::InstanceSettings;
 use crate::sync;
@@ -84,7 +84,7 @@
             Event::Datagram { from, bytes } => self.on_datagram(now, from, &bytes),
             Event::LogRead(answer) => self.on_log(now, answer),
             Event::PeerAnswer { from, response } => self.on_peer(now, from, response),
-            Event::Appended { ticket, result } => self.appends.answered(now, ticket, &result),
+            Event::Appended { ticket, result } => self.on_appended(now, ticket, &result),
             Event::Stop => self.stop(now, out),
         }
         self.settle(now, out);
@@ -150,7 +150,7 @@
             self.membership.tick(now, &mut self.outgoing);
         }
         if now.mono >= self.distribution.next_tick() {
-            self.distribution.tick(now, &self.ledger, &self.membership, &mut self.fetches);
+            self.distribution.tick(now, &self.ledger, &mut self.membership, &mut self.fetches);
         }
         if now.mono >= self.moves.next_tick() {
             self.tick_moves(now);
@@ -178,6 +178,7 @@
                 RiderKind::Records => self.fold_rider(&rider),
             }
         }
+        self.distribution.heard(now, &self.ledger, &self.membership);
     }
 
     fn fold_rider(&mut self, rider: &Rider) {
@@ -191,9 +192,17 @@
 
     fn on_log(&mut self, now: Now, answer: Result<LogBatch, LogReadError>) {
         let fresh = self.distribution.on_log(now, answer, &mut self.ledger);
+        self.state_held();
         self.spread_records(now, &fresh);
     }
 
+    fn on_appended(&mut self, now: Now, ticket: Ticket, result: &Result<Offset, AppendError>) {
+        if let Ok(offset) = result {
+            self.distribution.expect(now, offset.version_after());
+        }
+        self.appends.answered(now, ticket, result);
+    }
+
     fn on_peer(&mut self, now: Now, from: SocketAddr, response: Option<PeerResponse>) {
         self.distribution.on_peer(now, from, response, &mut self.ledger);
     }
@@ -228,8 +237,7 @@
             return;
         }
         self.adopted = self.ledger.version();
-        let hash = self.ledger.hash().0;
-        self.membership.set_held(Held { version: self.adopted, hash });
+        self.state_held();
         let config = Arc::clone(self.ledger.config());
         match RouteTable::build(&config, &self.labels) {
             Ok(table) => {
@@ -243,6 +251,11 @@
         out.push(Effect::Changed);
     }
 
+    fn state_held(&mut self) {
+        let held = Held { version: self.ledger.version(), hash: self.ledger.hash().0 };
+        self.membership.set_held(held);
+    }
+
     fn adopt_splits(&mut self) {
         let splits: Vec<VersionSplit> =
             self.moves.splits().into_iter().map(sync::version_split).collect();
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -5,12 +5,32 @@
 
 use cyclamen_ledger::{Ledger, LogRecord};
 use cyclamen_membership::Membership;
-use cyclamen_types::{Mono, Now, Offset};
+use cyclamen_types::{ConfigVersion, Mono, Now, Offset};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::fresh::Fresh;
+use crate::gaps::Gaps;
+use crate::log_reader::{Cause, LogReader};
 use crate::messages::{PeerRequest, PeerResponse};
 
+/// Pause between two looks at what may be due.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Bytes of records in one answer to a peer.
+const RECORDS_BYTES: usize = 256 * 1024;
+
+/// Longest wait of a read for a version that the log is known to have.
+const EXPECTED_WAIT: Duration = Duration::from_secs(1);
+
+/// Records of one read that are pushed to peers; a reader that is further behind lets them pull.
+const PUSHED_RECORDS: usize = 16;
+
+/// Shortest and longest time after which a refused peer comes back, in milliseconds.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u32> = 100..=1_000;
+
 /// Settings of distribution.
 #[derive(Clone, Debug)]
 pub struct DistributionSettings {
@@ -84,20 +104,55 @@
 /// Distribution at one daemon.
 #[derive(Debug)]
 pub struct Distribution {
+    settings: DistributionSettings,
+    rng: SmallRng,
     counters: DistributionCounters,
+    log: LogReader,
+    gaps: Gaps,
+    fresh: Fresh,
+    transfers: u32,
+    relay: bool,
+    relay_topology: Option<u64>,
+    log_answered: bool,
+    peers_hold: ConfigVersion,
     next: Mono,
-    ready: bool,
 }
 
 impl Distribution {
     /// A daemon that holds nothing.
-    pub fn new(_settings: DistributionSettings, _seed: u64, now: Now) -> Self {
-        Self { counters: Default::default(), next: now.mono, ready: false }
+    pub fn new(settings: DistributionSettings, seed: u64, now: Now) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed.rotate_left(17)),
+            counters: DistributionCounters::default(),
+            log: LogReader::new(),
+            gaps: Gaps::default(),
+            fresh: Fresh::new(settings.fresh_peers, now),
+            transfers: 0,
+            relay: false,
+            relay_topology: None,
+            log_answered: false,
+            peers_hold: ConfigVersion::NONE,
+            next: now.mono,
+            settings,
+        }
     }
 
     /// Does what is due; what to fetch goes to `out`.
-    pub fn tick(&mut self, _now: Now, _ledger: &Ledger, _m: &Membership, _out: &mut Vec<Fetch>) {
-        self.next = Mono::NEVER;
+    pub fn tick(&mut self, now: Now, ledger: &Ledger, m: &mut Membership, out: &mut Vec<Fetch>) {
+        if std::mem::take(&mut self.log_answered) {
+            m.log_answered(now);
+        }
+        self.peers_hold = m.best_version();
+        self.find_role(now, m);
+        self.read_log(now, ledger, m, out);
+        self.ask_fresh(now, ledger, m, out);
+        self.close_gap(now, ledger, m, out);
+        self.fresh.judge(now, ledger.version());
+        self.next = (now.mono + LOOK_EVERY).min(self.gaps.due());
+        let log_due = self.log.due();
+        if self.relay && log_due > now.mono {
+            self.next = self.next.min(log_due);
+        }
     }
 
     /// When [`Distribution::tick`] is due.
@@ -105,43 +160,213 @@
         self.next
     }
 
-    /// Takes the answer of the log; the caller folds the records returned, in order.
+    /// Notes what peers are known to hold; a gap is closed soon unless the records come first.
+    pub fn heard(&mut self, now: Now, ledger: &Ledger, m: &Membership) {
+        if m.best_version() <= ledger.version() {
+            return;
+        }
+        self.gaps.notice(now, &mut self.rng);
+        self.next = self.next.min(self.gaps.due());
+    }
+
+    /// Notes a version that the log is known to have reached, so that this daemon soon holds it.
+    pub fn expect(&mut self, now: Now, version: ConfigVersion) {
+        self.log.expect(now, version);
+        self.next = now.mono;
+    }
+
+    /// Takes the answer of the log and folds it; returns the records that peers may lack.
     pub fn on_log(
         &mut self,
-        _now: Now,
-        _answer: Result<LogBatch, LogReadError>,
-        _ledger: &mut Ledger,
+        now: Now,
+        answer: Result<LogBatch, LogReadError>,
+        ledger: &mut Ledger,
     ) -> Vec<LogRecord> {
-        Vec::new()
+        self.next = now.mono;
+        let Ok(batch) = answer else {
+            self.log.fail(now, &mut self.rng);
+            return Vec::new();
+        };
+        self.log.succeed(now, Duration::ZERO);
+        self.log.forget_expected(batch.next);
+        self.log_answered = true;
+        for record in &batch.records {
+            ledger.fold(record);
+        }
+        if ledger.version().next_offset() >= batch.next {
+            self.fresh.log_read();
+        }
+        self.unknown_to_peers(batch.records)
     }
 
     /// Takes the answer of a peer; folds or installs what it brings. `None` when it failed.
     pub fn on_peer(
         &mut self,
-        _now: Now,
-        _from: SocketAddr,
-        _answer: Option<PeerResponse>,
-        _ledger: &mut Ledger,
+        now: Now,
+        from: SocketAddr,
+        answer: Option<PeerResponse>,
+        ledger: &mut Ledger,
     ) -> Vec<LogRecord> {
+        self.next = now.mono;
+        match answer {
+            None => {
+                self.gaps.fail(now, from, &mut self.rng);
+                self.fresh.forget(from);
+            }
+            Some(PeerResponse::Busy { retry_after_ms }) => {
+                self.gaps.come_back(now, from, retry_after_ms, &mut self.rng);
+                self.fresh.forget(from);
+            }
+            Some(PeerResponse::Records { records, held, ready }) => {
+                for record in &records {
+                    ledger.fold(record);
+                }
+                self.take_word(now, from, held, ready);
+            }
+            Some(PeerResponse::Snapshot { text, held, ready }) => {
+                ledger.install_snapshot(&text);
+                self.take_word(now, from, held, ready);
+            }
+        }
+        self.fresh.judge(now, ledger.version());
         Vec::new()
     }
 
     /// Answers a peer. Each answer that carries a snapshot holds a transfer until
     /// [`Distribution::served`].
-    pub fn serve(&mut self, _now: Now, _request: &PeerRequest, _ledger: &Ledger) -> PeerResponse {
-        PeerResponse::Busy { retry_after_ms: 0 }
+    pub fn serve(&mut self, _now: Now, request: &PeerRequest, ledger: &Ledger) -> PeerResponse {
+        let PeerRequest::Catchup { held } = *request;
+        let (mine, ready) = (ledger.version(), self.fresh.ready());
+        if held >= mine {
+            return PeerResponse::Records { records: Vec::new(), held: mine, ready };
+        }
+        if let Some(records) = ledger.records_from(held, RECORDS_BYTES) {
+            return PeerResponse::Records { records, held: mine, ready };
+        }
+        if self.transfers >= self.settings.snapshot_transfers {
+            self.counters.refused_busy += 1;
+            let retry_after_ms = self.rng.random_range(RETRY_AFTER_MS);
+            return PeerResponse::Busy { retry_after_ms };
+        }
+        self.transfers += 1;
+        self.counters.snapshots_served += 1;
+        PeerResponse::Snapshot { text: ledger.snapshot(), held: mine, ready }
     }
 
     /// A snapshot was sent, or its connection broke.
-    pub fn served(&mut self) {}
+    pub fn served(&mut self) {
+        self.transfers = self.transfers.saturating_sub(1);
+    }
 
     /// Whether this daemon holds a configuration that peers or the log confirmed as recent.
     pub fn ready(&self) -> bool {
-        self.ready
+        self.fresh.ready()
     }
 
     /// Counters so far.
     pub fn counters(&self) -> &DistributionCounters {
         &self.counters
     }
+
+    fn find_role(&mut self, now: Now, m: &Membership) {
+        if !m.settled(now) {
+            self.relay = false;
+            return;
+        }
+        if self.relay_topology == Some(m.topology()) {
+            return;
+        }
+        self.relay_topology = Some(m.topology());
+        let me = m.me();
+        self.relay = m.relays(&me.domain).contains(&me.instance);
+    }
+
+    fn read_log(&mut self, now: Now, ledger: &Ledger, m: &Membership, out: &mut Vec<Fetch>) {
+        let contact = m.log_contact().unwrap_or(self.fresh.started());
+        let silent = now.mono.since(contact) >= self.silence(m);
+        self.log.watch(now, silent, m.reachable(), &mut self.rng);
+        let Some(cause) = self.log.cause(now, self.relay, ledger.version()) else {
+            return;
+        };
+        let wait = match cause {
+            Cause::Relay => self.settings.long_poll,
+            Cause::Expected => EXPECTED_WAIT,
+            Cause::Silence => Duration::ZERO,
+        };
+        self.log.begin();
+        self.counters.log_reads += 1;
+        out.push(Fetch::Log { from: ledger.version().next_offset(), wait });
+    }
+
+    /// How long nobody may be known to have reached the log before this daemon tries.
+    fn silence(&self, m: &Membership) -> Duration {
+        if !self.fresh.ready() {
+            return self.settings.relay_silence;
+        }
+        let hops = (m.reachable() + 1).ilog2();
+        self.settings.long_poll + self.settings.relay_silence + m.period() * hops
+    }
+
+    fn ask_fresh(&mut self, now: Now, ledger: &Ledger, m: &Membership, out: &mut Vec<Fetch>) {
+        while self.fresh.wants_more() && self.gaps.may_ask(now, self.settings.fresh_peers) {
+            let (gaps, fresh) = (&self.gaps, &self.fresh);
+            let suits = |peer: &cyclamen_membership::Peer<'_>| {
+                !fresh.was_asked(&peer.address) && gaps.may_ask_peer(now, &peer.address)
+            };
+            let Some(to) = m.choose_peer(&mut self.rng, suits) else {
+                return;
+            };
+            self.fresh.ask(to);
+            self.ask(now, to, ledger, out);
+        }
+    }
+
+    fn close_gap(&mut self, now: Now, ledger: &Ledger, m: &Membership, out: &mut Vec<Fetch>) {
+        let held = ledger.version();
+        if m.best_version() <= held {
+            self.gaps.closed();
+            return;
+        }
+        self.gaps.notice(now, &mut self.rng);
+        if now.mono < self.gaps.due() || !self.gaps.may_ask(now, 1) {
+            return;
+        }
+        let gaps = &self.gaps;
+        let suits = |peer: &cyclamen_membership::Peer<'_>| {
+            peer.held.is_some_and(|theirs| theirs.version > held)
+                && gaps.may_ask_peer(now, &peer.address)
+        };
+        let Some(to) = m.choose_peer(&mut self.rng, suits) else {
+            self.gaps.postpone(now);
+            return;
+        };
+        self.ask(now, to, ledger, out);
+    }
+
+    fn ask(&mut self, now: Now, to: SocketAddr, ledger: &Ledger, out: &mut Vec<Fetch>) {
+        self.gaps.ask(now, to);
+        self.counters.peer_requests += 1;
+        let request = PeerRequest::Catchup { held: ledger.version() };
+        out.push(Fetch::Peer { to, request });
+    }
+
+    fn take_word(&mut self, now: Now, from: SocketAddr, held: ConfigVersion, ready: bool) {
+        self.gaps.answered(now, from);
+        if ready {
+            self.fresh.confirm(from, held);
+        } else {
+            self.fresh.forget(from);
+            self.gaps.rest(now, from);
+        }
+    }
+
+    fn unknown_to_peers(&self, records: Vec<LogRecord>) -> Vec<LogRecord> {
+        if records.len() > PUSHED_RECORDS {
+            return Vec::new();
+        }
+        let known = self.peers_hold.next_offset();
+        let mut unknown = records;
+        unknown.retain(|record| record.offset >= known);
+        unknown
+    }
 }
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -3,7 +3,11 @@
 //! [`Distribution`] decides when to read the log and whom to ask; it owns no records. The ledger
 //! folds what it obtains, and membership tells it who reads the log and who holds more.
 
+mod backoff;
 mod distribution;
+mod fresh;
+mod gaps;
+mod log_reader;
 mod messages;
 
 pub use distribution::{
--- a/crates/distribution/src/messages.rs
+++ b/crates/distribution/src/messages.rs
@@ -23,6 +23,9 @@
         records: Vec<LogRecord>,
         /// What the peer holds.
         held: ConfigVersion,
+        /// Whether the peer is ready for callers; only then does its word for what is recent
+        /// count.
+        ready: bool,
     },
     /// The peer's whole state.
     Snapshot {
@@ -30,6 +33,8 @@
         text: String,
         /// What the peer holds.
         held: ConfigVersion,
+        /// Whether the peer is ready for callers.
+        ready: bool,
     },
     /// Too many transfers; come back later.
     Busy {
--- /dev/null
+++ b/crates/membership/src/hot.rs
@@ -0,0 +1,106 @@
+//! News still to be passed on, the most urgent and least told first.
+
+use std::collections::BTreeMap;
+
+use cyclamen_types::ServerName;
+
+use crate::datagram::ShortId;
+use crate::wire::{Rider, RiderKind};
+
+/// News kept at most.
+const NEWS_LIMIT: usize = 2_048;
+
+/// How soon a piece of news should be told; lower ones go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Urgency {
+    /// At once and to all: convictions, records, backend servers that leave.
+    Urgent,
+    /// With every datagram: members and backend servers.
+    Soon,
+    /// As bytes allow.
+    Bulk,
+}
+
+/// What a piece of news is about. Newer news about the same replaces older.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Topic {
+    Member(ShortId),
+    Server(ShortId, ServerName),
+    Rider(u64),
+}
+
+#[derive(Debug)]
+struct News {
+    urgency: Urgency,
+    rider: Option<Rider>,
+    told: u32,
+    limit: u32,
+    added: u64,
+}
+
+/// The news.
+#[derive(Debug, Default)]
+pub(crate) struct Hot {
+    news: BTreeMap<Topic, News>,
+    count: u64,
+}
+
+impl Hot {
+    /// Adds news to be told `limit` times.
+    pub(crate) fn add(&mut self, topic: Topic, urgency: Urgency, limit: u32) {
+        self.insert(topic, urgency, None, limit);
+    }
+
+    /// Adds a rider to be told `limit` times.
+    pub(crate) fn add_rider(&mut self, id: u64, rider: Rider, limit: u32) {
+        let urgency = match rider.kind {
+            RiderKind::Conviction | RiderKind::Records => Urgency::Urgent,
+            RiderKind::Evidence => Urgency::Bulk,
+        };
+        self.insert(Topic::Rider(id), urgency, Some(rider), limit);
+    }
+
+    /// Topics in the order in which they should be told.
+    pub(crate) fn order(&self) -> Vec<(Topic, Urgency)> {
+        let mut all: Vec<(&Topic, &News)> = self.news.iter().collect();
+        all.sort_by_key(|(_, news)| (news.urgency, news.told, u64::MAX - news.added));
+        all.into_iter().map(|(topic, news)| (topic.clone(), news.urgency)).collect()
+    }
+
+    /// The rider of a topic.
+    pub(crate) fn rider(&self, topic: &Topic) -> Option<&Rider> {
+        self.news.get(topic)?.rider.as_ref()
+    }
+
+    /// Counts a telling; news told often enough is forgotten.
+    pub(crate) fn told(&mut self, topic: &Topic) {
+        let Some(news) = self.news.get_mut(topic) else {
+            return;
+        };
+        news.told += 1;
+        if news.told >= news.limit {
+            self.news.remove(topic);
+        }
+    }
+
+    /// Forgets news.
+    pub(crate) fn forget(&mut self, topic: &Topic) {
+        self.news.remove(topic);
+    }
+
+    fn insert(&mut self, topic: Topic, urgency: Urgency, rider: Option<Rider>, limit: u32) {
+        self.count += 1;
+        let news = News { urgency, rider, told: 0, limit, added: self.count };
+        self.news.insert(topic, news);
+        if self.news.len() > NEWS_LIMIT {
+            self.shed();
+        }
+    }
+
+    fn shed(&mut self) {
+        let last = self.news.iter().max_by_key(|(_, n)| (n.urgency, n.told, u64::MAX - n.added));
+        if let Some(topic) = last.map(|(topic, _)| topic.clone()) {
+            self.news.remove(&topic);
+        }
+    }
+}
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -32,6 +32,16 @@
     Evidence,
 }
 
+impl RiderKind {
+    /// Whether riders of this kind go out at once to a few members of whoever hears them.
+    pub fn is_urgent(self) -> bool {
+        match self {
+            Self::Conviction | Self::Records => true,
+            Self::Evidence => false,
+        }
+    }
+}
+
 /// A payload of another crate. Equal bytes count as the same rider.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Rider {
