Decide moves from merged evidence

Every daemon counts calls of both versions per route, time slot and stage, merges other reporters' counters by their maximum, and judges the sums by a sequential test: conditional and informed bets per stratum, mixed over alternatives and over the slot in which a fault began. Strata that hold one version only say nothing, so a version that runs alone and is suspect is checked against the old one on part of the traffic. The chart of a move decides every transition. CallSample names the backend server, because one slow server must not convict a version.

--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -45,6 +45,7 @@
                 route: &attempt.route,
                 service: &attempt.service,
                 version: &attempt.version,
+                server: &attempt.server,
                 failed,
                 latency: finished.latency,
                 cold: finished.cold,
--- /dev/null
+++ b/crates/moves/src/ladder.rs
@@ -0,0 +1,92 @@
+//! The stages of a move: shares, when the schedule allows them, what evidence they take.
+
+use std::time::Duration;
+
+use cyclamen_declarations::Move;
+use cyclamen_types::Wall;
+
+/// One stage.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rung {
+    /// Share of calls to the new version, in parts per million.
+    pub share_ppm: u32,
+    /// When the schedule allows it, in percent of the time from start to deadline.
+    pub entry_percent: u64,
+    /// Calls to the new version at this stage before the next one.
+    pub calls: u64,
+}
+
+/// All calls, in parts per million.
+pub const WHOLE_PPM: u32 = 1_000_000;
+
+/// The stages in order.
+pub const LADDER: [Rung; 5] = [
+    Rung { share_ppm: 10_000, entry_percent: 0, calls: 8 },
+    Rung { share_ppm: 50_000, entry_percent: 8, calls: 16 },
+    Rung { share_ppm: 200_000, entry_percent: 20, calls: 40 },
+    Rung { share_ppm: 500_000, entry_percent: 35, calls: 100 },
+    Rung { share_ppm: WHOLE_PPM, entry_percent: 55, calls: 0 },
+];
+
+/// The index of the last stage.
+pub const LAST_STAGE: u8 = LADDER.len() as u8 - 1;
+
+/// The stage number before which calls are counted while the new version runs alone.
+pub const LONE_STRATA_END: u8 = 128;
+
+/// The stage to fall back to while a suspicion is checked.
+pub const CHECK_STAGE: u8 = 2;
+
+/// Shortest time at a stage.
+pub const SHORTEST_DWELL: Duration = Duration::from_secs(5);
+
+/// Time slots between the start and the planned end of the watch.
+const SLOTS: u64 = 48;
+
+/// Shortest time slot, in milliseconds.
+const SHORTEST_SLOT_MS: u64 = 10_000;
+
+/// The rung of a stage.
+pub fn rung(stage: u8) -> &'static Rung {
+    &LADDER[usize::from(stage.min(LAST_STAGE))]
+}
+
+/// When the schedule allows a stage.
+pub fn entry(declared: &Move, stage: u8) -> Wall {
+    let span = declared.deadline.since(declared.start);
+    let percent = rung(stage).entry_percent;
+    declared.start + Duration::from_millis(span.as_millis() as u64 * percent / 100)
+}
+
+/// The least time that the stages after `stage` take.
+pub fn shortest_rest(stage: u8) -> Duration {
+    SHORTEST_DWELL * u32::from(LAST_STAGE.saturating_sub(stage))
+}
+
+/// The time slot of a moment: 0 before the start, then slots of equal length, and slots as long
+/// as the whole plan after its end.
+pub fn slot(declared: &Move, now: Wall) -> u16 {
+    if now < declared.start {
+        return 0;
+    }
+    let end = declared.deadline + declared.watch;
+    let plan = (end.since(declared.start).as_millis() as u64).max(SHORTEST_SLOT_MS);
+    let length = (plan / SLOTS).max(SHORTEST_SLOT_MS);
+    let passed = now.since(declared.start).as_millis() as u64;
+    let slot = if passed < plan {
+        1 + passed / length
+    } else {
+        1 + plan / length + (passed - plan) / plan
+    };
+    u16::try_from(slot).unwrap_or(u16::MAX)
+}
+
+/// The share that the announced slots of the new version carry, in parts per million. Without
+/// any announced slot of either version nothing is known, and nothing bounded.
+pub fn carried_ppm(old_slots: u32, new_slots: u32) -> u32 {
+    if old_slots <= new_slots {
+        return WHOLE_PPM;
+    }
+    let share = u64::from(new_slots) * u64::from(WHOLE_PPM) / u64::from(old_slots);
+    u32::try_from(share).unwrap_or(WHOLE_PPM)
+}
--- a/crates/moves/src/status.rs
+++ b/crates/moves/src/status.rs
@@ -19,6 +19,9 @@
     /// Traffic moves.
     #[display("moving")]
     Moving,
+    /// Part of the traffic is back on the old version while a suspicion is checked.
+    #[display("checking")]
+    Checking,
     /// An operator paused it.
     #[display("paused")]
     Paused,
--- /dev/null
+++ b/crates/moves/tests/course.rs
@@ -0,0 +1,97 @@
+//! The course of a move at one daemon.
+
+mod common;
+
+use common::{CallNames, at, config, daemon, even_slots, move_name};
+use cyclamen_ledger::VerdictKind;
+use cyclamen_moves::{MoveStage, Moves, MovesEffect};
+
+const CALLS_PER_SECOND: u64 = 50;
+
+/// Runs a daemon second by second; `fails` tells whether a call of the new version fails.
+fn run(
+    moves: &mut Moves,
+    from: u64,
+    to: u64,
+    fails: impl Fn(u64) -> bool,
+    out: &mut Vec<MovesEffect>,
+) {
+    let names = CallNames::new("lookup", 1);
+    let mut serial = 0;
+    for second in from..to {
+        moves.tick(at(second), &even_slots, out);
+        for call in 0..CALLS_PER_SECOND {
+            serial += 1;
+            let share = moves.splits().first().map_or(0, |split| split.share_ppm);
+            let new = (call * 20_011 + second * 997) % 1_000 * 1_000 < u64::from(share);
+            moves.record(at(second), &names.sample(new, new && fails(serial)), out);
+        }
+    }
+}
+
+fn verdicts(out: &[MovesEffect]) -> Vec<VerdictKind> {
+    let mut kinds = Vec::new();
+    for effect in out {
+        if let MovesEffect::Append(_, verdict) = effect {
+            kinds.push(verdict.kind);
+        }
+    }
+    kinds
+}
+
+#[test]
+fn course_of_good_version() {
+    let mut moves = daemon(1, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    run(&mut moves, 0, 600, |_| false, &mut out);
+    let status = moves.status(&move_name()).expect("adopted");
+    assert_eq!(status.stage, MoveStage::Watched, "{status:?}");
+    assert_eq!(status.share_ppm, 1_000_000);
+    assert!(!status.late);
+    assert_eq!(verdicts(&out), vec![VerdictKind::Done]);
+    run(&mut moves, 600, 1_000, |_| false, &mut out);
+    assert_eq!(moves.status(&move_name()).expect("adopted").stage, MoveStage::Done);
+}
+
+#[test]
+fn course_of_bad_version() {
+    let mut moves = daemon(1, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    run(&mut moves, 0, 100, |_| true, &mut out);
+    let status = moves.status(&move_name()).expect("adopted");
+    assert_eq!(status.stage, MoveStage::TakenBack, "{status:?}");
+    assert_eq!(status.share_ppm, 0);
+    assert!(status.evidence[0].new_failed <= 5, "{status:?}");
+    assert_eq!(verdicts(&out), vec![VerdictKind::TakenBack]);
+    insta::assert_snapshot!(status.reason);
+}
+
+#[test]
+fn course_of_common_trouble() {
+    let mut moves = daemon(1, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    let names = CallNames::new("lookup", 1);
+    for call in 0..4_000_u64 {
+        let now = at(call / 50);
+        moves.tick(now, &even_slots, &mut out);
+        moves.record(now, &names.sample(call % 10 == 0, call % 3 == 0), &mut out);
+    }
+    assert_eq!(moves.status(&move_name()).expect("adopted").stage, MoveStage::Moving);
+}
+
+#[test]
+fn course_of_late_fault() {
+    let mut moves = daemon(1, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    run(&mut moves, 0, 600, |_| false, &mut out);
+    assert_eq!(moves.status(&move_name()).expect("adopted").stage, MoveStage::Watched);
+    run(&mut moves, 600, 700, |_| true, &mut out);
+    let status = moves.status(&move_name()).expect("adopted");
+    assert_eq!(status.stage, MoveStage::TakenBack, "{status:?}");
+    assert!(status.evidence[0].new_failed <= 10, "{status:?}");
+    assert_eq!(verdicts(&out), vec![VerdictKind::Done, VerdictKind::TakenBack]);
+}
