Read settings, serve the administration API, send metrics

The daemon had settings only as a struct. A settings file now becomes a YAML tree, and that becomes checked settings by TryFrom, with every fault of the file at once. The administration API listens before the instance exists, so that no port is bound twice, and answers 503 until it does.

--- /dev/null
+++ b/crates/daemon/src/admin/changes.rs
@@ -0,0 +1,154 @@
+//! Publishing changes, and what became of them.
+
+use std::time::Duration;
+
+use cyclamen_declarations::Change;
+use cyclamen_ledger::ChangeOutcome;
+use cyclamen_types::ChangeId;
+use dropshot::{HttpResponseOk, Path, Query, UntypedBody, endpoint};
+
+use super::api::{ChangeAnswer, ChangePath, OutcomeKind, PublishQuery, WaitQuery};
+use super::border;
+use super::context::{self, Context, Request};
+use super::error::{ApiError, ErrorCode};
+
+/// Largest change file, in bytes.
+const CHANGE_BYTES: usize = 262_144;
+
+/// Wait for the outcome of a publication that names none.
+const PUBLISH_WAIT: Duration = Duration::from_secs(5);
+
+/// Publishes a change file (YAML or JSON): its entries are accepted or refused together.
+///
+/// The answer is `pending` when the log did not show the change in time; it is then still on its
+/// way. Publishing again under the same id is always safe.
+#[endpoint {
+    method = POST,
+    path = "/v1/changes",
+    request_body_max_bytes = CHANGE_BYTES,
+    tags = ["changes"],
+}]
+pub(super) async fn publish_change(
+    cx: Request,
+    query: Query<PublishQuery>,
+    body: UntypedBody,
+) -> Result<HttpResponseOk<ChangeAnswer>, ApiError> {
+    let team = context::team(&cx)?;
+    let query = query.into_inner();
+    let id = match &query.change_id {
+        Some(text) => checked_id(text)?,
+        None => fresh_id()?,
+    };
+    let text = body.as_str()?;
+    let change = border::parse_change(text, id, team).map_err(refused)?;
+    let wait = query.wait_ms.map_or(PUBLISH_WAIT, Duration::from_millis);
+    publish(cx.context(), &change, query.dry_run, wait).await.map(HttpResponseOk)
+}
+
+/// What became of a change.
+///
+/// A daemon remembers a change for as long as the log keeps its record.
+#[endpoint { method = GET, path = "/v1/changes/{id}", tags = ["changes"] }]
+pub(super) async fn read_change(
+    cx: Request,
+    path: Path<ChangePath>,
+    query: Query<WaitQuery>,
+) -> Result<HttpResponseOk<ChangeAnswer>, ApiError> {
+    let id = checked_id(&path.into_inner().id)?;
+    let wait = Duration::from_millis(query.into_inner().wait_ms.unwrap_or(0));
+    let outcome = cx.context().wait_for(wait, |instance| instance.outcome(&id).cloned()).await?;
+    let Some(outcome) = outcome else {
+        let message = format!(
+            "this daemon has not seen change `{id}`: wait, ask another daemon, or publish it \
+             again under this id"
+        );
+        return Err(ApiError::new(ErrorCode::NotFound, message));
+    };
+    Ok(HttpResponseOk(answer(&id, &outcome, Vec::new())))
+}
+
+/// Checks a change against the configuration held, publishes it and waits for its outcome.
+pub(super) async fn publish(
+    cx: &Context,
+    change: &Change,
+    dry_run: bool,
+    wait: Duration,
+) -> Result<ChangeAnswer, ApiError> {
+    let shared = cx.shared()?;
+    if let Some(outcome) = shared.read(|instance| instance.outcome(&change.id).cloned()) {
+        return settled(&change.id, &outcome, Vec::new());
+    }
+    let config = shared.read(|instance| instance.config().clone());
+    let findings = border::verify(change, &config);
+    if !findings.faults.is_empty() {
+        return Err(refused(findings.faults));
+    }
+    if dry_run {
+        return Ok(unsettled(&change.id, OutcomeKind::Checked, findings.warnings));
+    }
+    shared.with(|instance, now, out| instance.publish(now, change, out));
+    let outcome = cx.wait_for(wait, |instance| instance.outcome(&change.id).cloned()).await?;
+    match outcome {
+        Some(outcome) => settled(&change.id, &outcome, findings.warnings),
+        None => Ok(unsettled(&change.id, OutcomeKind::Pending, findings.warnings)),
+    }
+}
+
+/// A new id for a change.
+pub(super) fn fresh_id() -> Result<ChangeId, ApiError> {
+    checked_id(&format!("change-{:032x}", rand::random::<u128>()))
+}
+
+fn checked_id(text: &str) -> Result<ChangeId, ApiError> {
+    ChangeId::try_from(text).map_err(|error| {
+        ApiError::new(ErrorCode::Malformed, format!("the change id does not fit: {error}"))
+    })
+}
+
+fn settled(
+    id: &ChangeId,
+    outcome: &ChangeOutcome,
+    warnings: Vec<String>,
+) -> Result<ChangeAnswer, ApiError> {
+    let ChangeOutcome::Refused(offset, refusal) = outcome else {
+        return Ok(answer(id, outcome, warnings));
+    };
+    let faults = texts(&refusal.faults);
+    let error = match refusal.stale_base {
+        true => {
+            let message = "another change came in between: read the declaration again and edit it";
+            ApiError::new(ErrorCode::StaleBase, message).with_faults(faults)
+        }
+        false => refused(faults),
+    };
+    Err(error.at_offset(offset.0))
+}
+
+fn refused(faults: Vec<String>) -> ApiError {
+    let message = "the change is refused whole: mend every fault and publish it again";
+    ApiError::new(ErrorCode::ChangeRefused, message).with_faults(faults)
+}
+
+fn unsettled(id: &ChangeId, outcome: OutcomeKind, warnings: Vec<String>) -> ChangeAnswer {
+    let id = id.to_string();
+    ChangeAnswer { id, outcome, offset: None, stale_base: false, faults: Vec::new(), warnings }
+}
+
+fn answer(id: &ChangeId, outcome: &ChangeOutcome, warnings: Vec<String>) -> ChangeAnswer {
+    match outcome {
+        ChangeOutcome::Accepted(offset) => ChangeAnswer {
+            offset: Some(offset.0),
+            ..unsettled(id, OutcomeKind::Accepted, warnings)
+        },
+        ChangeOutcome::Refused(offset, refusal) => ChangeAnswer {
+            offset: Some(offset.0),
+            stale_base: refusal.stale_base,
+            faults: texts(&refusal.faults),
+            ..unsettled(id, OutcomeKind::Refused, warnings)
+        },
+    }
+}
+
+fn texts(faults: &[std::sync::Arc<str>]) -> Vec<String> {
+    faults.iter().map(|fault| fault.as_ref().into()).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/admin/context.rs
@@ -0,0 +1,80 @@
+//! What the endpoints work on.
+
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use cyclamen_types::TeamName;
+use dropshot::RequestContext;
+use tokio::time::Instant;
+
+use super::auth;
+use super::error::{ApiError, ErrorCode};
+use crate::settings::{OperatorToken, Settings};
+use crate::shared::Shared;
+
+/// Longest wait of one request for something to happen.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// The request of an endpoint.
+pub(super) type Request = RequestContext<Context>;
+
+/// What the endpoints of one daemon share.
+pub(super) struct Context {
+    shared: OnceLock<Shared>,
+    tokens: Vec<OperatorToken>,
+    listen: SocketAddr,
+    pub(super) announcement_lease: Duration,
+}
+
+impl Context {
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            shared: OnceLock::new(),
+            tokens: settings.tokens.clone(),
+            listen: settings.listen.calls,
+            announcement_lease: settings.limits.announcement_lease,
+        }
+    }
+
+    /// Gives the endpoints the instance; until then they answer that the daemon starts.
+    pub(super) fn serve(&self, shared: Shared) {
+        // A second instance would change nothing: the first one stays.
+        let _ = self.shared.set(shared);
+    }
+
+    pub(super) fn shared(&self) -> Result<&Shared, ApiError> {
+        let starting = || ApiError::new(ErrorCode::NotReady, "the daemon starts: try again");
+        self.shared.get().ok_or_else(starting)
+    }
+
+    /// Waits until `look` finds something, or `wait` is over.
+    pub(super) async fn wait_for<T>(
+        &self,
+        wait: Duration,
+        look: impl Fn(&cyclamenmoor::Instance) -> Option<T>,
+    ) -> Result<Option<T>, ApiError> {
+        let shared = self.shared()?;
+        let deadline = Instant::now() + wait.min(LONGEST_WAIT);
+        let mut changed = shared.changed();
+        loop {
+            if let Some(found) = shared.read(&look) {
+                return Ok(Some(found));
+            }
+            match tokio::time::timeout_at(deadline, changed.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) | Err(_) => return Ok(None),
+            }
+        }
+    }
+}
+
+/// The team of the request's token.
+pub(super) fn team(cx: &Request) -> Result<TeamName, ApiError> {
+    auth::team(&cx.context().tokens, cx.request.headers())
+}
+
+/// Refuses requests from other machines.
+pub(super) fn neighbour(cx: &Request) -> Result<(), ApiError> {
+    auth::neighbour(cx.request.remote_addr(), cx.context().listen.ip())
+}
--- /dev/null
+++ b/crates/daemon/src/admin/state.rs
@@ -0,0 +1,60 @@
+//! The state of this daemon: members, dump, readiness.
+
+use cyclamen_membership::MemberState;
+use cyclamenmoor::MemberDump;
+use dropshot::{HttpResponseOk, endpoint};
+
+use super::api::{MemberAnswer, MemberHealth, MemberList, ReadyAnswer, StateAnswer};
+use super::context::Request;
+use super::error::{ApiError, ErrorCode};
+
+/// The daemons that this daemon knows.
+#[endpoint { method = GET, path = "/v1/members", tags = ["state"] }]
+pub(super) async fn list_members(cx: Request) -> Result<HttpResponseOk<MemberList>, ApiError> {
+    let dump = cx.context().shared()?.read(cyclamenmoor::Instance::dump);
+    let members = dump.members.into_iter().map(MemberAnswer::from).collect();
+    Ok(HttpResponseOk(MemberList { members }))
+}
+
+/// The whole state of this daemon, without secrets.
+#[endpoint { method = GET, path = "/v1/state", tags = ["state"] }]
+pub(super) async fn read_state(cx: Request) -> Result<HttpResponseOk<StateAnswer>, ApiError> {
+    let dump = cx.context().shared()?.read(cyclamenmoor::Instance::dump);
+    Ok(HttpResponseOk(StateAnswer(Box::new(dump))))
+}
+
+/// Whether this daemon is ready for new callers: 200 when it is, 503 when it is not.
+#[endpoint { method = GET, path = "/v1/ready", tags = ["state"] }]
+pub(super) async fn read_ready(cx: Request) -> Result<HttpResponseOk<ReadyAnswer>, ApiError> {
+    let shared = cx.context().shared()?;
+    let (ready, version) = shared.read(|instance| (instance.ready(), instance.ledger().version()));
+    if !ready {
+        let message = "the daemon holds no configuration yet, or it stops: use another one";
+        return Err(ApiError::new(ErrorCode::NotReady, message));
+    }
+    Ok(HttpResponseOk(ReadyAnswer { version: version.0 }))
+}
+
+impl From<MemberDump> for MemberAnswer {
+    fn from(member: MemberDump) -> Self {
+        Self {
+            instance: member.instance.to_string(),
+            incarnation: member.incarnation.0,
+            failure_domain: member.domain.to_string(),
+            state: member.state.into(),
+            cut_off: member.cut_off,
+            version: member.held.map(|version| version.0),
+        }
+    }
+}
+
+impl From<MemberState> for MemberHealth {
+    fn from(state: MemberState) -> Self {
+        match state {
+            MemberState::Alive => Self::Alive,
+            MemberState::Suspect => Self::Suspect,
+            MemberState::Dead => Self::Dead,
+            MemberState::Left => Self::Left,
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,12 +8,16 @@
 pub mod calls;
 mod fetch;
 mod gossip;
+mod life;
 pub mod log_client;
+pub mod logging;
+pub mod metrics;
 mod peers;
 mod run;
-mod settings;
+pub mod settings;
 mod shared;
 
+pub use life::run_until;
 pub use run::{Running, StartError, start};
 pub use settings::{LimitSettings, OperatorToken, Settings, TokenHash};
 pub use shared::{Shared, SlotTurn};
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,104 @@
+//! The daemon's program: reads its settings, runs until SIGTERM or SIGINT, stops gracefully.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use cyclamen_daemon::settings::{ProcessSettings, RawSettings, SettingsFaults};
+use cyclamen_daemon::{StartError, logging, run_until};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The settings have faults.
+const SETTINGS_STATUS: u8 = 2;
+
+/// A socket could not be bound.
+const BIND_STATUS: u8 = 3;
+
+/// Anything else that kept the daemon from starting.
+const START_STATUS: u8 = 1;
+
+/// One daemon of the mesh.
+#[derive(FromArgs)]
+struct Args {
+    /// the settings file to run with
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// the settings file to check only
+    #[argh(option)]
+    check: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match (args.settings, args.check) {
+        (Some(path), None) => run(&path),
+        (None, Some(path)) => check(&path),
+        _ => {
+            eprintln!("give one of --settings FILE and --check FILE");
+            ExitCode::from(SETTINGS_STATUS)
+        }
+    }
+}
+
+fn check(path: &Path) -> ExitCode {
+    match read(path) {
+        Ok(_) => {
+            println!("{}: no faults", path.display());
+            ExitCode::SUCCESS
+        }
+        Err(faults) => settings_failure(path, &faults),
+    }
+}
+
+fn run(path: &Path) -> ExitCode {
+    let settings = match read(path) {
+        Ok(settings) => settings,
+        Err(faults) => return settings_failure(path, &faults),
+    };
+    if let Err(error) = logging::start(&settings.logging) {
+        eprintln!("cyclamend: logging does not start: {error:#}");
+        return ExitCode::from(SETTINGS_STATUS);
+    }
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cyclamend: no runtime: {error}; look at the limits of this process");
+            return ExitCode::from(START_STATUS);
+        }
+    };
+    match runtime.block_on(run_until(settings.daemon, stop_signal())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cyclamend: {error}");
+            ExitCode::from(start_status(&error))
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<ProcessSettings, SettingsFaults> {
+    RawSettings::read(path)?.try_into()
+}
+
+fn settings_failure(path: &Path, faults: &SettingsFaults) -> ExitCode {
+    eprintln!("{}: {faults}", path.display());
+    ExitCode::from(SETTINGS_STATUS)
+}
+
+fn start_status(error: &StartError) -> u8 {
+    match error {
+        StartError::Bind { .. } => BIND_STATUS,
+        StartError::Admin(_) => START_STATUS,
+    }
+}
+
+/// Ends at the first SIGTERM or SIGINT.
+async fn stop_signal() {
+    let Ok(mut term) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -82,14 +82,12 @@
     let started = Instant::now();
     let (socket, peer_listener) = bind_peer(settings.listen.peer).await?;
     let call_listener = bind(settings.listen.calls, "calls").await?;
-    let admin_listener = std::net::TcpListener::bind(settings.listen.admin)
-        .map_err(|cause| bind_error(settings.listen.admin, "administration", cause))?;
+    let admin = AdminServer::bind(&settings)?;
     let addresses = Addresses {
         calls: local(call_listener.local_addr(), settings.listen.calls),
         peer: local(peer_listener.local_addr(), settings.listen.peer),
-        admin: local(admin_listener.local_addr(), settings.listen.admin),
+        admin: admin.address(),
     };
-    drop(admin_listener);
     let now = shared::now(started);
     let incarnation = Incarnation(now.wall.0);
     let seed = settings.seed.unwrap_or_else(rand::random);
@@ -102,7 +100,7 @@
         log: LogClient::new(settings.log_service),
         key: settings.mesh_key.clone(),
     };
-    let admin = AdminServer::start(shared.clone(), &settings, addresses.admin).await?;
+    admin.serve(shared.clone());
     let calls = CallServer::start(shared.clone(), &settings, call_listener);
     let mut tasks = JoinSet::new();
     tasks.spawn(gossip::receive(shared.clone(), Arc::clone(&carrier.socket)));
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,4 +1,14 @@
 //! Checked settings of one daemon.
+//!
+//! A settings file becomes [`RawSettings`], which holds its YAML tree, and that becomes
+//! [`ProcessSettings`] by `TryFrom`, or [`SettingsFaults`] with every fault of the file. Programs
+//! that embed a daemon fill in [`Settings`] themselves.
+
+mod fault;
+mod process;
+mod raw;
+mod section;
+mod values;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,6 +18,10 @@
 use cyclamen_types::{FailureDomain, InstanceName, RegionName, TeamName};
 use derive_more::Debug;
 
+pub use fault::{SettingsFault, SettingsFaults};
+pub use process::{LoggingSettings, ProcessSettings};
+pub use raw::RawSettings;
+
 /// Everything a daemon needs to start.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- /dev/null
+++ b/crates/daemon/src/settings/raw.rs
@@ -0,0 +1,228 @@
+//! The settings file as it was written, and its way to checked settings.
+
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+use cyclamen_membership::{Addresses, MeshKey};
+use derive_more::Debug;
+use serde_yaml_ng::Value;
+
+use super::fault::{SettingsFault, SettingsFaults};
+use super::process::{LoggingSettings, ProcessSettings};
+use super::section::{FaultList, Misfit, Section};
+use super::values::{self, ADDRESS_REMEDY, NAME_REMEDY};
+use super::{LimitSettings, OperatorToken, Settings};
+use crate::logging;
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(3_600);
+
+/// A settings file as it was written, with the places that a secret may be read from.
+#[derive(Debug)]
+pub struct RawSettings {
+    /// The YAML tree.
+    pub tree: Value,
+    /// Reads the file of a secret.
+    #[debug(skip)]
+    pub read_file: fn(&Path) -> io::Result<String>,
+    /// Reads an environment variable.
+    #[debug(skip)]
+    pub read_env: fn(&str) -> Option<String>,
+}
+
+impl RawSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    /// A file that cannot be read, or that is no YAML.
+    pub fn read(path: &Path) -> Result<Self, SettingsFaults> {
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            let problem = format!("cannot be read ({error})");
+            file_fault(path, problem, "name a file that this process may read")
+        })?;
+        let tree = serde_yaml_ng::from_str(&text).map_err(|error| {
+            file_fault(path, format!("no YAML ({error})"), "mend the file at the place given")
+        })?;
+        Ok(Self {
+            tree,
+            read_file: |path| std::fs::read_to_string(path),
+            read_env: |name| std::env::var(name).ok(),
+        })
+    }
+}
+
+fn file_fault(path: &Path, problem: String, remedy: &str) -> SettingsFaults {
+    let place = path.display().to_string();
+    SettingsFaults(vec![SettingsFault { place, problem, remedy: remedy.into() }])
+}
+
+impl TryFrom<RawSettings> for ProcessSettings {
+    type Error = SettingsFaults;
+
+    fn try_from(raw: RawSettings) -> Result<Self, SettingsFaults> {
+        let faults = FaultList::default();
+        let settings = read(&raw, &faults);
+        let faults = faults.into_inner();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(SettingsFaults(faults)),
+        }
+    }
+}
+
+/// Reads every section before any missing value ends the work, so that all faults are found.
+fn read(raw: &RawSettings, faults: &FaultList) -> Option<ProcessSettings> {
+    let mut root = Section::new(String::new(), Some(&raw.tree), faults);
+    let mut me = root.section("instance");
+    let instance = me.required("name", NAME_REMEDY, values::name);
+    let domain = me.required("failure_domain", NAME_REMEDY, values::name);
+    let region = me.required("region", NAME_REMEDY, values::name);
+    let labels = me.optional("labels", values::labels);
+    me.end();
+    let listen = read_listen(root.section("listen"));
+    let mut peers = Vec::new();
+    for (place, item) in root.items("peers") {
+        match values::destination(item) {
+            Ok(address) => peers.push(address),
+            Err(misfit) => faults.push(&place, misfit),
+        }
+    }
+    let log_service = root.required("log_service", ADDRESS_REMEDY, values::destination);
+    let mesh_key = read_mesh_key(raw, root.section("mesh_key"));
+    let mut tokens = Vec::new();
+    for (place, item) in root.items("tokens") {
+        tokens.extend(read_token(Section::new(place, Some(item), faults)));
+    }
+    let limits = read_limits(root.section("limits"));
+    let metrics = root.section_if_present("metrics").and_then(read_metrics);
+    let logging = root.section_if_present("logging").map(read_logging);
+    let seed = root.optional("seed", values::seed);
+    root.end();
+    let daemon = Settings {
+        instance: instance?,
+        domain: domain?,
+        region: region?,
+        labels: labels.unwrap_or_default(),
+        listen: listen?,
+        peers,
+        log_service: log_service?,
+        mesh_key: mesh_key?,
+        tokens,
+        limits,
+        metrics,
+        seed,
+    };
+    Some(ProcessSettings { daemon, logging: logging.unwrap_or_default() })
+}
+
+fn read_listen(mut section: Section<'_>) -> Option<Addresses> {
+    let calls = section.required("calls", ADDRESS_REMEDY, values::address);
+    let peer = section.required("peer", ADDRESS_REMEDY, values::address);
+    let admin = section.required("admin", ADDRESS_REMEDY, values::address);
+    section.end();
+    Some(Addresses { calls: calls?, peer: peer?, admin: admin? })
+}
+
+fn read_mesh_key(raw: &RawSettings, mut section: Section<'_>) -> Option<MeshKey> {
+    let file = section.optional("file", values::path);
+    let env = section.optional("env", |value| values::text(value).map(String::from));
+    let key = match (file, env) {
+        (Some(path), None) => {
+            let text = (raw.read_file)(&path).map_err(|error| {
+                let problem = format!("`{}` cannot be read ({error})", path.display());
+                Misfit::new(problem, "name a file that this process may read")
+            });
+            report(&section, "file", text.and_then(|text| values::mesh_key(&text)))
+        }
+        (None, Some(name)) => {
+            let unset =
+                || Misfit::new(format!("`{name}` is not set"), "set it, or name another variable");
+            let text = (raw.read_env)(&name).ok_or_else(unset);
+            report(&section, "env", text.and_then(|text| values::mesh_key(&text)))
+        }
+        _ => {
+            let remedy = "write one of `file: PATH` and `env: NAME`";
+            section.own_fault(Misfit::new("no single source of the key", remedy));
+            None
+        }
+    };
+    section.end();
+    key.map(MeshKey)
+}
+
+fn report<T>(section: &Section<'_>, key: &str, result: Result<T, Misfit>) -> Option<T> {
+    match result {
+        Ok(value) => Some(value),
+        Err(misfit) => {
+            section.fault(key, misfit);
+            None
+        }
+    }
+}
+
+fn read_token(mut section: Section<'_>) -> Option<OperatorToken> {
+    let team = section.required("team", NAME_REMEDY, values::name);
+    let hash = section.required("hash", "run `cyclamen token`", values::token_hash);
+    section.end();
+    Some(OperatorToken { team: team?, hash: hash? })
+}
+
+fn read_limits(mut section: Section<'_>) -> LimitSettings {
+    let mut limits = LimitSettings::default();
+    section.overwrite("caller_connections", &mut limits.caller_connections, |value| {
+        values::count(value, 1..=100_000)
+    });
+    section.overwrite("queue", &mut limits.queue, |value| values::count(value, 0..=10_000));
+    section.overwrite("queue_wait", &mut limits.queue_wait, |value| {
+        values::span(value, MILLISECOND..=MINUTE)
+    });
+    section.overwrite("stop_grace", &mut limits.stop_grace, |value| {
+        values::span(value, Duration::ZERO..=HOUR)
+    });
+    section.overwrite("gossip_period", &mut limits.gossip_period, |value| {
+        values::span(value, 50 * MILLISECOND..=MINUTE)
+    });
+    section.overwrite("gossip_bytes_per_second", &mut limits.gossip_bytes_per_second, |value| {
+        values::count(value, 256..=10_000_000)
+    });
+    section.overwrite("announcement_lease", &mut limits.announcement_lease, |value| {
+        values::span(value, SECOND..=HOUR)
+    });
+    section.overwrite("evidence_period", &mut limits.evidence_period, |value| {
+        values::span(value, 50 * MILLISECOND..=MINUTE)
+    });
+    section.end();
+    limits
+}
+
+fn read_metrics(mut section: Section<'_>) -> Option<std::net::SocketAddr> {
+    let statsd = section.required("statsd", ADDRESS_REMEDY, values::destination);
+    section.end();
+    statsd
+}
+
+fn read_logging(mut section: Section<'_>) -> LoggingSettings {
+    let file = section.optional("file", values::path);
+    let inline = section.optional("log4rs", log4rs_tree);
+    let logging = match (file, inline) {
+        (Some(_), Some(_)) => {
+            let remedy = "write one of `file: PATH` and `log4rs: ...`";
+            section.own_fault(Misfit::new("two sources of the configuration", remedy));
+            LoggingSettings::Stderr
+        }
+        (Some(path), None) => LoggingSettings::File(path),
+        (None, Some(inline)) => LoggingSettings::Inline(inline),
+        (None, None) => LoggingSettings::Stderr,
+    };
+    section.end();
+    logging
+}
+
+fn log4rs_tree(value: &Value) -> Result<Value, Misfit> {
+    let misfit = |problem| Misfit::new(problem, "write a configuration as log4rs documents it");
+    logging::check(value).map_err(misfit)?;
+    Ok(value.clone())
+}
