--- a/crates/daemon/src/admin/api.rs
+++ b/crates/daemon/src/admin/api.rs
@@ -264,6 +264,9 @@
     pub cut_off: bool,
     /// The configuration version that it is known to hold.
     pub version: Option<u64>,
+    /// Where its administration API listens.
+    #[schemars(with = "String")]
+    pub admin: SocketAddr,
 }
 
 /// The daemons that this daemon knows.
--- a/crates/daemon/src/admin/auth.rs
+++ b/crates/daemon/src/admin/auth.rs
@@ -15,6 +15,11 @@
     pub fn of(token: &str) -> Self {
         Self(blake3::hash(token.as_bytes()).into())
     }
+
+    /// The hash in hexadecimal, as settings name it.
+    pub fn to_hex(&self) -> String {
+        blake3::Hash::from(self.0).to_hex().to_string()
+    }
 }
 
 /// The team of a request's token. All hashes are compared, each in constant time.
--- a/crates/daemon/src/admin/state.rs
+++ b/crates/daemon/src/admin/state.rs
@@ -1,7 +1,7 @@
 //! The state of this daemon: members, dump, readiness.
 
-use cyclamen_membership::MemberState;
-use cyclamenmoor::MemberDump;
+use cyclamen_membership::{MemberState, Membership};
+use cyclamenmoor::Instance;
 use dropshot::{HttpResponseOk, endpoint};
 
 use super::api::{MemberAnswer, MemberHealth, MemberList, ReadyAnswer, StateAnswer};
@@ -11,15 +11,14 @@
 /// The daemons that this daemon knows.
 #[endpoint { method = GET, path = "/v1/members", tags = ["state"] }]
 pub(super) async fn list_members(cx: Request) -> Result<HttpResponseOk<MemberList>, ApiError> {
-    let dump = cx.context().shared()?.read(cyclamenmoor::Instance::dump);
-    let members = dump.members.into_iter().map(MemberAnswer::from).collect();
+    let members = cx.context().shared()?.read(|instance| members(instance.membership()));
     Ok(HttpResponseOk(MemberList { members }))
 }
 
 /// The whole state of this daemon, without secrets.
 #[endpoint { method = GET, path = "/v1/state", tags = ["state"] }]
 pub(super) async fn read_state(cx: Request) -> Result<HttpResponseOk<StateAnswer>, ApiError> {
-    let dump = cx.context().shared()?.read(cyclamenmoor::Instance::dump);
+    let dump = cx.context().shared()?.read(Instance::dump);
     Ok(HttpResponseOk(StateAnswer(Box::new(dump))))
 }
 
@@ -35,17 +34,21 @@
     Ok(HttpResponseOk(ReadyAnswer { version: version.0 }))
 }
 
-impl From<MemberDump> for MemberAnswer {
-    fn from(member: MemberDump) -> Self {
-        Self {
-            instance: member.instance.to_string(),
-            incarnation: member.incarnation.0,
-            failure_domain: member.domain.to_string(),
-            state: member.state.into(),
-            cut_off: member.cut_off,
-            version: member.held.map(|version| version.0),
-        }
+fn members(membership: &Membership) -> Vec<MemberAnswer> {
+    let mut members = Vec::new();
+    for view in membership.members() {
+        let held = membership.held_by(&view.record.instance);
+        members.push(MemberAnswer {
+            instance: view.record.instance.to_string(),
+            incarnation: view.record.incarnation.0,
+            failure_domain: view.record.domain.to_string(),
+            state: view.state.into(),
+            cut_off: view.cut_off,
+            version: held.map(|held| held.version.0),
+            admin: view.record.addresses.admin,
+        });
     }
+    members
 }
 
 impl From<MemberState> for MemberHealth {
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -40,7 +40,9 @@
     let raw = RawConfig::deserialize(tree).map_err(|error| error.to_string())?;
     let (appenders, errors) = raw.appenders_lossy(&Deserializers::default());
     if !errors.is_empty() {
-        return Err(format!("{errors:?}"));
+        // Only the debug form names the faults; its first line holds them without backtraces.
+        let text = format!("{errors:?}");
+        return Err(text.lines().next().unwrap_or_default().into());
     }
     let config = Config::builder().appenders(appenders).loggers(raw.loggers()).build(raw.root());
     config.map(|_| ()).map_err(|errors| errors.to_string())
