--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -42,7 +42,8 @@
     if !errors.is_empty() {
         // Only the debug form names the faults; its first line holds them without backtraces.
         let text = format!("{errors:?}");
-        return Err(text.lines().next().unwrap_or_default().into());
+        let first = text.lines().next().unwrap_or_default();
+        return Err(first.trim_start_matches("AppenderErrors([").into());
     }
     let config = Config::builder().appenders(appenders).loggers(raw.loggers()).build(raw.root());
     config.map(|_| ()).map_err(|errors| errors.to_string())
