Decide calls: table, choice, retries and slots

The routing crate held interfaces only. The table is compiled by host and path prefix, the router chooses version and backend server and decides on retries, the slots count, queue and refuse.

--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use cyclamen_moves::{CallSample, MoveStatus};
-use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal};
-use cyclamen_types::{MoveName, Now};
+use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal, RouterMode, ServerLoad};
+use cyclamen_types::{MoveName, Now, ServerName};
 
 use crate::event::Effects;
 use crate::instance::Instance;
@@ -23,6 +23,17 @@
     pub cold: bool,
 }
 
+/// How the body of an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// All of it was passed on.
+    Whole,
+    /// It broke off at the server's side.
+    Truncated,
+    /// The caller went away before its end.
+    Cancelled,
+}
+
 impl Instance {
     /// Begins a call at the daemon that the caller reached.
     ///
@@ -58,6 +69,37 @@
         next
     }
 
+    /// Ends the body of an answer that was passed on. A body that broke off at the server's side
+    /// counts as a failure of its version.
+    pub fn end_body(&mut self, now: Now, attempt: &Attempt, end: BodyEnd, out: &mut Effects) {
+        self.router.end_body(now, attempt.id, end != BodyEnd::Truncated);
+        if end != BodyEnd::Truncated {
+            return;
+        }
+        let sample = CallSample {
+            route: &attempt.route,
+            service: &attempt.service,
+            version: &attempt.version,
+            failed: true,
+            latency: Duration::ZERO,
+            cold: false,
+        };
+        self.moves.record(now, &sample, &mut self.moves_out);
+        if !self.moves_out.is_empty() {
+            self.settle(now, out);
+        }
+    }
+
+    /// Learns from the load that the daemon beside a backend server reported.
+    pub fn observe_load(&mut self, now: Now, server: &ServerName, load: ServerLoad) {
+        self.router.observe_load(now, server, load);
+    }
+
+    /// Changes how calls are decided; for measurements.
+    pub fn set_router_mode(&mut self, mode: RouterMode) {
+        self.router.set_mode(mode);
+    }
+
     /// One move as an operator reads it.
     pub fn move_status(&self, name: &MoveName) -> Option<MoveStatus> {
         self.moves.status(name)
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -234,6 +234,7 @@
         match RouteTable::build(&config, &self.labels) {
             Ok(table) => {
                 self.router.install(Arc::new(table));
+                self.adopt_limits();
             }
             Err(_) => self.table_faults += 1,
         }
--- a/crates/cyclamenmoor/src/servers.rs
+++ b/crates/cyclamenmoor/src/servers.rs
@@ -1,23 +1,25 @@
 //! The backend servers beside this daemon: announcements, leases, slots.
 
-use cyclamen_declarations::{Criticality, Limits};
-use cyclamen_membership::{ServerRecord, ServerState};
-use cyclamen_routing::{Admission, CallId, Refusal, RefusalKind, Slots, SlotsSettings};
-use cyclamen_types::{Mono, Now, ServerName};
 use std::time::Duration;
 
+use cyclamen_declarations::Criticality;
+use cyclamen_membership::{ServerRecord, ServerState};
+use cyclamen_routing::{
+    Admission, CallId, QueueOrder, Ran, Refusal, RefusalKind, RouterMode, ServerLoad, Slots,
+    SlotsSettings,
+};
+use cyclamen_types::{FastMap, Mono, Now, ServerName, ServiceName};
+
 use crate::event::{AnnounceError, Announcement, Effect, Effects};
 use crate::instance::Instance;
 
-/// How often waiting calls are looked at.
-const QUEUE_CHECK: Duration = Duration::from_millis(5);
-
 /// A backend server beside this daemon.
 #[derive(Debug)]
 pub(crate) struct Beside {
     pub(crate) slots: Slots,
+    service: ServiceName,
+    announced_slots: u32,
     lease_ends: Mono,
-    next_check: Mono,
 }
 
 impl Instance {
@@ -35,19 +37,24 @@
             return Err(AnnounceError::NoSlots(announcement.name.clone()));
         }
         let lease_ends = now.mono + self.settings.announcement_lease;
-        let settings = self.slots_settings(announcement.slots);
+        let settings = self.slots_settings(&announcement.service, announcement.slots);
         let beside = self.beside.entry(announcement.name.clone()).or_insert_with(|| Beside {
             slots: Slots::new(settings),
+            service: announcement.service.clone(),
+            announced_slots: announcement.slots,
             lease_ends,
-            next_check: Mono::NEVER,
         });
+        beside.service = announcement.service.clone();
+        beside.announced_slots = announcement.slots;
         beside.lease_ends = lease_ends;
+        beside.slots.set(settings);
         let state = match announcement.draining || self.stopping {
             true => ServerState::Draining,
             false => ServerState::Ready,
         };
-        if state == ServerState::Draining {
-            beside.slots.drain();
+        match state {
+            ServerState::Ready => beside.slots.resume(),
+            _ => beside.slots.drain(),
         }
         self.put_record(now, announcement, state);
         self.settle(now, out);
@@ -80,17 +87,18 @@
         call: CallId,
         criticality: Criticality,
         deadline: Mono,
+        out: &mut Effects,
     ) -> Admission {
         let Some(beside) = self.beside.get_mut(server) else {
-            return Admission::Refused(Refusal {
-                kind: RefusalKind::Unavailable,
-                reason: "the backend server is not beside this daemon: try another".into(),
-                retry_after: None,
-            });
+            return Admission::Refused(not_beside());
         };
-        let admission = beside.slots.admit(now, call, criticality, deadline);
-        if admission == Admission::Queued {
-            beside.next_check = beside.next_check.min(now.mono + QUEUE_CHECK);
+        if self.router.mode() == RouterMode::Baseline {
+            return Admission::Run;
+        }
+        let mut evicted = Vec::new();
+        let admission = beside.slots.admit(now, call, criticality, deadline, &mut evicted);
+        if !evicted.is_empty() {
+            out.push(Effect::Expire(evicted));
         }
         admission
     }
@@ -101,45 +109,71 @@
         now: Now,
         server: &ServerName,
         call: CallId,
-        latency: Duration,
-        ok: bool,
+        ran: Ran,
         out: &mut Effects,
     ) {
         let Some(beside) = self.beside.get_mut(server) else {
             return;
         };
-        let run = beside.slots.finish(now, call, latency, ok);
+        let run = beside.slots.finish(now, call, ran);
         if !run.is_empty() {
             out.push(Effect::Run(run));
         }
     }
 
+    /// Where a backend server beside this daemon listens; `None` when it is gone.
+    pub fn server_beside(&self, server: &ServerName) -> Option<&ServerRecord> {
+        let record = self.membership.own_server(server)?;
+        (record.state != ServerState::Gone).then_some(record)
+    }
+
+    /// What a backend server beside this daemon carries now.
+    pub fn load(&self, server: &ServerName) -> ServerLoad {
+        self.beside.get(server).map(|beside| beside.slots.load()).unwrap_or_default()
+    }
+
+    /// When a call that a backend server beside this daemon had no slot for may come back.
+    pub fn come_back(&self, server: &ServerName) -> Duration {
+        self.beside.get(server).map(|beside| beside.slots.come_back()).unwrap_or_default()
+    }
+
     pub(crate) fn next_server_timer(&self) -> Mono {
-        let timers = self.beside.values().map(|beside| beside.lease_ends.min(beside.next_check));
-        timers.min().unwrap_or(Mono::NEVER)
+        let mut next = Mono::NEVER;
+        for beside in self.beside.values() {
+            next = next.min(beside.lease_ends).min(beside.slots.next_expiry());
+        }
+        next
     }
 
     pub(crate) fn tick_servers(&mut self, now: Now, out: &mut Effects) {
         let mut lapsed = Vec::new();
         for (name, beside) in &mut self.beside {
-            if beside.next_check <= now.mono {
-                let expired = beside.slots.expire(now);
-                let waiting = beside.slots.waiting() > 0;
-                beside.next_check = if waiting { now.mono + QUEUE_CHECK } else { Mono::NEVER };
-                if !expired.is_empty() {
-                    out.push(Effect::Expire(expired));
-                }
+            if beside.slots.next_expiry() <= now.mono {
+                out.push(Effect::Expire(beside.slots.expire(now)));
             }
             if beside.lease_ends <= now.mono {
                 beside.lease_ends = Mono::NEVER;
                 lapsed.push(name.clone());
             }
         }
+        lapsed.sort();
         for name in lapsed {
             self.set_state(now, &name, ServerState::Gone);
         }
     }
 
+    /// Brings the limits of the servers beside this daemon in step with the policies in force.
+    pub(crate) fn adopt_limits(&mut self) {
+        let mut settings = FastMap::default();
+        for (name, beside) in &self.beside {
+            let wanted = self.slots_settings(&beside.service, beside.announced_slots);
+            settings.insert(name.clone(), wanted);
+        }
+        for (name, beside) in &mut self.beside {
+            beside.slots.set(settings[name]);
+        }
+    }
+
     pub(crate) fn drain_all(&mut self, now: Now, _out: &mut Effects) {
         let names: Vec<ServerName> = self.beside.keys().cloned().collect();
         for name in names {
@@ -147,12 +181,13 @@
         }
     }
 
-    fn slots_settings(&self, slots: u32) -> SlotsSettings {
-        let limits = Limits::default();
+    fn slots_settings(&self, service: &ServiceName, slots: u32) -> SlotsSettings {
+        let limits = self.router.table().limits(service);
         SlotsSettings {
             slots,
             queue: limits.queue.unwrap_or(self.settings.queue),
             queue_wait: limits.queue_wait.unwrap_or(self.settings.queue_wait),
+            order: QueueOrder::default(),
         }
     }
 
@@ -191,3 +226,11 @@
         self.membership.put_server(now, record);
     }
 }
+
+fn not_beside() -> Refusal {
+    Refusal {
+        kind: RefusalKind::Unavailable,
+        reason: "the backend server is not beside this daemon: try another".into(),
+        retry_after: None,
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,8 @@
 mod table;
 
 pub use call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal, RefusalKind};
-pub use router::{Router, RouterCounters, RouterSettings, ServerInfo, VersionSplit};
-pub use slots::{Admission, CallId, Slots, SlotsCounters, SlotsSettings};
-pub use table::{RouteIndex, RouteTable, ServiceIndex, TableFault};
+pub use router::{
+    Router, RouterCounters, RouterMode, RouterSettings, ServerInfo, ServerLoad, VersionSplit,
+};
+pub use slots::{Admission, CallId, QueueOrder, Ran, Slots, SlotsCounters, SlotsSettings};
+pub use table::{RouteIndex, RouteTable, ServiceIndex, ServiceLimits, ServiceRetries, TableFault};
--- /dev/null
+++ b/crates/routing/src/router/mod.rs
@@ -0,0 +1,439 @@
+//! Decisions at the daemon that a caller reached.
+//!
+//! [`Router::begin`] chooses route, version and backend server; [`Router::finish`] takes the end
+//! of an attempt and says what follows; [`Router::end_body`] takes the end of the answer's body.
+
+mod budget;
+mod pool;
+mod refusals;
+mod server;
+mod versions;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_declarations::Idempotence;
+use cyclamen_types::{
+    FailureDomain, FastMap, FastSet, Mono, Now, RegionName, ServerName, ServiceName, VersionName,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use crate::call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal};
+use crate::router::budget::RetryBudget;
+use crate::router::pool::ServerPool;
+use crate::router::server::Health;
+pub use crate::router::server::ServerLoad;
+use crate::router::versions::{Draw, PPM, VersionChoice};
+use crate::table::{CompiledRoute, RouteTable};
+
+/// First pause before a retry that does not name one.
+const RETRY_PAUSE: Duration = Duration::from_millis(2);
+
+/// Longest pause before a retry.
+const LONGEST_PAUSE: Duration = Duration::from_millis(100);
+
+/// How a router decides.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RouterMode {
+    /// All of it.
+    #[default]
+    Full,
+    /// Uniformly random choice, no ejection, up to three retries of whatever failed: what the
+    /// measurements compare with. Not reachable from a daemon's settings.
+    Baseline,
+}
+
+/// Settings of the router.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    /// This daemon's failure domain.
+    pub domain: FailureDomain,
+    /// Its region.
+    pub region: RegionName,
+}
+
+/// A backend server that may take calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerInfo {
+    /// Its name.
+    pub name: ServerName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its version.
+    pub version: VersionName,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its region.
+    pub region: RegionName,
+    /// How to reach it.
+    pub hop: Hop,
+    /// Calls it runs at a time.
+    pub slots: u32,
+    /// Whether it takes new calls.
+    pub ready: bool,
+    /// Whether the daemon beside it is suspect or its failure domain silent.
+    pub doubtful: bool,
+}
+
+/// How a service's calls divide while a move runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionSplit {
+    /// The service.
+    pub service: ServiceName,
+    /// The version that has the traffic.
+    pub from: VersionName,
+    /// The version that gets it.
+    pub to: VersionName,
+    /// Share of `to`, in parts per million.
+    pub share_ppm: u32,
+}
+
+/// Counters for the dump and the metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterCounters {
+    /// Calls begun.
+    pub calls: u64,
+    /// Attempts beyond the first.
+    pub retries: u64,
+    /// Retries that the budget refused.
+    pub retries_refused: u64,
+    /// Calls refused as not run.
+    pub refused: u64,
+    /// Calls whose outcome is unknown.
+    pub unknown: u64,
+    /// Servers ejected.
+    pub ejections: u64,
+}
+
+/// An attempt under way, or the body of its answer.
+#[derive(Debug)]
+struct Call {
+    attempt: Attempt,
+    route: Arc<CompiledRoute>,
+    draw: Draw,
+    tried: FastSet<ServerName>,
+    started: Mono,
+    answered: bool,
+}
+
+/// The router of one daemon.
+#[derive(Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    mode: RouterMode,
+    table: Arc<RouteTable>,
+    pool: ServerPool,
+    splits: FastMap<ServiceName, VersionSplit>,
+    budgets: FastMap<ServiceName, RetryBudget>,
+    calls: FastMap<AttemptId, Call>,
+    last_attempt: u64,
+    rng: SmallRng,
+    counters: RouterCounters,
+}
+
+impl Router {
+    /// A router with an empty table.
+    pub fn new(settings: RouterSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            mode: RouterMode::Full,
+            table: Default::default(),
+            pool: Default::default(),
+            splits: Default::default(),
+            budgets: Default::default(),
+            calls: Default::default(),
+            last_attempt: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            counters: Default::default(),
+        }
+    }
+
+    /// Swaps the table; one of a lower version is refused and `false` returned.
+    pub fn install(&mut self, table: Arc<RouteTable>) -> bool {
+        if table.version() < self.table.version() {
+            return false;
+        }
+        self.table = table;
+        true
+    }
+
+    /// The table in force.
+    pub fn table(&self) -> &Arc<RouteTable> {
+        &self.table
+    }
+
+    /// Replaces the backend servers; what is known of those that stay is kept.
+    pub fn set_servers(&mut self, now: Now, servers: &[ServerInfo]) {
+        self.pool.replace(now.mono, servers, &self.settings.domain, &self.settings.region);
+    }
+
+    /// Replaces the splits of running moves.
+    pub fn set_splits(&mut self, splits: &[VersionSplit]) {
+        self.splits.clear();
+        for split in splits {
+            self.splits.insert(split.service.clone(), split.clone());
+        }
+    }
+
+    /// Begins a call.
+    ///
+    /// # Errors
+    /// The refusal to tell the caller; nothing was run.
+    pub fn begin(&mut self, now: Now, head: &CallHead<'_>) -> Result<Attempt, Refusal> {
+        self.counters.calls += 1;
+        let begun = self.try_begin(now.mono, head);
+        if begun.is_err() {
+            self.counters.refused += 1;
+        }
+        begun
+    }
+
+    /// Ends an attempt and says what follows. After [`Next::Deliver`] the attempt stays with its
+    /// server until [`Router::end_body`]. An attempt that has ended already is not told again:
+    /// its answer must not be passed on.
+    pub fn finish(&mut self, now: Now, attempt: AttemptId, outcome: Outcome) -> Next {
+        if self.calls.get(&attempt).is_none_or(|call| call.answered) {
+            return Next::Refuse(refusals::ended());
+        }
+        self.learn(now.mono, attempt, outcome);
+        if let Outcome::Answered { .. } = outcome {
+            return Next::Deliver;
+        }
+        let Some(call) = self.calls.remove(&attempt) else {
+            return Next::Refuse(refusals::ended());
+        };
+        if let Some(server) = self.pool.find_mut(&call.attempt.server) {
+            server.ended();
+        }
+        let next = self.follow(now.mono, call, outcome);
+        self.count(&next);
+        next
+    }
+
+    /// Ends the body of an answer that was passed on; `whole` is false when it broke off at the
+    /// server's side.
+    pub fn end_body(&mut self, now: Now, attempt: AttemptId, whole: bool) {
+        if !self.calls.get(&attempt).is_some_and(|call| call.answered) {
+            return;
+        }
+        if !whole {
+            self.learn(now.mono, attempt, Outcome::Truncated);
+        }
+        let Some(call) = self.calls.remove(&attempt) else {
+            return;
+        };
+        if let Some(server) = self.pool.find_mut(&call.attempt.server) {
+            server.ended();
+        }
+    }
+
+    /// Learns from the load that a backend server's daemon reported with an answer.
+    pub fn observe_load(&mut self, now: Now, server: &ServerName, load: ServerLoad) {
+        if let Some(server) = self.pool.find_mut(server) {
+            server.observe_load(now.mono, load);
+        }
+    }
+
+    /// Changes how the router decides.
+    pub fn set_mode(&mut self, mode: RouterMode) {
+        self.mode = mode;
+    }
+
+    /// How the router decides.
+    pub fn mode(&self) -> RouterMode {
+        self.mode
+    }
+
+    /// Attempts under way, bodies included.
+    pub fn in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Counters so far.
+    pub fn counters(&self) -> &RouterCounters {
+        &self.counters
+    }
+
+    fn try_begin(&mut self, now: Mono, head: &CallHead<'_>) -> Result<Attempt, Refusal> {
+        let index = self.table.find(head).ok_or_else(refusals::no_route)?;
+        if head.deadline <= now {
+            return Err(refusals::expired());
+        }
+        let route = Arc::clone(self.table.route(index));
+        let draw = self.draw(&route, head);
+        let percent = self.table.service(&route.service).map_or(0, |s| s.retries.budget_percent);
+        let budget = self.budgets.entry(route.service.clone());
+        budget.or_insert_with(|| RetryBudget::new(now)).deposit(percent);
+        let start = Start {
+            deadline: head.deadline.min(now + route.timeout),
+            idempotent: idempotent(route.idempotence, head.method),
+            route,
+            draw,
+            tried: FastSet::default(),
+            earlier: 0,
+        };
+        self.attempt(now, start)
+    }
+
+    fn draw(&mut self, route: &CompiledRoute, head: &CallHead<'_>) -> Draw {
+        let key = route.sticky.as_ref().and_then(|sticky| (head.header)(&sticky.header));
+        match key {
+            Some(key) => Draw::of_key(route.service.as_str(), key),
+            None => Draw(self.rng.random_range(0..PPM)),
+        }
+    }
+
+    /// Chooses version and server for one more attempt.
+    fn attempt(&mut self, now: Mono, start: Start) -> Result<Attempt, Refusal> {
+        let service = &start.route.service;
+        let Some(compiled) = self.table.service(service) else {
+            return Err(refusals::no_route());
+        };
+        let split = self.splits.get(service);
+        let choice = versions::choose(&start.route, compiled, split, start.draw);
+        let version = self.live_version(service, choice);
+        let tried = &start.tried;
+        let chosen = match self.mode {
+            RouterMode::Full => self.pool.choose(now, service, &version, tried, &mut self.rng),
+            RouterMode::Baseline => self.pool.any(service, &version, &mut self.rng),
+        };
+        let Some(chosen) = chosen else {
+            return Err(refusals::unavailable(service, &version, !tried.is_empty()));
+        };
+        let server = self.pool.get_mut(chosen);
+        server.started();
+        self.last_attempt += 1;
+        let attempt = Attempt {
+            id: AttemptId(self.last_attempt),
+            hop: server.info.hop,
+            server: server.info.name.clone(),
+            service: server.info.service.clone(),
+            version,
+            route: start.route.name.clone(),
+            criticality: start.route.criticality,
+            idempotent: start.idempotent,
+            deadline: start.deadline,
+            earlier: start.earlier,
+        };
+        let call = Call {
+            attempt: attempt.clone(),
+            route: start.route,
+            draw: start.draw,
+            tried: start.tried,
+            started: now,
+            answered: false,
+        };
+        self.calls.insert(attempt.id, call);
+        Ok(attempt)
+    }
+
+    fn live_version(&self, service: &ServiceName, choice: VersionChoice) -> VersionName {
+        if self.pool.has(service, &choice.version) {
+            return choice.version;
+        }
+        match choice.stand_in {
+            Some(other) if self.pool.has(service, &other) => other,
+            _ => choice.version,
+        }
+    }
+
+    fn learn(&mut self, now: Mono, attempt: AttemptId, outcome: Outcome) {
+        let Some(call) = self.calls.get_mut(&attempt) else {
+            return;
+        };
+        call.answered |= matches!(outcome, Outcome::Answered { .. });
+        let name = &call.attempt.server;
+        let Some(server) = self.pool.find_mut(name) else {
+            return;
+        };
+        let health = server.learn(now, outcome, now.since(call.started));
+        if health == Health::Eject && self.mode == RouterMode::Full && self.pool.eject(now, name) {
+            self.counters.ejections += 1;
+        }
+    }
+
+    /// What follows an attempt that brought no answer.
+    fn follow(&mut self, now: Mono, mut call: Call, outcome: Outcome) -> Next {
+        let last = &call.attempt;
+        let not_run = matches!(outcome, Outcome::NotRun { .. } | Outcome::NotConnected);
+        let baseline = self.mode == RouterMode::Baseline;
+        if outcome == Outcome::Cancelled {
+            return Next::Refuse(refusals::cancelled());
+        }
+        if !not_run && !last.idempotent && !baseline {
+            return Next::Refuse(refusals::unknown(outcome));
+        }
+        let refusal = refusals::after(outcome);
+        let pause = pause(outcome, last.earlier);
+        if now + pause >= last.deadline {
+            return Next::Refuse(refusals::after_deadline(outcome));
+        }
+        let retries = self.table.service(&last.service).map(|s| s.retries).unwrap_or_default();
+        if last.earlier + 1 >= retries.attempts {
+            return Next::Refuse(refusal);
+        }
+        let budget = self.budgets.get_mut(&last.service);
+        if !baseline && !budget.is_some_and(|budget| budget.withdraw(now)) {
+            self.counters.retries_refused += 1;
+            return Next::Refuse(refusal);
+        }
+        call.tried.insert(last.server.clone());
+        let start = Start {
+            deadline: last.deadline,
+            idempotent: last.idempotent,
+            earlier: last.earlier + 1,
+            route: call.route,
+            draw: call.draw,
+            tried: call.tried,
+        };
+        match self.attempt(now, start) {
+            Ok(attempt) => {
+                self.counters.retries += 1;
+                Next::Retry(attempt, pause)
+            }
+            Err(_) => Next::Refuse(refusal),
+        }
+    }
+
+    fn count(&mut self, next: &Next) {
+        let Next::Refuse(refusal) = next else {
+            return;
+        };
+        if refusal.kind == crate::RefusalKind::OutcomeUnknown {
+            self.counters.unknown += 1;
+        } else {
+            self.counters.refused += 1;
+        }
+    }
+}
+
+/// What an attempt starts from.
+struct Start {
+    route: Arc<CompiledRoute>,
+    draw: Draw,
+    tried: FastSet<ServerName>,
+    idempotent: bool,
+    deadline: Mono,
+    earlier: u32,
+}
+
+fn idempotent(rule: Idempotence, method: &str) -> bool {
+    match rule {
+        Idempotence::Always => true,
+        Idempotence::Never => false,
+        Idempotence::ByMethod => {
+            matches!(method, "GET" | "HEAD" | "OPTIONS" | "PUT" | "DELETE" | "TRACE")
+        }
+    }
+}
+
+/// The pause before a retry: none before another server that is not full.
+fn pause(outcome: Outcome, earlier: u32) -> Duration {
+    match outcome {
+        Outcome::NotConnected if earlier == 0 => Duration::ZERO,
+        Outcome::NotRun { .. } if earlier == 0 => Duration::ZERO,
+        _ => (RETRY_PAUSE * (1 << earlier.min(6))).min(LONGEST_PAUSE),
+    }
+}
--- /dev/null
+++ b/crates/routing/src/router/pool.rs
@@ -0,0 +1,245 @@
+//! The backend servers of a router, and the choice among those of one version.
+
+use cyclamen_types::{
+    FailureDomain, FastMap, FastSet, Mono, RegionName, ServerName, ServiceName, VersionName,
+};
+use derive_more::{From, Into};
+use rand::Rng;
+use rand::rngs::SmallRng;
+use typed_index_collections::TiVec;
+
+use crate::router::ServerInfo;
+use crate::router::server::Server;
+
+/// Largest share of a version's servers out of choice at a time, in percent.
+const EJECTED_CAP_PERCENT: usize = 34;
+
+#[derive(Clone, Copy, Debug, From, Into, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct ServerIndex(usize);
+
+/// The servers of one version, in order of name.
+#[derive(Debug, Default)]
+struct Group {
+    near: Vec<ServerIndex>,
+    region: Vec<ServerIndex>,
+    all: Vec<ServerIndex>,
+}
+
+/// All backend servers that may take calls.
+#[derive(Debug, Default)]
+pub(super) struct ServerPool {
+    servers: TiVec<ServerIndex, Server>,
+    by_name: FastMap<ServerName, ServerIndex>,
+    groups: FastMap<ServiceName, FastMap<VersionName, Group>>,
+    candidates: Vec<ServerIndex>,
+    seen_before: bool,
+}
+
+/// Where a server may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Want {
+    /// Neither doubtful nor ejected, with room.
+    Room,
+    /// Neither doubtful nor ejected.
+    Sound,
+    /// Any that takes calls.
+    Any,
+}
+
+impl ServerPool {
+    /// Replaces the servers; what is known of those that stay is kept. All but the first set
+    /// come up slowly.
+    pub(super) fn replace(
+        &mut self,
+        now: Mono,
+        infos: &[ServerInfo],
+        domain: &FailureDomain,
+        region: &RegionName,
+    ) {
+        let mut known: FastMap<ServerName, Server> = FastMap::default();
+        for server in self.servers.drain(..) {
+            known.insert(server.name().clone(), server);
+        }
+        self.by_name.clear();
+        self.groups.clear();
+        let mut sorted: Vec<&ServerInfo> = infos.iter().collect();
+        sorted.sort_by(|a, b| a.name.cmp(&b.name));
+        sorted.dedup_by(|a, b| a.name == b.name);
+        for info in sorted {
+            let server = match known.remove(&info.name) {
+                Some(mut server) => {
+                    server.update(info, now);
+                    server
+                }
+                None => Server::new(info.clone(), now, !self.seen_before),
+            };
+            self.add(server, domain, region);
+        }
+        self.seen_before |= !infos.is_empty();
+    }
+
+    fn add(&mut self, server: Server, domain: &FailureDomain, region: &RegionName) {
+        let info = server.info.clone();
+        let index = self.servers.push_and_get_key(server);
+        self.by_name.insert(info.name, index);
+        if !info.ready {
+            return;
+        }
+        let versions = self.groups.entry(info.service).or_default();
+        let group = versions.entry(info.version).or_default();
+        group.all.push(index);
+        if info.region == *region {
+            group.region.push(index);
+        }
+        if info.domain == *domain {
+            group.near.push(index);
+        }
+    }
+
+    pub(super) fn get_mut(&mut self, index: ServerIndex) -> &mut Server {
+        &mut self.servers[index]
+    }
+
+    pub(super) fn find_mut(&mut self, name: &ServerName) -> Option<&mut Server> {
+        self.by_name.get(name).map(|index| &mut self.servers[*index])
+    }
+
+    /// Whether a version has a server that takes calls.
+    pub(super) fn has(&self, service: &ServiceName, version: &VersionName) -> bool {
+        self.group(service, version).is_some()
+    }
+
+    /// Ejects a server, unless too many of its version are out of choice already.
+    pub(super) fn eject(&mut self, now: Mono, name: &ServerName) -> bool {
+        let Some(index) = self.by_name.get(name).copied() else {
+            return false;
+        };
+        let info = &self.servers[index].info;
+        let Some(group) = self.group(&info.service, &info.version) else {
+            return false;
+        };
+        let out = group.all.iter().filter(|i| self.servers[**i].ejected(now)).count();
+        if (out + 1) * 100 > group.all.len() * EJECTED_CAP_PERCENT && out > 0 {
+            return false;
+        }
+        if group.all.len() < 2 || self.servers[index].ejected(now) {
+            return false;
+        }
+        self.servers[index].eject(now);
+        true
+    }
+
+    /// Chooses a server: sound ones with room before others, near ones before far ones; of two
+    /// drawn at random the cheaper.
+    pub(super) fn choose(
+        &mut self,
+        now: Mono,
+        service: &ServiceName,
+        version: &VersionName,
+        tried: &FastSet<ServerName>,
+        rng: &mut SmallRng,
+    ) -> Option<ServerIndex> {
+        if !self.has(service, version) {
+            return None;
+        }
+        let mut candidates = std::mem::take(&mut self.candidates);
+        let chosen = self.choose_from(now, service, version, tried, &mut candidates, rng);
+        self.candidates = candidates;
+        chosen
+    }
+
+    fn choose_from(
+        &self,
+        now: Mono,
+        service: &ServiceName,
+        version: &VersionName,
+        tried: &FastSet<ServerName>,
+        candidates: &mut Vec<ServerIndex>,
+        rng: &mut SmallRng,
+    ) -> Option<ServerIndex> {
+        let group = self.group(service, version)?;
+        for want in [Want::Room, Want::Sound, Want::Any] {
+            for tier in [&group.near, &group.region, &group.all] {
+                if want != Want::Room && tier.len() < group.all.len() {
+                    continue;
+                }
+                self.collect(now, tier, want, tried, candidates);
+                if !candidates.is_empty() {
+                    return Some(self.cheaper_of_two(now, candidates, rng));
+                }
+            }
+        }
+        None
+    }
+
+    /// Chooses uniformly among all servers of a version.
+    pub(super) fn any(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+        rng: &mut SmallRng,
+    ) -> Option<ServerIndex> {
+        let group = self.group(service, version)?;
+        Some(group.all[rng.random_range(0..group.all.len())])
+    }
+
+    fn collect(
+        &self,
+        now: Mono,
+        tier: &[ServerIndex],
+        want: Want,
+        tried: &FastSet<ServerName>,
+        out: &mut Vec<ServerIndex>,
+    ) {
+        out.clear();
+        for index in tier {
+            let server = &self.servers[*index];
+            let fits = match want {
+                Want::Room => self.sound(now, server) && server.has_room(now),
+                Want::Sound => self.sound(now, server),
+                Want::Any => true,
+            };
+            if fits && !tried.contains(server.name()) {
+                out.push(*index);
+            }
+        }
+    }
+
+    fn sound(&self, now: Mono, server: &Server) -> bool {
+        !server.info.doubtful && !server.ejected(now)
+    }
+
+    fn cheaper_of_two(
+        &self,
+        now: Mono,
+        candidates: &[ServerIndex],
+        rng: &mut SmallRng,
+    ) -> ServerIndex {
+        let first = rng.random_range(0..candidates.len());
+        if candidates.len() == 1 {
+            return candidates[first];
+        }
+        let mut second = rng.random_range(0..candidates.len() - 1);
+        if second >= first {
+            second += 1;
+        }
+        let (a, b) = (candidates[first], candidates[second]);
+        let unknown = unknown_latency(&self.servers[a], &self.servers[b]);
+        let costs = (self.servers[a].cost(now, unknown), self.servers[b].cost(now, unknown));
+        if costs.1 < costs.0 { b } else { a }
+    }
+
+    fn group(&self, service: &ServiceName, version: &VersionName) -> Option<&Group> {
+        self.groups.get(service)?.get(version)
+    }
+}
+
+/// The latency to assume where none is known: that of the other.
+fn unknown_latency(a: &Server, b: &Server) -> f64 {
+    match (a.latency() > 0.0, b.latency() > 0.0) {
+        (true, true) => a.latency().min(b.latency()),
+        (true, false) => a.latency(),
+        (false, true) => b.latency(),
+        (false, false) => 1.0,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/slots/mod.rs
@@ -0,0 +1,323 @@
+//! Decisions at the daemon beside a backend server: its slots and its queue.
+//!
+//! [`Slots::admit`] runs, queues or refuses a call; [`Slots::finish`] ends it and names those
+//! whose turn it is. A refused or expired call has not been run.
+
+mod limit;
+mod queue;
+
+use std::time::Duration;
+
+use cyclamen_declarations::Criticality;
+use cyclamen_types::{FastMap, Mono, Now};
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+use crate::call::{Refusal, RefusalKind};
+use crate::router::ServerLoad;
+use crate::slots::limit::AdaptiveLimit;
+pub use crate::slots::queue::QueueOrder;
+use crate::slots::queue::{CLASSES, Queue, Waiting};
+
+/// Weight of a new hold time in the moving average.
+const HOLD_GAIN: f64 = 0.1;
+
+/// Shortest hint of when to come back.
+const SHORTEST_HINT: Duration = Duration::from_millis(5);
+
+/// Longest hint of when to come back.
+const LONGEST_HINT: Duration = Duration::from_secs(5);
+
+/// Of this many slots, bulk calls leave one to the others.
+const BULK_LEAVES_ONE_IN: u32 = 4;
+
+/// A call at the daemon beside the backend server.
+#[derive(Clone, Copy, Debug, Display, From, Into, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// Settings of the slots of one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotsSettings {
+    /// Calls it runs at a time.
+    pub slots: u32,
+    /// Calls that may wait.
+    pub queue: u32,
+    /// Longest wait.
+    pub queue_wait: Duration,
+    /// Which call of a class goes first.
+    pub order: QueueOrder,
+}
+
+/// What becomes of a call that arrives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Run it now.
+    Run,
+    /// It waits; [`Slots::finish`] or [`Slots::expire`] names it later.
+    Queued,
+    /// Not run.
+    Refused(Refusal),
+}
+
+/// How a call that ran ended at its backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// It answered after this time, to the head.
+    Answered(Duration),
+    /// It refused the call for load after this time.
+    Shed(Duration),
+    /// The call says nothing about the server's speed.
+    Unmeasured,
+}
+
+/// Counters for the dump and the metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotsCounters {
+    /// Calls run.
+    pub run: u64,
+    /// Calls refused.
+    pub refused: u64,
+    /// Most calls at a time.
+    pub peak: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    since: Mono,
+    criticality: Criticality,
+}
+
+/// The slots of one backend server.
+#[derive(Debug)]
+pub struct Slots {
+    settings: SlotsSettings,
+    limit: AdaptiveLimit,
+    running: FastMap<CallId, Running>,
+    bulk: u32,
+    queue: Queue,
+    hold: f64,
+    draining: bool,
+    counters: SlotsCounters,
+}
+
+impl Slots {
+    /// All slots free.
+    pub fn new(settings: SlotsSettings) -> Self {
+        Self {
+            limit: AdaptiveLimit::new(settings.slots),
+            settings,
+            running: FastMap::default(),
+            bulk: 0,
+            queue: Queue::default(),
+            hold: 0.0,
+            draining: false,
+            counters: SlotsCounters::default(),
+        }
+    }
+
+    /// Takes new settings; calls that run or wait stay.
+    pub fn set(&mut self, settings: SlotsSettings) {
+        self.limit.set_slots(settings.slots);
+        self.settings = settings;
+    }
+
+    /// A call arrives. Calls that had to make way for it are pushed to `evicted`; they are not
+    /// run.
+    pub fn admit(
+        &mut self,
+        now: Now,
+        call: CallId,
+        criticality: Criticality,
+        deadline: Mono,
+        evicted: &mut Vec<CallId>,
+    ) -> Admission {
+        let now = now.mono;
+        if let Some(refusal) = self.refusal(now, criticality, deadline) {
+            self.counters.refused += 1;
+            return Admission::Refused(refusal);
+        }
+        if self.queue.ahead_of(criticality) == 0 && self.fits(criticality) {
+            self.start(now, call, criticality);
+            return Admission::Run;
+        }
+        if self.full() {
+            let Some(out) = self.queue.evict_below(criticality, self.settings.order) else {
+                self.counters.refused += 1;
+                return Admission::Refused(self.overloaded());
+            };
+            self.counters.refused += 1;
+            evicted.push(out);
+        }
+        let until = deadline.min(now + self.settings.queue_wait);
+        self.queue.push(criticality, Waiting { call, until });
+        Admission::Queued
+    }
+
+    /// A call ended, or was cancelled while it waited; returns the calls to run now.
+    pub fn finish(&mut self, now: Now, call: CallId, ran: Ran) -> Vec<CallId> {
+        let now = now.mono;
+        let Some(running) = self.running.remove(&call) else {
+            self.queue.remove(call);
+            return Vec::new();
+        };
+        if running.criticality == Criticality::Bulk {
+            self.bulk -= 1;
+        }
+        self.learn(now, running, ran);
+        self.start_waiting(now)
+    }
+
+    /// Calls that waited too long; they are refused as not run.
+    pub fn expire(&mut self, now: Now) -> Vec<CallId> {
+        let mut expired = Vec::new();
+        self.queue.expire(now.mono, &mut expired);
+        self.counters.refused += expired.len() as u64;
+        expired
+    }
+
+    /// When [`Slots::expire`] has something to do.
+    pub fn next_expiry(&self) -> Mono {
+        self.queue.next_expiry()
+    }
+
+    /// Calls that wait.
+    pub fn waiting(&self) -> u32 {
+        u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
+    }
+
+    /// What the server carries now.
+    pub fn load(&self) -> ServerLoad {
+        ServerLoad { running: self.running(), waiting: self.waiting(), limit: self.limit.get() }
+    }
+
+    /// When a refused call may come back: the time for those that wait to be served.
+    pub fn come_back(&self) -> Duration {
+        self.wait_behind(self.queue.len()).clamp(SHORTEST_HINT, LONGEST_HINT)
+    }
+
+    /// Stops taking calls; those that run or wait stay.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Takes calls again.
+    pub fn resume(&mut self) {
+        self.draining = false;
+    }
+
+    /// Counters so far.
+    pub fn counters(&self) -> &SlotsCounters {
+        &self.counters
+    }
+
+    fn running(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    fn full(&self) -> bool {
+        self.waiting() >= self.settings.queue
+    }
+
+    /// The refusal of a call that cannot be run in time, whatever happens.
+    fn refusal(&self, now: Mono, criticality: Criticality, deadline: Mono) -> Option<Refusal> {
+        if self.draining {
+            return Some(draining());
+        }
+        if deadline <= now {
+            return Some(expired());
+        }
+        if self.queue.ahead_of(criticality) == 0 && self.fits(criticality) {
+            return None;
+        }
+        let patience = deadline.since(now).min(self.settings.queue_wait);
+        let ahead = self.queue.ahead_of(criticality);
+        (self.wait_behind(ahead) > patience).then(|| self.overloaded())
+    }
+
+    fn overloaded(&self) -> Refusal {
+        let reason = "the backend server is full; the call was not run: come back later".into();
+        let retry_after = Some(self.come_back());
+        Refusal { kind: RefusalKind::Overloaded, reason, retry_after }
+    }
+
+    /// Expected wait behind this many calls.
+    fn wait_behind(&self, ahead: usize) -> Duration {
+        let turns = (ahead + 1) as f64 / f64::from(self.limit.get());
+        Duration::from_secs_f64((turns * self.hold).min(LONGEST_HINT.as_secs_f64()))
+    }
+
+    fn fits(&self, criticality: Criticality) -> bool {
+        let limit = self.limit.get();
+        if self.running() >= limit {
+            return false;
+        }
+        criticality != Criticality::Bulk || self.bulk < bulk_limit(limit)
+    }
+
+    fn start(&mut self, now: Mono, call: CallId, criticality: Criticality) {
+        if criticality == Criticality::Bulk {
+            self.bulk += 1;
+        }
+        self.running.insert(call, Running { since: now, criticality });
+        self.counters.run += 1;
+        self.counters.peak = self.counters.peak.max(self.running.len() as u64);
+    }
+
+    fn start_waiting(&mut self, now: Mono) -> Vec<CallId> {
+        let mut run = Vec::new();
+        for criticality in CLASSES {
+            while self.fits(criticality) {
+                let Some(next) = self.queue.pop(criticality, self.settings.order) else {
+                    break;
+                };
+                if next.until <= now {
+                    // It is left to `expire`, which tells its caller.
+                    self.queue.push(criticality, next);
+                    break;
+                }
+                self.start(now, next.call, criticality);
+                run.push(next.call);
+            }
+        }
+        run
+    }
+
+    fn learn(&mut self, now: Mono, running: Running, ran: Ran) {
+        let held = now.since(running.since).as_secs_f64();
+        self.hold = match self.hold > 0.0 {
+            true => self.hold + HOLD_GAIN * (held - self.hold),
+            false => held,
+        };
+        if running.criticality == Criticality::Bulk {
+            return;
+        }
+        let busy = self.running() + 1 >= self.limit.get();
+        match ran {
+            Ran::Answered(latency) => self.limit.learn(now, latency, false, busy),
+            Ran::Shed(latency) => self.limit.learn(now, latency, true, busy),
+            Ran::Unmeasured => {}
+        }
+    }
+}
+
+/// Bulk calls that may run at a time: some slots are left to quicker calls.
+fn bulk_limit(limit: u32) -> u32 {
+    let left = limit.div_ceil(BULK_LEAVES_ONE_IN);
+    limit.saturating_sub(left).max(1)
+}
+
+fn draining() -> Refusal {
+    Refusal {
+        kind: RefusalKind::Unavailable,
+        reason: "the backend server is leaving; the call was not run: try another".into(),
+        retry_after: None,
+    }
+}
+
+fn expired() -> Refusal {
+    Refusal {
+        kind: RefusalKind::Expired,
+        reason: "the deadline passed before the call was run: send it again with more time".into(),
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/routing/src/table/build.rs
@@ -0,0 +1,120 @@
+//! Builds a table and reports all its faults at once.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+use cyclamen_declarations::{Labels, Route, VersionId};
+use cyclamen_ledger::Config;
+use cyclamen_types::{FastMap, VersionName};
+use typed_index_collections::TiVec;
+
+use crate::table::hosts::HostMap;
+use crate::table::{
+    CompiledRoute, CompiledService, RouteIndex, RouteTable, ServiceIndex, TableFault, policies,
+    trimmed_prefix,
+};
+
+impl RouteTable {
+    /// Builds the table of a proxy with these labels.
+    ///
+    /// # Errors
+    /// All faults; the table in force then stays.
+    pub fn build(config: &Config, proxy: &Labels) -> Result<Self, Vec<TableFault>> {
+        let held = routes_of(config, proxy);
+        let mut faults = Vec::new();
+        for route in &held {
+            verify(config, route, &mut faults);
+        }
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        let mut hosts = HostMap::default();
+        let mut routes: TiVec<RouteIndex, Arc<CompiledRoute>> = TiVec::new();
+        for route in held {
+            let index = routes.push_and_get_key(Arc::new(compile(route)));
+            hosts.insert(&route.matches.hosts, trimmed_prefix(&route.matches), index);
+        }
+        let services = services_of(config, proxy);
+        let mut service_names = FastMap::default();
+        for (index, service) in services.iter_enumerated() {
+            service_names.insert(service.name.clone(), index);
+        }
+        Ok(Self { version: config.version, routes, services, service_names, hosts })
+    }
+}
+
+/// The routes of a proxy by precedence; hosts are ranked by the lookup.
+fn routes_of<'a>(config: &'a Config, proxy: &Labels) -> Vec<&'a Route> {
+    let mut routes: Vec<&Route> = Vec::new();
+    for held in config.routes.values() {
+        if held.body.proxies.matches(proxy) {
+            routes.push(&held.body);
+        }
+    }
+    routes.sort_by_key(|route| {
+        let prefix = Reverse(trimmed_prefix(&route.matches).len());
+        let headers = Reverse(route.matches.headers.len());
+        (prefix, headers, Reverse(route.priority), &route.name)
+    });
+    routes
+}
+
+fn services_of(config: &Config, proxy: &Labels) -> TiVec<ServiceIndex, CompiledService> {
+    let strongest = policies::by_strength(config, proxy);
+    let mut services = TiVec::new();
+    for held in config.services.values() {
+        let (limits, retries) = policies::join(&strongest, &held.body);
+        let name = held.body.name.clone();
+        let version = held.body.version.clone();
+        services.push(CompiledService { name, version, limits, retries });
+    }
+    services
+}
+
+fn compile(route: &Route) -> CompiledRoute {
+    CompiledRoute {
+        name: route.name.clone(),
+        service: route.service.clone(),
+        split: route.split.clone(),
+        timeout: route.timeout,
+        idempotence: route.idempotence,
+        criticality: route.criticality,
+        sticky: route.sticky.clone(),
+        headers: route.matches.headers.clone(),
+    }
+}
+
+fn verify(config: &Config, route: &Route, faults: &mut Vec<TableFault>) {
+    let Some(service) = config.services.get(&route.service) else {
+        let service = route.service.clone();
+        faults.push(TableFault::MissingService { route: route.name.clone(), service });
+        return;
+    };
+    if route.split.is_empty() {
+        verify_version(config, route, &service.body.version, faults);
+        return;
+    }
+    for weighted in &route.split {
+        verify_version(config, route, &weighted.version, faults);
+    }
+    if route.split.iter().all(|weighted| weighted.weight == 0) {
+        faults.push(TableFault::NoWeight { route: route.name.clone() });
+    }
+}
+
+fn verify_version(
+    config: &Config,
+    route: &Route,
+    version: &VersionName,
+    faults: &mut Vec<TableFault>,
+) {
+    let id = VersionId { service: route.service.clone(), version: version.clone() };
+    if config.versions.contains_key(&id) {
+        return;
+    }
+    faults.push(TableFault::MissingVersion {
+        route: route.name.clone(),
+        service: id.service,
+        version: id.version,
+    });
+}
--- /dev/null
+++ b/crates/routing/src/table/hosts.rs
@@ -0,0 +1,101 @@
+//! The lookup of routes by host and path prefix.
+
+use std::sync::Arc;
+
+use cyclamen_declarations::HostPattern;
+use cyclamen_types::FastMap;
+
+use crate::table::RouteIndex;
+
+/// Routes by path prefix.
+#[derive(Clone, Debug, Default)]
+struct PrefixMap {
+    by_prefix: FastMap<Arc<str>, Vec<RouteIndex>>,
+    longest: usize,
+}
+
+/// Routes by host, then by path prefix.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HostMap {
+    exact: FastMap<Arc<str>, PrefixMap>,
+    suffix: FastMap<Arc<str>, PrefixMap>,
+    any: PrefixMap,
+}
+
+impl PrefixMap {
+    fn insert(&mut self, prefix: &str, route: RouteIndex) {
+        self.longest = self.longest.max(prefix.len());
+        let routes = self.by_prefix.entry(prefix.into()).or_default();
+        if routes.last() != Some(&route) {
+            routes.push(route);
+        }
+    }
+
+    /// The first route, by index, of the longest prefix that has one.
+    fn find(&self, path: &str, takes: &dyn Fn(RouteIndex) -> bool) -> Option<RouteIndex> {
+        let mut end = path.len();
+        loop {
+            if end <= self.longest
+                && let Some(found) = self.first(&path[..end], takes)
+            {
+                return Some(found);
+            }
+            end = path[..end].rfind('/')?;
+        }
+    }
+
+    fn first(&self, prefix: &str, takes: &dyn Fn(RouteIndex) -> bool) -> Option<RouteIndex> {
+        let routes = self.by_prefix.get(prefix)?;
+        routes.iter().copied().find(|route| takes(*route))
+    }
+}
+
+impl HostMap {
+    /// Adds a route. Routes are added in order of index.
+    pub(super) fn insert(&mut self, hosts: &[HostPattern], prefix: &str, route: RouteIndex) {
+        if hosts.is_empty() {
+            self.any.insert(prefix, route);
+        }
+        for host in hosts {
+            let map = match host {
+                HostPattern::Exact(name) => self.exact.entry(Arc::clone(name)),
+                HostPattern::Suffix(suffix) => self.suffix.entry(Arc::clone(suffix)),
+            };
+            map.or_default().insert(prefix, route);
+        }
+    }
+
+    /// The first route that `takes` the call: exact host, then suffixes, then any host.
+    pub(super) fn find(
+        &self,
+        host: &str,
+        path: &str,
+        takes: &dyn Fn(RouteIndex) -> bool,
+    ) -> Option<RouteIndex> {
+        let exact = self.exact.get(host).and_then(|map| map.find(path, takes));
+        exact.or_else(|| self.find_suffix(host, path, takes)).or_else(|| self.any.find(path, takes))
+    }
+
+    fn find_suffix(
+        &self,
+        host: &str,
+        path: &str,
+        takes: &dyn Fn(RouteIndex) -> bool,
+    ) -> Option<RouteIndex> {
+        if self.suffix.is_empty() {
+            return None;
+        }
+        let mut best: Option<RouteIndex> = None;
+        for (dot, _) in host.match_indices('.') {
+            if dot == 0 {
+                continue;
+            }
+            let Some(found) = self.suffix.get(&host[dot..]).and_then(|map| map.find(path, takes))
+            else {
+                continue;
+            };
+            best = Some(best.map_or(found, |other| other.min(found)));
+        }
+        best
+    }
+}
