Join the parts: a lab of served systems, the demonstration, a soak

Cause: the parts existed side by side; nothing showed a declaration becoming traffic and a verdict. Change: cyclamen-lab runs the log's stand-in, a real daemon beside each backend server, callers and the promises; cyclamen demo drives it; the soak runs episodes of failures over it. The tally's histogram had bounds of two microseconds, so every latency was cut to nothing (tally_latency); it now holds a minute.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 mod check;
+mod demo;
 mod get;
 mod members;
 mod moves;
@@ -41,6 +42,7 @@
 enum Command {
     Publish(publish::Publish),
     Check(check::Check),
+    Demo(demo::Demo),
     Get(get::Get),
     Moves(moves::Moves),
     Verdict(verdict::Verdict),
@@ -72,6 +74,7 @@
         match self.command {
             Command::Publish(args) => args.run(&cx).await,
             Command::Check(args) => args.run(&cx),
+            Command::Demo(args) => args.run(&cx).await,
             Command::Get(args) => args.run(&cx).await,
             Command::Moves(args) => args.run(&cx).await,
             Command::Verdict(args) => args.run(&cx).await,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -33,6 +33,9 @@
     /// An answer is none of this API.
     #[error("{0}: is this the administration address of a daemon of this release?")]
     Answer(String),
+    /// The demonstration could not be set up.
+    #[error("the demonstration did not run: {0}; free some ports and try again")]
+    Demo(String),
     /// The answer cannot be written.
     #[error("the answer cannot be written ({0}): look at standard output")]
     Output(#[from] std::io::Error),
@@ -46,7 +49,7 @@
             Self::Faults(_) => Status::Refused,
             Self::Api(error) => api_status(error.error_code),
             Self::Unreachable(_) => Status::Unreachable,
-            Self::Answer(_) | Self::Output(_) => Status::Failed,
+            Self::Answer(_) | Self::Output(_) | Self::Demo(_) => Status::Failed,
         }
     }
 }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod converge;
 mod moves;
+mod process;
 mod report;
 mod slopes;
 mod soak;
--- a/crates/standins/src/caller/tally.rs
+++ b/crates/standins/src/caller/tally.rs
@@ -12,6 +12,9 @@
 /// Significant digits of the latencies.
 const DIGITS: u8 = 3;
 
+/// Longest latency told apart, in microseconds.
+const LONGEST_MICROS: u64 = 60_000_000;
+
 /// What callers were told.
 #[derive(Clone, Debug)]
 pub struct Tally {
@@ -39,7 +42,8 @@
         Self {
             told: BTreeMap::new(),
             versions: BTreeMap::new(),
-            latency: Histogram::new(DIGITS).expect("the digits are within the library's range"),
+            latency: Histogram::new_with_bounds(1, LONGEST_MICROS, DIGITS)
+                .expect("the bounds are within the library's range"),
             once: Vec::new(),
         }
     }
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -6,7 +6,7 @@
 
 use cyclamen_standins::{
     BackendOptions, BackendServer, CallKey, CallPlan, Client, Fault, FaultEffect, RunRecord, Scope,
-    Told,
+    Tally, Told,
 };
 
 fn loopback() -> SocketAddr {
@@ -82,3 +82,14 @@
     let faults = vec![fault(FaultEffect::Shed, None)];
     assert_eq!(told(faults, "/records").await, (Told::Failed, 0));
 }
+
+#[tokio::test]
+async fn tally_latency() {
+    let mut tally = Tally::default();
+    let server = BackendServer::start(loopback(), options(Vec::new()), RunRecord::default())
+        .await
+        .expect("a free port");
+    let plan = plan("/records?ms=20", "key-1");
+    tally.add(&plan, &Client::default().call(server.address(), &plan).await);
+    assert!(tally.latency.max() >= 20_000);
+}
