--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -148,7 +148,7 @@
         let mut ended = Self { load: Some(load), ..Self::without(outcome) };
         if let HostEnd::Answered(response, connection) = end {
             ended.connection = connection;
-            ended.response = Some(response);
+            ended.response = Some(*response);
         }
         ended
     }
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -31,7 +31,7 @@
 /// How such a call ended.
 pub(super) enum HostEnd {
     /// The server answered.
-    Answered(Response<AnswerBody>, Connection),
+    Answered(Box<Response<AnswerBody>>, Connection),
     /// No slot: not run.
     Full(Duration),
     /// No connection, or it leaves: not run.
@@ -137,7 +137,7 @@
     parts.version = Version::HTTP_11;
     let body = AnswerBody::streamed(incoming, lease, until).with_slot(slot);
     let connection = if cold { Connection::Opened } else { Connection::Reused };
-    HostEnd::Answered(Response::from_parts(parts, body), connection)
+    HostEnd::Answered(Box::new(Response::from_parts(parts, body)), connection)
 }
 
 async fn take_slot(plane: &Plane, call: &HostCall) -> Result<SlotGuard, HostEnd> {
@@ -203,7 +203,7 @@
         HostEnd::Late => (HopOutcome::Late, Duration::ZERO),
     };
     let mut response = match end {
-        HostEnd::Answered(response, _) => response,
+        HostEnd::Answered(response, _) => *response,
         HostEnd::Full(_) | HostEnd::Down => empty(StatusCode::SERVICE_UNAVAILABLE),
         HostEnd::Unknown | HostEnd::Late => empty(StatusCode::BAD_GATEWAY),
     };
--- a/crates/routing/src/table/build.rs
+++ b/crates/routing/src/table/build.rs
@@ -60,11 +60,10 @@
 }
 
 fn services_of(config: &Config, proxy: &Labels) -> TiVec<ServiceIndex, CompiledService> {
-    let strongest = policies::by_strength(config, proxy);
     let mut services = TiVec::new();
     for held in config.services.values() {
-        let (limits, retries) = policies::join(&strongest, &held.body);
         let name = held.body.name.clone();
+        let (limits, retries) = policies::join(config, &name, proxy);
         let version = held.body.version.clone();
         services.push(CompiledService { name, version, limits, retries });
     }
--- a/crates/routing/src/table/policies.rs
+++ b/crates/routing/src/table/policies.rs
@@ -1,9 +1,10 @@
-//! Limits and retries of a service, joined from the policies that bind it.
+//! Limits and retries of a service, with defaults where no policy sets them.
 
 use std::time::Duration;
 
-use cyclamen_declarations::{Labels, Policy, Service};
+use cyclamen_declarations::Labels;
 use cyclamen_ledger::Config;
+use cyclamen_types::ServiceName;
 
 /// Attempts of a call where no policy says otherwise, the first included.
 const DEFAULT_ATTEMPTS: u32 = 3;
@@ -37,36 +38,22 @@
     }
 }
 
-/// The policies that bind a proxy, strongest first.
-pub(super) fn by_strength<'a>(config: &'a Config, proxy: &Labels) -> Vec<&'a Policy> {
-    let mut policies: Vec<&Policy> = Vec::new();
-    for held in config.policies.values() {
-        if held.body.proxies.matches(proxy) {
-            policies.push(&held.body);
-        }
-    }
-    policies.sort_by(|a, b| b.priority.cmp(&a.priority).then_with(|| a.name.cmp(&b.name)));
-    policies
-}
-
-/// What `policies`, strongest first, say of a service.
-pub(super) fn join(policies: &[&Policy], service: &Service) -> (ServiceLimits, ServiceRetries) {
-    let mut limits = ServiceLimits::default();
-    let mut attempts = None;
-    let mut budget_percent = None;
-    for policy in policies {
-        if !policy.services.matches(&service.labels) {
-            continue;
-        }
-        limits.queue = limits.queue.or(policy.limits.queue);
-        limits.queue_wait = limits.queue_wait.or(policy.limits.queue_wait);
-        limits.body_bytes = limits.body_bytes.or(policy.limits.body_bytes);
-        attempts = attempts.or(policy.retries.attempts);
-        budget_percent = budget_percent.or(policy.retries.budget_percent);
-    }
+/// What the policies in force say of a service on a proxy.
+pub(super) fn join(
+    config: &Config,
+    service: &ServiceName,
+    proxy: &Labels,
+) -> (ServiceLimits, ServiceRetries) {
+    let limits = config.limits_for(service, proxy);
+    let retries = config.retries_for(service, proxy);
+    let limits = ServiceLimits {
+        queue: limits.queue,
+        queue_wait: limits.queue_wait,
+        body_bytes: limits.body_bytes,
+    };
     let retries = ServiceRetries {
-        attempts: attempts.unwrap_or(DEFAULT_ATTEMPTS).max(1),
-        budget_percent: budget_percent.unwrap_or(DEFAULT_BUDGET_PERCENT),
+        attempts: retries.attempts.unwrap_or(DEFAULT_ATTEMPTS).max(1),
+        budget_percent: retries.budget_percent.unwrap_or(DEFAULT_BUDGET_PERCENT),
     };
     (limits, retries)
 }
