--- /dev/null
+++ b/crates/routing/tests/table.rs
@@ -0,0 +1,166 @@
+//! The table: precedence of routes, all faults at once.
+
+mod common;
+
+use common::{config, head, table};
+use cyclamen_declarations::{HeaderMatch, HostPattern, Labels, Route};
+use cyclamen_ledger::Config;
+use cyclamen_routing::{CallHead, RouteTable, TableFault};
+use cyclamen_types::{Mono, RouteName};
+use proptest::prelude::*;
+
+const PRECEDENCE: &str = "
+declarations:
+- name: dvere
+  service: {version: v1}
+- name: dvere/v1
+  version: {}
+- name: any
+  route: {service: dvere, timeout: 1s, match: {path_prefix: /doors/school}}
+- name: wild
+  route: {service: dvere, timeout: 1s, match: {hosts: ['*.doors.example']}}
+- name: wild-long
+  route: {service: dvere, timeout: 1s, match: {hosts: ['*.example'], path_prefix: /doors}}
+- name: exact
+  route: {service: dvere, timeout: 1s, match: {hosts: [a.doors.example]}}
+- name: exact-header
+  route:
+    service: dvere
+    timeout: 1s
+    match: {hosts: [a.doors.example], headers: [{name: x-kind, value: school}]}
+- name: exact-high
+  route: {service: dvere, timeout: 1s, priority: 5, match: {hosts: [b.doors.example]}}
+- name: exact-low
+  route: {service: dvere, timeout: 1s, match: {hosts: [b.doors.example]}}
+- name: elsewhere
+  route: {service: dvere, timeout: 1s, proxies: region=other, match: {path_prefix: /}}
+";
+
+fn found(table: &RouteTable, host: &str, path: &str, kind: Option<&'static str>) -> String {
+    let header = |name: &str| kind.filter(|_| name == "x-kind");
+    let head = CallHead { method: "GET", host, path, header: &header, deadline: Mono::NEVER };
+    let name = table.find(&head).and_then(|index| table.route_name(index));
+    name.map_or("none".into(), |name| name.to_string())
+}
+
+#[test]
+fn find_by_precedence() {
+    let table = table(PRECEDENCE);
+    let find = |host, path| found(&table, host, path, None);
+    assert_eq!(find("a.doors.example", "/doors/school"), "exact");
+    assert_eq!(find("c.doors.example", "/doors/school"), "wild-long");
+    assert_eq!(find("c.doors.example", "/doorstep"), "wild");
+    assert_eq!(find("doors.example", "/doors"), "wild-long");
+    assert_eq!(find("other", "/doors/school/7"), "any");
+    assert_eq!(find("other", "/doors/schools"), "none");
+    assert_eq!(find("b.doors.example", "/"), "exact-high");
+    assert_eq!(found(&table, "a.doors.example", "/", Some("school")), "exact-header");
+    assert_eq!(found(&table, "a.doors.example", "/", Some("flat")), "exact");
+}
+
+#[test]
+fn build_by_selector() {
+    let mut labels = Labels::default();
+    labels.0.insert("region".into(), "other".into());
+    let table = RouteTable::build(&config(PRECEDENCE), &labels).expect("no faults");
+    assert_eq!(found(&table, "nowhere", "/x", None), "elsewhere");
+}
+
+#[test]
+fn build_all_faults() {
+    let mut config = Config::clone(&config(PRECEDENCE));
+    config.versions.clear();
+    let faults = RouteTable::build(&config, &Labels::default()).expect_err("faults");
+    assert_eq!(faults.len(), 7);
+    assert!(faults.iter().all(|fault| matches!(fault, TableFault::MissingVersion { .. })));
+    config.services.clear();
+    let faults = RouteTable::build(&config, &Labels::default()).expect_err("faults");
+    assert_eq!(faults.len(), 7);
+    assert!(faults.iter().all(|fault| matches!(fault, TableFault::MissingService { .. })));
+}
+
+#[test]
+fn find_many_slashes() {
+    let table = table(PRECEDENCE);
+    let path = "/".repeat(20_000);
+    assert!(table.find(&head("GET", &path)).is_none());
+}
+
+/// The documented order, written down once more and slowly.
+fn slow_find(config: &Config, host: &str, path: &str, kind: Option<&str>) -> Option<RouteName> {
+    let mut best: Option<(Rank<'_>, &Route)> = None;
+    for held in config.routes.values() {
+        let Some(rank) = rank(&held.body, host, path, kind) else {
+            continue;
+        };
+        if best.as_ref().is_none_or(|(other, _)| rank < *other) {
+            best = Some((rank, &held.body));
+        }
+    }
+    best.map(|(_, route)| route.name.clone())
+}
+
+type Rank<'a> = (u8, std::cmp::Reverse<(usize, usize, i32)>, &'a RouteName);
+
+fn rank<'a>(route: &'a Route, host: &str, path: &str, kind: Option<&str>) -> Option<Rank<'a>> {
+    let mut class = if route.matches.hosts.is_empty() { Some(2) } else { None };
+    for pattern in &route.matches.hosts {
+        let found = match pattern {
+            HostPattern::Exact(name) => (&**name == host).then_some(0),
+            HostPattern::Suffix(end) => {
+                (host.len() > end.len() && host.ends_with(&**end)).then_some(1)
+            }
+        };
+        class = class.into_iter().chain(found).min();
+    }
+    let prefix = route.matches.path_prefix.trim_end_matches('/');
+    let rest = path.strip_prefix(prefix)?;
+    if !rest.is_empty() && !rest.starts_with('/') {
+        return None;
+    }
+    for HeaderMatch { value, .. } in &route.matches.headers {
+        let found = kind?;
+        if value.as_deref().is_some_and(|value| value != found) {
+            return None;
+        }
+    }
+    let order = (prefix.len(), route.matches.headers.len(), route.priority);
+    Some((class?, std::cmp::Reverse(order), &route.name))
+}
+
+fn routes() -> impl Strategy<Value = String> {
+    let hosts = prop::sample::subsequence(vec!["a.x", "b.a.x", "'*.x'", "'*.a.x'"], 0..3);
+    let prefix = prop::sample::select(vec!["/", "/p", "/p/q", "/p/q/", "/pq"]);
+    let kind = prop::sample::select(vec!["", "{name: x-kind}", "{name: x-kind, value: s}"]);
+    let route = (hosts, prefix, kind, -1..2);
+    prop::collection::vec(route, 1..12).prop_map(|routes| {
+        let mut yaml = "declarations:\n- name: dvere\n  service: {version: v1}\n".to_owned();
+        yaml.push_str("- name: dvere/v1\n  version: {}\n");
+        for (number, (hosts, prefix, kind, priority)) in routes.into_iter().enumerate() {
+            let hosts = hosts.join(", ");
+            let matches = format!("{{hosts: [{hosts}], path_prefix: {prefix}, headers: [{kind}]}}");
+            yaml.push_str(&format!(
+                "- name: r{number}\n  route: {{service: dvere, timeout: 1s, priority: {priority}, match: {matches}}}\n"
+            ));
+        }
+        yaml
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    #[test]
+    fn find_as_documented(
+        yaml in routes(),
+        host in prop::sample::select(vec!["a.x", "b.a.x", "c.a.x", "x", "other", ""]),
+        path in prop::sample::select(vec!["/", "/p", "/p/", "/p/q", "/p/q/r", "/pq", "/pqr", ""]),
+        kind in prop::sample::select(vec![None, Some("s"), Some("t")]),
+    ) {
+        let config = config(&yaml);
+        let table = RouteTable::build(&config, &Labels::default()).expect("no faults");
+        let slow = slow_find(&config, host, path, kind);
+        let slow = slow.map_or("none".into(), |name| name.to_string());
+        prop_assert_eq!(found(&table, host, path, kind), slow);
+    }
+}
