--- a/crates/routing/src/slots/limit.rs
+++ b/crates/routing/src/slots/limit.rs
@@ -19,8 +19,11 @@
 /// What is left of the limit after one step down.
 const STEP_DOWN: f64 = 0.8;
 
-/// Shortest time between two steps down.
-const STEP_PAUSE: Duration = Duration::from_millis(200);
+/// What one step up adds, in calls.
+const STEP_UP: f64 = 1.0;
+
+/// Time between two steps.
+const STEP_PERIOD: Duration = Duration::from_millis(100);
 
 /// Lowest limit, as a share of the slots.
 const LOWEST_SHARE: f64 = 0.25;
@@ -33,7 +36,11 @@
     recent: f64,
     usual: f64,
     calls: u32,
-    stepped_down: Mono,
+    /// Whether the server shed a call since the last step.
+    shed: bool,
+    /// Whether all of the limit was in use since the last step.
+    saturated: bool,
+    stepped: Mono,
 }
 
 impl AdaptiveLimit {
@@ -44,7 +51,9 @@
             recent: 0.0,
             usual: 0.0,
             calls: 0,
-            stepped_down: Mono(0),
+            shed: false,
+            saturated: false,
+            stepped: Mono(0),
         }
     }
 
@@ -62,32 +71,43 @@
         self.limit = self.limit.min(f64::from(slots));
     }
 
+    /// This many calls run now.
+    pub(super) fn observe(&mut self, running: u32) {
+        self.saturated |= running >= self.get();
+    }
+
     /// Learns from the latency of a call that brought an answer; `shed` when the server refused
     /// it for load.
-    pub(super) fn learn(&mut self, now: Mono, latency: Duration, shed: bool, busy: bool) {
-        let sample = latency.as_secs_f64();
+    pub(super) fn learn(&mut self, now: Mono, latency: Duration, shed: bool) {
+        self.shed |= shed;
+        if !shed {
+            self.average(latency.as_secs_f64());
+        }
+        if now.since(self.stepped) >= STEP_PERIOD {
+            self.step();
+            self.stepped = now;
+        }
+    }
+
+    fn average(&mut self, sample: f64) {
         self.calls = self.calls.saturating_add(1);
         if self.calls == 1 {
             self.recent = sample;
-            self.usual = sample;
         }
         self.recent += RECENT_GAIN * (sample - self.recent);
         self.usual += usual_gain(self.calls) * (sample - self.usual);
-        let slow = self.calls > WARM_UP_CALLS && self.recent > self.usual * SLOW_FACTOR && busy;
-        if shed || slow {
-            self.step_down(now);
-            return;
-        }
-        self.limit = (self.limit + 1.0 / self.limit).min(f64::from(self.slots));
     }
 
-    fn step_down(&mut self, now: Mono) {
-        if now.since(self.stepped_down) < STEP_PAUSE {
-            return;
+    fn step(&mut self) {
+        let slow = self.calls > WARM_UP_CALLS && self.recent > self.usual * SLOW_FACTOR;
+        if self.shed || (slow && self.saturated) {
+            let lowest = (f64::from(self.slots) * LOWEST_SHARE).max(1.0);
+            self.limit = (self.limit * STEP_DOWN).max(lowest);
+        } else {
+            self.limit = (self.limit + STEP_UP).min(f64::from(self.slots));
         }
-        self.stepped_down = now;
-        let lowest = (f64::from(self.slots) * LOWEST_SHARE).max(1.0);
-        self.limit = (self.limit * STEP_DOWN).max(lowest);
+        self.shed = false;
+        self.saturated = false;
     }
 }
 
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -259,6 +259,7 @@
             self.bulk += 1;
         }
         self.running.insert(call, Running { since: now, criticality });
+        self.limit.observe(self.running());
         self.counters.run += 1;
         self.counters.peak = self.counters.peak.max(self.running.len() as u64);
     }
@@ -291,10 +292,9 @@
         if running.criticality == Criticality::Bulk {
             return;
         }
-        let busy = self.running() + 1 >= self.limit.get();
         match ran {
-            Ran::Answered(latency) => self.limit.learn(now, latency, false, busy),
-            Ran::Shed(latency) => self.limit.learn(now, latency, true, busy),
+            Ran::Answered(latency) => self.limit.learn(now, latency, false),
+            Ran::Shed(latency) => self.limit.learn(now, latency, true),
             Ran::Unmeasured => {}
         }
     }
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -37,11 +37,7 @@
 }
 
 fn three() -> Vec<ServerInfo> {
-    vec![
-        server("a", "v1", "praha-a"),
-        server("b", "v1", "praha-a"),
-        server("c", "v1", "kladno"),
-    ]
+    vec![server("a", "v1", "praha-a"), server("b", "v1", "praha-a"), server("c", "v1", "kladno")]
 }
 
 #[test]
--- /dev/null
+++ b/crates/routing/tests/slots.rs
@@ -0,0 +1,247 @@
+//! Slots: exact counts, classes, the queue and its refusals, the adaptive limit.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use cyclamen_declarations::Criticality;
+use cyclamen_routing::{
+    Admission, CallId, QueueOrder, Ran, Refusal, RefusalKind, Slots, SlotsSettings,
+};
+use cyclamen_types::Mono;
+use proptest::prelude::*;
+
+use Criticality::{Bulk, Critical, Normal};
+
+const TEN_MS: Ran = Ran::Answered(Duration::from_millis(10));
+
+fn slots(slots: u32, queue: u32) -> Slots {
+    Slots::new(SlotsSettings {
+        slots,
+        queue,
+        queue_wait: Duration::from_millis(200),
+        order: QueueOrder::OldestFirst,
+    })
+}
+
+fn admit(slots: &mut Slots, micros: u64, call: u64, class: Criticality) -> Admission {
+    slots.admit(at(micros), CallId(call), class, Mono::NEVER, &mut Vec::new())
+}
+
+fn refusal(admission: Admission) -> Refusal {
+    match admission {
+        Admission::Refused(refusal) => refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn admit_exact_slots() {
+    let mut slots = slots(3, 10);
+    for call in 0..3 {
+        assert_eq!(admit(&mut slots, 0, call, Normal), Admission::Run);
+    }
+    assert_eq!(admit(&mut slots, 0, 3, Normal), Admission::Queued);
+    assert_eq!(slots.finish(at(10_000), CallId(1), TEN_MS), [CallId(3)]);
+    assert_eq!(slots.counters().peak, 3);
+}
+
+#[test]
+fn admit_critical_first() {
+    let mut slots = slots(1, 10);
+    assert_eq!(admit(&mut slots, 0, 0, Normal), Admission::Run);
+    for (call, class) in [(1, Bulk), (2, Normal), (3, Critical), (4, Critical)] {
+        assert_eq!(admit(&mut slots, 1, call, class), Admission::Queued);
+    }
+    let mut order = Vec::new();
+    let mut last = CallId(0);
+    while let [next] = slots.finish(at(1_000), last, TEN_MS)[..] {
+        order.push(next.0);
+        last = next;
+    }
+    assert_eq!(order, [3, 4, 2, 1]);
+}
+
+#[test]
+fn admit_critical_evicts_bulk() {
+    let mut slots = slots(1, 2);
+    admit(&mut slots, 0, 0, Normal);
+    admit(&mut slots, 0, 1, Bulk);
+    admit(&mut slots, 0, 2, Bulk);
+    let mut evicted = Vec::new();
+    let admission = slots.admit(at(1), CallId(3), Critical, Mono::NEVER, &mut evicted);
+    assert_eq!(admission, Admission::Queued);
+    assert_eq!(evicted, [CallId(2)]);
+    let refused = refusal(admit(&mut slots, 1, 4, Bulk));
+    assert_eq!(refused.kind, RefusalKind::Overloaded);
+    assert!(refused.retry_after.is_some());
+}
+
+#[test]
+fn admit_bulk_leaves_slots() {
+    let mut slots = slots(8, 100);
+    for call in 0..20 {
+        admit(&mut slots, 0, call, Bulk);
+    }
+    assert_eq!(slots.counters().run, 6);
+    assert_eq!(admit(&mut slots, 0, 20, Normal), Admission::Run);
+    assert_eq!(admit(&mut slots, 0, 21, Critical), Admission::Run);
+}
+
+#[test]
+fn admit_refuses_hopeless_wait() {
+    let mut slots = slots(1, 100);
+    admit(&mut slots, 0, 0, Normal);
+    slots.finish(at(100_000), CallId(0), TEN_MS);
+    admit(&mut slots, 100_000, 1, Normal);
+    assert_eq!(admit(&mut slots, 100_000, 2, Normal), Admission::Queued);
+    // Each call holds its slot for 100 ms, and the longest wait is 200 ms.
+    assert_eq!(admit(&mut slots, 100_000, 3, Normal), Admission::Queued);
+    let refused = refusal(admit(&mut slots, 100_000, 4, Normal));
+    assert_eq!(refused.kind, RefusalKind::Overloaded);
+    assert!(refused.retry_after.is_some_and(|after| after >= Duration::from_millis(200)));
+    let soon = slots.admit(at(100_000), CallId(5), Critical, Mono(150_000), &mut Vec::new());
+    assert_eq!(refusal(soon).kind, RefusalKind::Overloaded);
+    let late = slots.admit(at(100_000), CallId(6), Critical, Mono(99_999), &mut Vec::new());
+    assert_eq!(refusal(late).kind, RefusalKind::Expired);
+}
+
+#[test]
+fn expire_at_deadline() {
+    let mut slots = slots(1, 10);
+    admit(&mut slots, 0, 0, Normal);
+    admit(&mut slots, 0, 1, Normal);
+    slots.admit(at(0), CallId(2), Normal, Mono(50_000), &mut Vec::new());
+    assert_eq!(slots.next_expiry(), Mono(50_000));
+    assert_eq!(slots.expire(at(50_000)), [CallId(2)]);
+    assert_eq!(slots.next_expiry(), Mono(200_000));
+    assert_eq!(slots.finish(at(200_000), CallId(0), TEN_MS), []);
+    assert_eq!(slots.expire(at(200_000)), [CallId(1)]);
+    assert_eq!(slots.next_expiry(), Mono::NEVER);
+}
+
+#[test]
+fn drain_refuses_new() {
+    let mut slots = slots(1, 10);
+    admit(&mut slots, 0, 0, Normal);
+    admit(&mut slots, 0, 1, Normal);
+    slots.drain();
+    assert_eq!(refusal(admit(&mut slots, 0, 2, Critical)).kind, RefusalKind::Unavailable);
+    assert_eq!(slots.finish(at(1), CallId(0), TEN_MS), [CallId(1)]);
+}
+
+/// Keeps the slots full for this long, each call with this latency, and returns the limit.
+fn limit_after(slots: &mut Slots, start: u64, span: Duration, ran: Ran) -> u32 {
+    let latency = match ran {
+        Ran::Answered(latency) | Ran::Shed(latency) => latency.as_micros() as u64,
+        Ran::Unmeasured => 1_000,
+    };
+    let mut now = start;
+    let mut running = Vec::new();
+    while now < start + span.as_micros() as u64 {
+        let mut call = now;
+        while admit(slots, now, call, Normal) == Admission::Run {
+            running.push(CallId(call));
+            call += 1;
+        }
+        now += latency;
+        for call in running.drain(..) {
+            slots.finish(at(now), call, ran);
+        }
+    }
+    slots.load().limit
+}
+
+#[test]
+fn limit_follows_slow_server() {
+    let mut slots = slots(16, 0);
+    let second = Duration::from_secs(1);
+    assert_eq!(limit_after(&mut slots, 0, second, TEN_MS), 16);
+    let slow = Ran::Answered(Duration::from_millis(50));
+    assert!(limit_after(&mut slots, 2_000_000, second, slow) <= 8);
+    assert_eq!(limit_after(&mut slots, 4_000_000, 4 * second, TEN_MS), 16);
+}
+
+#[test]
+fn limit_follows_shedding() {
+    let mut slots = slots(16, 0);
+    let second = Duration::from_secs(1);
+    let shed = Ran::Shed(Duration::from_millis(1));
+    assert_eq!(limit_after(&mut slots, 1_000_000, second, shed), 4);
+    assert_eq!(limit_after(&mut slots, 3_000_000, 2 * second, TEN_MS), 16);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Admit(Criticality, u64),
+    Finish(usize),
+    Cancel(usize),
+    Wait(u64),
+    Drain,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (prop::sample::select(vec![Bulk, Normal, Critical]), 1_u64..400_000)
+            .prop_map(|(class, patience)| Step::Admit(class, patience)),
+        5 => any::<usize>().prop_map(Step::Finish),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        2 => (1_u64..60_000).prop_map(Step::Wait),
+        1 => Just(Step::Drain),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    /// Never more than the slots run; every call that is told to wait hears exactly once more.
+    #[test]
+    fn admit_any_order(slots_count in 1_u32..6, queue in 0_u32..5, steps in prop::collection::vec(step(), 1..200)) {
+        let mut slots = slots(slots_count, queue);
+        let (mut running, mut waiting): (Vec<CallId>, Vec<CallId>) = Default::default();
+        let mut now = 1;
+        for (number, step) in steps.into_iter().enumerate() {
+            let call = CallId(number as u64);
+            let mut heard = Vec::new();
+            match step {
+                Step::Admit(class, patience) => {
+                    let deadline = Mono(now + patience);
+                    match slots.admit(at(now), call, class, deadline, &mut heard) {
+                        Admission::Run => running.push(call),
+                        Admission::Queued => waiting.push(call),
+                        Admission::Refused(_) => prop_assert!(heard.is_empty()),
+                    }
+                }
+                Step::Finish(pick) if !running.is_empty() => {
+                    let call = running.swap_remove(pick % running.len());
+                    let run = slots.finish(at(now), call, TEN_MS);
+                    for call in run {
+                        let place = waiting.iter().position(|waits| *waits == call);
+                        prop_assert!(place.is_some());
+                        running.push(waiting.swap_remove(place.unwrap_or(0)));
+                    }
+                }
+                Step::Cancel(pick) if !waiting.is_empty() => {
+                    let call = waiting.swap_remove(pick % waiting.len());
+                    prop_assert!(slots.finish(at(now), call, Ran::Unmeasured).is_empty());
+                }
+                Step::Wait(micros) => {
+                    now += micros;
+                    heard.extend(slots.expire(at(now)));
+                }
+                Step::Drain => slots.drain(),
+                Step::Finish(_) | Step::Cancel(_) => {}
+            }
+            for call in heard {
+                let place = waiting.iter().position(|waits| *waits == call);
+                prop_assert!(place.is_some());
+                waiting.swap_remove(place.unwrap_or(0));
+            }
+            prop_assert!(running.len() <= slots_count as usize);
+            prop_assert_eq!(slots.load().running as usize, running.len());
+            prop_assert_eq!(slots.waiting() as usize, waiting.len());
+            prop_assert!(waiting.len() <= queue as usize);
+        }
+    }
+}
