--- a/crates/routing/tests/calls_once.rs
+++ b/crates/routing/tests/calls_once.rs
@@ -34,7 +34,7 @@
     Truncate,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     Call { once: bool },
     Meet { pick: usize, fate: Fate },
@@ -223,9 +223,9 @@
                 server.ready = !server.ready;
                 let slots = self.slots.get_mut(server.name.as_str()).expect("a known server");
                 if server.ready {
-                    slots.resume()
+                    slots.resume();
                 } else {
-                    slots.drain()
+                    slots.drain();
                 }
                 self.set_servers();
             }
