Publish change files through the administration API

Change files, YAML or JSON, are parsed and checked against what the daemon holds, published under their id and waited for; declarations are listed and read back as entries of a change file with their present base.

--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -26,14 +26,15 @@
             [] => None,
             [kind] => Some(kind),
             [kind, name] => {
-                let path = format!("/v1/declarations/{kind}/{}", name.replace('/', ":"));
+                let path = format!("/v1/declarations/{kind}/{}", name.replace('/', "%2F"));
                 show(cx, &client.ask(&Ask::get(path)).await?)?;
                 return Ok(Status::Done);
             }
             _ => return Err(Failure::Usage("give a kind and a name at most".into())),
         };
         let mut list: DeclarationList = client.ask(&Ask::get("/v1/declarations")).await?;
-        list.declarations.retain(|declaration| kind.is_none_or(|kind| *kind == declaration.kind));
+        list.declarations
+            .retain(|declaration| kind.is_none_or(|kind| *kind == declaration.kind.to_string()));
         show_list(cx, &list)?;
         Ok(Status::Done)
     }
@@ -56,7 +57,7 @@
     let mut table = Table::new(&["KIND", "NAME", "TEAM", "OFFSET"]);
     for declaration in &list.declarations {
         table.row(vec![
-            declaration.kind.clone(),
+            declaration.kind.to_string(),
             declaration.name.clone(),
             declaration.team.clone(),
             declaration.offset.to_string(),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -21,9 +21,6 @@
         /// The system's word.
         cause: std::io::Error,
     },
-    /// A checked file has faults.
-    #[error("{} faults:\n  {}", .0.len(), .0.join("\n  "))]
-    Faults(Vec<String>),
     /// The daemon answered with an error.
     #[error("{}", shown(.0))]
     Api(Box<ApiError>),
@@ -43,7 +40,6 @@
     pub fn status(&self) -> Status {
         match self {
             Self::Usage(_) | Self::File { .. } => Status::Usage,
-            Self::Faults(_) => Status::Refused,
             Self::Api(error) => api_status(error.error_code),
             Self::Unreachable(_) => Status::Unreachable,
             Self::Answer(_) | Self::Output(_) => Status::Failed,
--- a/crates/daemon/src/admin/api.rs
+++ b/crates/daemon/src/admin/api.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_declarations::Labels;
 use cyclamenmoor::Dump;
-use derive_more::{Deref, From};
+use derive_more::{Deref, Display, From};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -38,12 +38,29 @@
 /// Names one declaration.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 pub struct DeclarationPath {
-    /// Its kind: service, version, route, policy or move.
-    pub kind: String,
-    /// Its name; that of a version is `SERVICE:VERSION`.
+    /// Its kind.
+    pub kind: KindName,
+    /// Its name; that of a version is `SERVICE/VERSION`.
     pub name: String,
 }
 
+/// The kinds of declarations.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+#[display(rename_all = "kebab-case")]
+pub enum KindName {
+    /// A service.
+    Service,
+    /// A version.
+    Version,
+    /// A route.
+    Route,
+    /// A policy.
+    Policy,
+    /// A move.
+    Move,
+}
+
 /// Names one move or backend server.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 pub struct NamePath {
@@ -86,7 +103,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct DeclarationSummary {
     /// Its kind.
-    pub kind: String,
+    pub kind: KindName,
     /// Its name.
     pub name: String,
     /// The team that owns it.
@@ -110,7 +127,7 @@
     /// Whose it is and where it stands.
     #[serde(flatten)]
     pub summary: DeclarationSummary,
-    /// Its body, in the form of a change file.
+    /// Itself, as an entry of a change file with its present base.
     pub body: serde_json::Value,
 }
 
--- a/crates/daemon/src/admin/changes.rs
+++ b/crates/daemon/src/admin/changes.rs
@@ -40,7 +40,8 @@
         None => fresh_id()?,
     };
     let text = body.as_str()?;
-    let change = border::parse_change(text, id, team).map_err(refused)?;
+    let now = cx.context().shared()?.now().wall;
+    let change = border::read_change(text, id, team, now).map_err(refused)?;
     let wait = query.wait_ms.map_or(PUBLISH_WAIT, Duration::from_millis);
     publish(cx.context(), &change, query.dry_run, wait).await.map(HttpResponseOk)
 }
@@ -78,10 +79,9 @@
     if let Some(outcome) = shared.read(|instance| instance.outcome(&change.id).cloned()) {
         return settled(&change.id, &outcome, Vec::new());
     }
-    let config = shared.read(|instance| instance.config().clone());
-    let findings = border::verify(change, &config);
+    let findings = shared.read(|instance| border::check_change(change, instance));
     if !findings.faults.is_empty() {
-        return Err(refused(findings.faults));
+        return Err(refusal(findings.stale_base, findings.faults));
     }
     if dry_run {
         return Ok(unsettled(&change.id, OutcomeKind::Checked, findings.warnings));
@@ -113,15 +113,15 @@
     let ChangeOutcome::Refused(offset, refusal) = outcome else {
         return Ok(answer(id, outcome, warnings));
     };
-    let faults = texts(&refusal.faults);
-    let error = match refusal.stale_base {
-        true => {
-            let message = "another change came in between: read the declaration again and edit it";
-            ApiError::new(ErrorCode::StaleBase, message).with_faults(faults)
-        }
-        false => refused(faults),
-    };
-    Err(error.at_offset(offset.0))
+    Err(self::refusal(refusal.stale_base, texts(&refusal.faults)).at_offset(offset.0))
+}
+
+fn refusal(stale_base: bool, faults: Vec<String>) -> ApiError {
+    if !stale_base {
+        return refused(faults);
+    }
+    let message = "another change came in between: read the declaration again and edit that";
+    ApiError::new(ErrorCode::StaleBase, message).with_faults(faults)
 }
 
 fn refused(faults: Vec<String>) -> ApiError {
--- a/crates/daemon/src/admin/error.rs
+++ b/crates/daemon/src/admin/error.rs
@@ -91,8 +91,15 @@
     }
 }
 
+/// How dropshot words a body over the limit; it gives the status 400 to that, too.
+const BODY_OVER_LIMIT: &str = "exceeded maximum size";
+
 impl From<HttpError> for ApiError {
     fn from(error: HttpError) -> Self {
+        if error.external_message.contains(BODY_OVER_LIMIT) {
+            let message = format!("{}: split it into several", error.external_message);
+            return Self::new(ErrorCode::TooLarge, message);
+        }
         let status = error.status_code.as_u16();
         let error_code = match status {
             400 => ErrorCode::Malformed,
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -9,6 +9,7 @@
 mod border;
 mod changes;
 mod context;
+mod declarations;
 mod error;
 mod moves;
 mod servers;
@@ -91,6 +92,8 @@
     let mut api = ApiDescription::new();
     api.register(changes::publish_change)?;
     api.register(changes::read_change)?;
+    api.register(declarations::list_declarations)?;
+    api.register(declarations::read_declaration)?;
     api.register(moves::list_moves)?;
     api.register(moves::read_move)?;
     api.register(moves::order_move)?;
