--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -1,12 +1,13 @@
-//! `cyclamen check`: checks a file of declarations without a daemon.
+//! `cyclamen check`: checks files of declarations without a daemon.
 
+use std::fmt::Display;
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use argh::FromArgs;
 use cyclamen_declarations::parse_change;
-use cyclamen_ledger::{Config, verify};
+use cyclamen_ledger::{Ledger, LogRecord, verify};
 use cyclamen_types::{NameError, Wall};
 use serde::Serialize;
 
@@ -16,19 +17,26 @@
 use crate::output;
 use crate::status::Status;
 
-/// Check a file of declarations without a daemon.
+/// Check files of declarations without a daemon, each on top of those before it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct Check {
     /// file of declarations (YAML); `-` is standard input
     #[argh(option, short = 'f')]
-    file: PathBuf,
+    file: Vec<PathBuf>,
 }
 
 impl Check {
     pub(super) fn run(self, cx: &Cx) -> Result<Status, Failure> {
-        let text = input::read_text(&self.file)?;
-        let report = check(&text)?;
+        if self.file.is_empty() {
+            return Err(Failure::Usage("no file to check: give -f FILE".into()));
+        }
+        let mut report = CheckAnswer::default();
+        let mut ledger = Ledger::default();
+        for path in &self.file {
+            let text = input::read_text(path)?;
+            check(&path.display().to_string(), &text, &mut ledger, &mut report)?;
+        }
         if cx.json {
             output::print_json(&report)?;
         } else {
@@ -39,25 +47,35 @@
     }
 }
 
-/// What the check found, each with its place and remedy.
-#[derive(Serialize)]
+/// What the check found, each with its file, place and remedy.
+#[derive(Default, Serialize)]
 struct CheckAnswer {
     faults: Vec<String>,
     warnings: Vec<String>,
 }
 
-/// Checks a file by itself, against a mesh that holds nothing.
-fn check(text: &str) -> Result<CheckAnswer, Failure> {
-    let id = name("check")?;
-    let team = name("anyone")?;
-    let change = match parse_change(text, id, team, now()) {
+/// Checks one file against what the files before it declared, and adds what it declares.
+fn check(
+    file: &str,
+    text: &str,
+    ledger: &mut Ledger,
+    report: &mut CheckAnswer,
+) -> Result<(), Failure> {
+    let offset = ledger.version().next_offset();
+    let id = name(&format!("check-{offset}"))?;
+    let change = match parse_change(text, id, name("anyone")?, now()) {
         Ok(change) => change,
         Err(faults) => {
-            return Ok(CheckAnswer { faults: texts(&faults.0), warnings: Vec::new() });
+            report.faults.extend(texts(file, &faults.0));
+            return Ok(());
         }
     };
-    let report = verify(&change, &Config::default());
-    Ok(CheckAnswer { faults: texts(&report.faults), warnings: texts(&report.warnings) })
+    let found = verify(&change, ledger.config());
+    report.faults.extend(texts(file, &found.faults));
+    report.warnings.extend(texts(file, &found.warnings));
+    let payload = Ledger::change_payload(&change).into();
+    ledger.fold(&LogRecord { offset, payload });
+    Ok(())
 }
 
 fn name<N: FromStr<Err = NameError>>(text: &str) -> Result<N, Failure> {
@@ -69,8 +87,8 @@
     Wall(u64::try_from(unix.as_millis()).unwrap_or(u64::MAX))
 }
 
-fn texts<T: ToString>(findings: &[T]) -> Vec<String> {
-    findings.iter().map(ToString::to_string).collect()
+fn texts<T: Display>(file: &str, findings: &[T]) -> Vec<String> {
+    findings.iter().map(|finding| format!("{file}: {finding}")).collect()
 }
 
 fn render(report: &CheckAnswer) -> String {
--- a/crates/cli/src/commands/moves.rs
+++ b/crates/cli/src/commands/moves.rs
@@ -41,6 +41,7 @@
         MoveState::Scheduled => "scheduled",
         MoveState::Moving => "moving",
         MoveState::Paused => "paused",
+        MoveState::Checking => "checking",
         MoveState::Watched => "done, watched",
         MoveState::Done => "done",
         MoveState::TakenBack => "taken back",
--- a/crates/cli/src/commands/verdict.rs
+++ b/crates/cli/src/commands/verdict.rs
@@ -54,7 +54,9 @@
     match state {
         MoveState::Watched | MoveState::Done => Status::Done,
         MoveState::TakenBack => Status::TakenBack,
-        MoveState::Scheduled | MoveState::Moving | MoveState::Paused => Status::Pending,
+        MoveState::Scheduled | MoveState::Moving | MoveState::Checking | MoveState::Paused => {
+            Status::Pending
+        }
     }
 }
 
