--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -19,7 +19,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Longest wait for an answer, beyond what the request itself asks for.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Largest answer read, in bytes.
 const ANSWER_BYTES: usize = 64 * 1024 * 1024;
--- a/crates/cli/src/commands/state.rs
+++ b/crates/cli/src/commands/state.rs
@@ -37,8 +37,7 @@
 async fn find(client: &Client, instance: &str) -> Result<Client, Failure> {
     let list: MemberList = client.ask(&Ask::get("/v1/members")).await?;
     let Some(member) = list.members.iter().find(|member| member.instance == instance) else {
-        let message = format!("no daemon `{instance}` is known: `cyclamen members` lists them");
-        return Err(Failure::Usage(message));
+        return Err(Failure::NoDaemon(instance.into()));
     };
     Ok(client.at(member.admin))
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -27,6 +27,9 @@
     /// No daemon answered.
     #[error("no daemon answers: {0}; start one, or name others by --daemon or CYCLAMEN_DAEMON")]
     Unreachable(String),
+    /// No daemon of this instance is known.
+    #[error("no daemon `{0}` is known: `cyclamen members` lists them")]
+    NoDaemon(String),
     /// An answer is none of this API.
     #[error("{0}: is this the administration address of a daemon of this release?")]
     Answer(String),
@@ -41,6 +44,7 @@
         match self {
             Self::Usage(_) | Self::File { .. } => Status::Usage,
             Self::Api(error) => api_status(error.error_code),
+            Self::NoDaemon(_) => Status::NotFound,
             Self::Unreachable(_) => Status::Unreachable,
             Self::Answer(_) | Self::Output(_) => Status::Failed,
         }
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -13,7 +13,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 
-/// How often the state is looked at for log lines and metrics.
+/// How often metrics are sampled, and the state looked at though nothing told of a change.
 const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Runs a daemon until `stop` ends, then stops it gracefully.
@@ -41,16 +41,22 @@
     Ok(())
 }
 
-/// Samples the state until the task is dropped.
+/// Looks at the state whenever it changed, and once a period, until the task is dropped.
 async fn watch(shared: Shared, mut metrics: Metrics) {
     let mut ticks = tokio::time::interval(SAMPLE_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut changed = shared.changed();
     let mut seen = Seen::default();
     loop {
-        ticks.tick().await;
+        let sample = tokio::select! {
+            _ = ticks.tick() => true,
+            _ = changed.changed() => false,
+        };
         let dump = shared.read(Instance::dump);
         seen.log_changes(&dump);
-        metrics.send(&dump);
+        if sample {
+            metrics.send(&dump);
+        }
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use argh::FromArgs;
+use argh::{EarlyExit, FromArgs};
 use cyclamen_daemon::settings::{ProcessSettings, RawSettings, SettingsFaults};
 use cyclamen_daemon::{StartError, logging, run_until};
 use tokio::runtime::Builder;
@@ -30,7 +30,12 @@
 }
 
 fn main() -> ExitCode {
-    let args: Args = argh::from_env();
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let args = match Args::from_args(&["cyclamend"], &args) {
+        Ok(args) => args,
+        Err(exit) => return early_exit(&exit),
+    };
     match (args.settings, args.check) {
         (Some(path), None) => run(&path),
         (None, Some(path)) => check(&path),
@@ -41,6 +46,15 @@
     }
 }
 
+fn early_exit(exit: &EarlyExit) -> ExitCode {
+    if exit.status.is_ok() {
+        println!("{}", exit.output.trim_end());
+        return ExitCode::SUCCESS;
+    }
+    eprintln!("{}", exit.output.trim_end());
+    ExitCode::from(SETTINGS_STATUS)
+}
+
 fn check(path: &Path) -> ExitCode {
     match read(path) {
         Ok(_) => {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -16,13 +16,14 @@
 const MEMBER_STATES: [MemberState; 4] =
     [MemberState::Alive, MemberState::Suspect, MemberState::Dead, MemberState::Left];
 
-const MOVE_STAGES: [(MoveStage, &str); 6] = [
-    (MoveStage::Scheduled, "scheduled"),
-    (MoveStage::Moving, "moving"),
-    (MoveStage::Paused, "paused"),
-    (MoveStage::Watched, "watched"),
-    (MoveStage::Done, "done"),
-    (MoveStage::TakenBack, "taken-back"),
+const MOVE_STAGES: [MoveStage; 7] = [
+    MoveStage::Scheduled,
+    MoveStage::Moving,
+    MoveStage::Checking,
+    MoveStage::Paused,
+    MoveStage::Watched,
+    MoveStage::Done,
+    MoveStage::TakenBack,
 ];
 
 /// Sends the metrics of one daemon; does nothing when the settings name no receiver.
@@ -158,10 +159,22 @@
     }
     let cut_off = dump.members.iter().filter(|member| member.cut_off).count();
     gauge("members.cut-off", cut_off as u64);
-    for (stage, name) in MOVE_STAGES {
+    for stage in MOVE_STAGES {
         let count = dump.moves.iter().filter(|status| status.stage == stage).count();
-        gauge(&format!("moves.{name}"), count as u64);
+        gauge(&format!("moves.{}", stage_name(stage)), count as u64);
     }
     let late = dump.moves.iter().filter(|status| status.late).count();
     gauge("moves.late", late as u64);
 }
+
+fn stage_name(stage: MoveStage) -> &'static str {
+    match stage {
+        MoveStage::Scheduled => "scheduled",
+        MoveStage::Moving => "moving",
+        MoveStage::Checking => "checking",
+        MoveStage::Paused => "paused",
+        MoveStage::Watched => "watched",
+        MoveStage::Done => "done",
+        MoveStage::TakenBack => "taken-back",
+    }
+}
--- a/crates/daemon/tests/admin_errors.rs
+++ b/crates/daemon/tests/admin/errors.rs
@@ -1,8 +1,6 @@
 //! What the administration API says to requests that do not fit.
 
-mod common;
-
-use common::{Bench, TOKEN};
+use crate::bench::{Bench, TOKEN};
 use http::Method;
 
 const ROUTE: &str = "declarations: [{name: lost, route: {service: nowhere}}]";
--- a/crates/daemon/tests/admin_openapi.rs
+++ b/crates/daemon/tests/admin/openapi.rs
@@ -16,6 +16,6 @@
     assert!(
         committed == document,
         "docs/openapi/admin.json is stale: run UPDATE_OPENAPI=1 cargo test -p cyclamen-daemon \
-         --test admin_openapi"
+         --test admin openapi"
     );
 }
--- /dev/null
+++ b/crates/daemon/tests/admin/publish.rs
@@ -0,0 +1,155 @@
+//! Publishing through the administration API of a real daemon.
+
+use crate::bench::{Bench, OTHER_TOKEN, TOKEN};
+use bytes::Bytes;
+use cyclamen_standins::LogFaults;
+use http::Method;
+
+const SERVICE: &str =
+    "declarations: [{name: dvere, service: {version: v1}}, {name: dvere/v1, version: {}}]";
+
+const MOVE: &str = "
+declarations:
+- {name: dvere/v2, version: {}}
+- name: dvere-v2
+  move: {service: dvere, from: v1, to: v2, start: '2100-01-01T00:00:00Z', deadline: '2100-01-02T00:00:00Z'}
+";
+
+/// Long enough for any answer that comes at all.
+const WAIT: &str = "wait_ms=20000";
+
+#[tokio::test]
+async fn publish_accepted() {
+    let bench = Bench::start().await;
+    insta::assert_json_snapshot!(bench.publish("one", WAIT, SERVICE).await.stable());
+    let read = bench.get("/v1/changes/one").await;
+    assert_eq!(read.body["outcome"], "accepted");
+    insta::assert_json_snapshot!("declarations", bench.get("/v1/declarations").await.stable());
+    let version = bench.get("/v1/declarations/version/dvere%2Fv1").await;
+    insta::assert_json_snapshot!("declaration", version.stable());
+    assert_eq!(bench.get("/v1/ready").await.status, 200);
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn publish_json_body() {
+    let bench = Bench::start().await;
+    let text = r#"{"declarations": [{"name": "dvere", "service": {"version": "v1"}},
+                   {"name": "dvere/v1", "version": {}}]}"#;
+    assert_eq!(bench.publish("json", WAIT, text).await.body["outcome"], "accepted");
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn publish_dry_run() {
+    let bench = Bench::start().await;
+    let reply = bench.publish("dry", "dry_run=true", SERVICE).await;
+    assert_eq!(reply.body["outcome"], "checked");
+    assert_eq!(bench.log.next().0, 0, "nothing may be published");
+    assert_eq!(bench.get("/v1/changes/dry").await.status, 404);
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn publish_same_id_counts_once() {
+    let bench = Bench::start().await;
+    let first = bench.publish("one", WAIT, SERVICE).await;
+    let second = bench.publish("one", WAIT, SERVICE).await;
+    assert_eq!(first.body["offset"], second.body["offset"]);
+    assert_eq!(bench.log.next().0, 1, "one record");
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn publish_selector_matches_nothing() {
+    let bench = Bench::start().await;
+    let text = "
+declarations:
+- {name: dvere, service: {version: v1}}
+- {name: dvere/v1, version: {}}
+- {name: far, route: {service: dvere, proxies: region=mars}}
+- {name: near, route: {service: dvere, proxies: region=cz-stred}}
+- {name: other, route: {service: dvere, proxies: colour=red}}
+- {name: none, policy: {services: tier=absent, limits: {queue: 3}}}
+";
+    insta::assert_json_snapshot!(bench.publish("warned", WAIT, text).await.stable());
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn publish_stale_base() {
+    let bench = Bench::start().await;
+    bench.publish("one", WAIT, SERVICE).await;
+    let edit = "declarations: [{name: dvere/v1, base: 0, version: {labels: {a: b}}}]";
+    assert_eq!(bench.publish("two", WAIT, edit).await.body["outcome"], "accepted");
+    insta::assert_json_snapshot!(bench.publish("three", WAIT, edit).await.stable());
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn publish_other_teams_declaration() {
+    let bench = Bench::start().await;
+    bench.publish("one", WAIT, SERVICE).await;
+    let path = "/v1/changes?change_id=theirs";
+    let reply = bench.send(Method::POST, path, Some(OTHER_TOKEN), SERVICE).await;
+    insta::assert_json_snapshot!(reply.stable());
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn publish_while_log_is_down() {
+    let bench = Bench::start().await;
+    bench.log.set_faults(LogFaults { down: true, ..Default::default() });
+    let reply = bench.publish("late", "wait_ms=0", SERVICE).await;
+    assert_eq!(reply.body["outcome"], "pending");
+    bench.log.set_faults(LogFaults::default());
+    let read = bench.get(&format!("/v1/changes/late?{WAIT}")).await;
+    assert_eq!(read.body["outcome"], "accepted", "the daemon tries again by itself");
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn order_move() {
+    let bench = Bench::start().await;
+    bench.publish("one", WAIT, SERVICE).await;
+    bench.publish("two", WAIT, MOVE).await;
+    let read = bench.get("/v1/moves/dvere-v2").await;
+    assert_eq!(read.body["state"], "scheduled");
+    let path = format!("/v1/moves/dvere-v2/orders?{WAIT}");
+    let denied = bench.send(Method::POST, &path, None, r#"{"order": "take-back"}"#).await;
+    assert_eq!(denied.status, 401);
+    let reply = bench.send(Method::POST, &path, Some(TOKEN), r#"{"order": "take-back"}"#).await;
+    assert_eq!(reply.body["outcome"], "accepted");
+    let read = bench.get(&format!("/v1/moves/dvere-v2?{WAIT}")).await;
+    assert_eq!(read.body["state"], "taken-back");
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn announce_and_withdraw() {
+    let bench = Bench::start().await;
+    let body = r#"{"service":"dvere","version":"v1","slots":5,"connections":9,
+                   "address":"127.0.0.1:9","labels":{"rack":"r1"}}"#;
+    let reply = bench.send(Method::PUT, "/v1/servers/dvere-1", None, body).await;
+    assert_eq!((reply.status.as_u16(), &reply.body["lease_ms"]), (200, &6_000.into()));
+    let state = bench.get("/v1/state").await;
+    assert_eq!(state.body["servers"][0]["state"], "ready");
+    let reply = bench.send(Method::DELETE, "/v1/servers/dvere-1", None, Bytes::new()).await;
+    assert_eq!(reply.status, 204);
+    let state = bench.get("/v1/state").await;
+    assert_ne!(state.body["servers"][0]["state"], "ready");
+    bench.stop().await;
+}
+
+#[tokio::test]
+async fn state_without_secrets() {
+    let bench = Bench::start().await;
+    bench.publish("one", WAIT, SERVICE).await;
+    let state = bench.get("/v1/state").await;
+    assert_eq!(state.status, 200);
+    let text = state.body.to_string();
+    for secret in [TOKEN, &cyclamen_daemon::TokenHash::of(TOKEN).to_hex(), "7,7,7,7", "07070707"] {
+        assert!(!text.contains(secret), "the dump shows {secret}");
+    }
+    bench.stop().await;
+}
