--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -23,4 +23,4 @@
 pub use ledger::{ChangeOutcome, FoldOutcome, Ledger, LedgerCounters, Refusal, StateHash};
 pub use outcomes::OUTCOMES_KEPT;
 pub use record::LogRecord;
-pub use verify::{unmatched_proxies, verify};
+pub use verify::verify;
--- a/crates/ledger/src/verify.rs
+++ b/crates/ledger/src/verify.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeSet;
 
 use cyclamen_declarations::{
-    Change, ChangeEntry, Declaration, DeclarationKey, DeclarationKind, EntryAction, Labels, Move,
+    Change, ChangeEntry, Declaration, DeclarationKey, DeclarationKind, EntryAction, Move,
     MoveOrder, OrderAction, Policy, Route, Selector, Service, Version, VersionId,
 };
 use cyclamen_types::{MoveName, ServiceName, TeamName, VersionName};
 
 use crate::config::{Config, VerdictKind};
-use crate::conflict::{Caution, Conflict, Finding, Report};
+use crate::conflict::{Caution, Conflict, Report};
 use crate::draft::Draft;
 
 /// Checks a change against a configuration. The entries of the change see each other. The fold
@@ -33,24 +33,6 @@
     cx.report
 }
 
-/// Warns of proxy selectors in a change that match none of the proxies known.
-pub fn unmatched_proxies(change: &Change, proxies: &[Labels]) -> Vec<Finding<Caution>> {
-    let mut warnings = Vec::new();
-    for (i, entry) in change.entries.iter().enumerate() {
-        let (selector, key) = match &entry.action {
-            EntryAction::Put(Declaration::Route(route)) => (&route.proxies, "route"),
-            EntryAction::Put(Declaration::Policy(policy)) => (&policy.proxies, "policy"),
-            _ => continue,
-        };
-        if proxies.iter().any(|labels| selector.matches(labels)) {
-            continue;
-        }
-        let place = format!("declarations[{i}].{key}.proxies").into();
-        warnings.push(Finding { place, what: Caution::MatchesNothing(selector.to_string()) });
-    }
-    warnings
-}
-
 struct Verifier<'a> {
     draft: Draft<'a>,
     team: &'a TeamName,
--- a/crates/ledger/tests/verify.rs
+++ b/crates/ledger/tests/verify.rs
@@ -3,8 +3,7 @@
 mod common;
 
 use common::{change, change_of, faults, mesh, publish, verdict, warnings};
-use cyclamen_declarations::Labels;
-use cyclamen_ledger::{Ledger, VerdictKind, unmatched_proxies, verify};
+use cyclamen_ledger::{Ledger, VerdictKind, verify};
 
 const MOVE: &str = "declarations: [{name: to-v2, move: {service: dvere, from: v1, to: v2, \
                     deadline: +10m}}]";
@@ -199,17 +198,6 @@
     assert_eq!(warnings(&done(), &change_of("again", "doors", MOVE)).len(), 1);
 }
 
-#[test]
-fn verify_proxies_unmatched() {
-    let change = one("{name: doors, route: {service: dvere, proxies: region=none}}");
-    let mut proxy = Labels::default();
-    proxy.0.insert("region".into(), "cz-stred".into());
-    let found = unmatched_proxies(&change, &[proxy.clone()]);
-    assert_eq!(found.len(), 1);
-    proxy.0.insert("region".into(), "none".into());
-    assert!(unmatched_proxies(&change, &[proxy]).is_empty());
-}
-
 #[test]
 fn verify_delete_version_of_ended_move() {
     let ledger = done();
