--- a/crates/ledger/benches/fold.rs
+++ b/crates/ledger/benches/fold.rs
@@ -45,12 +45,19 @@
     ledger.fold(&LogRecord { offset, payload: payload.into() });
 }
 
-fn mesh() -> Ledger {
+/// A ledger that holds the mesh, after one change.
+fn fresh_mesh() -> Ledger {
     let id = "mesh".parse().expect("an id");
     let team = "t".parse().expect("a team");
     let change = parse_change(&mesh_yaml(), id, team, Wall(0)).expect("a change");
     let mut ledger = Ledger::default();
     fold(&mut ledger, Ledger::change_payload(&change));
+    ledger
+}
+
+/// A ledger that remembers as many changes as it ever does.
+fn mesh() -> Ledger {
+    let mut ledger = fresh_mesh();
     for i in 0..OUTCOMES_KEPT {
         fold(&mut ledger, route_payload(i));
     }
@@ -62,7 +69,9 @@
     let ledger = mesh();
     let text = ledger.snapshot();
     let parts = ledger.snapshot_payloads(PART_BYTES);
+    println!("snapshot after one change: {} bytes", fresh_mesh().snapshot().len());
     println!("snapshot: {} bytes in {} parts", text.len(), parts.len());
+    println!("record of an edited route: {} bytes", route_payload(1).len());
 
     let mut folding = ledger.clone();
     let mut id = 1_000_000;
