Bound the nesting and the items of a change

A text of 20,000 nested brackets, 40 KB, kept the YAML parser busy for 1.4 s in a test build, by the square of the depth: a small body could hold a daemon. The parser offers no bound of its own that acts before its scanner. Texts nested deeper than 64 brackets are now refused before they are parsed, and a change with more than 2,000 items is refused.

--- a/crates/declarations/src/change.rs
+++ b/crates/declarations/src/change.rs
@@ -6,7 +6,7 @@
 
 use crate::checked::Change;
 use crate::entries::check_items;
-use crate::fault::{Fault, Faults, Problem};
+use crate::fault::{Fault, Faults, MAX_ITEMS, MAX_NESTING, Problem};
 use crate::generated::{ChangeFile, ChangeRecord, Item, MoveBody};
 use crate::shape::read_border;
 use crate::text::{format_time, resolve_time};
@@ -81,12 +81,30 @@
 }
 
 fn parse_yaml(yaml: &str) -> Result<Value, Problem> {
+    if nesting(yaml) > MAX_NESTING {
+        return Err(Problem::Nesting);
+    }
     let syntax = |message: String| Problem::Syntax(message);
     let value: serde_yaml_ng::Value =
         serde_yaml_ng::from_str(yaml).map_err(|e| syntax(e.to_string()))?;
     serde_json::to_value(value).map_err(|e| syntax(e.to_string()))
 }
 
+/// The most brackets open at a time, wherever they stand.
+fn nesting(yaml: &str) -> usize {
+    let mut open: usize = 0;
+    let mut most = 0;
+    for byte in yaml.bytes() {
+        match byte {
+            b'[' | b'{' => open += 1,
+            b']' | b'}' => open = open.saturating_sub(1),
+            _ => {}
+        }
+        most = most.max(open);
+    }
+    most
+}
+
 fn check_whole(
     id: ChangeId,
     team: TeamName,
@@ -97,6 +115,10 @@
     if items.is_empty() {
         semantic.push("declarations", Problem::Empty);
     }
+    if items.len() > MAX_ITEMS {
+        semantic.push("declarations", Problem::TooLong(items.len()));
+        return Err(semantic);
+    }
     let entries = check_items(items, &mut semantic);
     for fault in semantic.0 {
         if !is_known(&faults, &fault) {
--- a/crates/declarations/src/fault.rs
+++ b/crates/declarations/src/fault.rs
@@ -11,12 +11,21 @@
 /// Most faults reported of one text.
 pub(crate) const MAX_FAULTS: usize = 100;
 
+/// Most items of one change.
+pub(crate) const MAX_ITEMS: usize = 2_000;
+
+/// Deepest nesting of brackets in a text; a parser's work grows with its square.
+pub(crate) const MAX_NESTING: usize = 64;
+
 /// What is wrong at one place. The message says what to do.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Problem {
     /// The text is not YAML or JSON.
     #[error("the text does not parse: {0}")]
     Syntax(String),
+    /// Brackets within brackets without end.
+    #[error("brackets are nested deeper than {MAX_NESTING}: nest less")]
+    Nesting,
     /// A key or value that the schema does not have.
     #[error("{0}")]
     Shape(String),
@@ -84,6 +93,9 @@
     /// A change without items.
     #[error("lists nothing: list at least one declaration")]
     Empty,
+    /// A change with more items than one record takes.
+    #[error("lists {0} items, more than {MAX_ITEMS}: publish them in several changes")]
+    TooLong(usize),
     /// There were more faults than are listed.
     #[error("has more faults than the {MAX_FAULTS} listed: mend these first")]
     TooMany,
--- a/crates/declarations/tests/properties.rs
+++ b/crates/declarations/tests/properties.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use serde_json::{Value, json};
 
-const NOW: Wall = Wall(1_800_000_000_000);
+const NOW: Wall = Wall(1_800_000_000_123);
 
 fn parse(yaml: &str) -> Result<Change, cyclamen_declarations::Faults> {
     let id = "change".parse().expect("an id");
--- a/crates/declarations/tests/yaml.rs
+++ b/crates/declarations/tests/yaml.rs
@@ -25,8 +25,14 @@
 
 #[test]
 fn yaml_nested_deep() {
-    let yaml = format!("declarations: {}{}", "[".repeat(20_000), "]".repeat(20_000));
-    assert!(first_fault(&yaml).starts_with("the text does not parse"));
+    for (open, close) in [("[", "]"), ("{a: ", "}"), ("[{a: ", "}]")] {
+        let yaml = format!("declarations: {}{}", open.repeat(200_000), close.repeat(200_000));
+        assert!(first_fault(&yaml).starts_with("brackets are nested deeper"));
+    }
+    for step in ["- ", "? ", "! ", "&a "] {
+        let yaml = format!("declarations:\n  {}x", step.repeat(100_000));
+        assert!(first_fault(&yaml).starts_with("the text does not parse"), "{step}");
+    }
 }
 
 #[test]
@@ -46,6 +52,20 @@
     assert!(faults.to_string().contains("more faults"));
 }
 
+#[test]
+fn yaml_many_items() {
+    let items = |count| {
+        let mut yaml = String::from("declarations:\n");
+        for i in 0..count {
+            yaml.push_str(&format!("- {{name: p{i}, policy: {{limits: {{queue: 1}}}}}}\n"));
+        }
+        parse(&yaml)
+    };
+    assert!(items(2_000).is_ok());
+    let faults = items(2_001).expect_err("faults").to_string();
+    assert!(faults.starts_with("declarations: lists 2001 items"), "{faults}");
+}
+
 #[test]
 fn yaml_not_a_map() {
     for yaml in ["", "5", "[]", "~", "a", "- a", "? [a]\n: b"] {
