--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -214,8 +214,13 @@
         (*sample.version == self.declared.from).then_some(Side::Old)
     }
 
-    /// Counts a call; returns whether it speaks against the new version.
-    pub(crate) fn record(&mut self, now: Now, side: Side, sample: &CallSample<'_>) -> bool {
+    /// Counts a call; returns its route if it speaks against the new version.
+    pub(crate) fn record(
+        &mut self,
+        now: Now,
+        side: Side,
+        sample: &CallSample<'_>,
+    ) -> Option<RouteKey> {
         self.own_calls = true;
         let server = match side {
             Side::Old => ServerKey::OLD,
@@ -236,15 +241,15 @@
         let key = LineKey { stratum, route: self.route(sample.route).key, server };
         self.evidence.count(self.me.reporter, self.me.domain, key, counts);
         self.changed.insert(key);
-        side == Side::New && (sample.failed || slow)
+        (side == Side::New && (sample.failed || slow)).then_some(key.route)
     }
 
-    /// Judges the evidence; returns why the move has to be taken back.
-    pub(crate) fn judge(&self) -> Option<Arc<str>> {
+    /// Judges the evidence on some routes; returns why the move has to be taken back.
+    pub(crate) fn judge(&self, routes: &BTreeSet<RouteKey>) -> Option<Arc<str>> {
         if !self.open() {
             return None;
         }
-        if let Some(finding) = findings::conviction(&self.evidence) {
+        if let Some(finding) = findings::conviction(&self.evidence, routes) {
             return Some(finding.sentence(self.name_of(&finding)).into());
         }
         if !self.recurs() {
@@ -256,12 +261,12 @@
 
     /// Sends part of the traffic back when the version that runs alone is suspect; returns
     /// whether it did.
-    pub(crate) fn suspect(&mut self) -> bool {
+    pub(crate) fn suspect(&mut self, routes: &BTreeSet<RouteKey>) -> bool {
         if self.at() != MoveStage::Watched {
             return false;
         }
         let (from, to) = (self.stratum_stage(), ladder::LONE_STRATA_END);
-        let Some(finding) = findings::suspicion(&self.evidence, from, to) else {
+        let Some(finding) = findings::suspicion(&self.evidence, routes, from, to) else {
             return false;
         };
         if !self.fire(MoveEvent::Suspect) {
--- a/crates/moves/src/findings.rs
+++ b/crates/moves/src/findings.rs
@@ -66,16 +66,18 @@
     }
 }
 
-/// The test that convicts the new version, if one does.
-pub fn conviction(evidence: &Evidence) -> Option<Finding> {
-    let routes = evidence.routes().len().max(1) as f64;
+/// The test that convicts the new version, if one does: over all routes, or on one of `routes`.
+pub fn conviction(evidence: &Evidence, routes: &BTreeSet<RouteKey>) -> Option<Finding> {
     let overall = (OVERALL_TESTS / FALSE_ALARM).ln();
-    let single = overall + routes.ln();
+    let single = overall + (evidence.routes().len().max(1) as f64).ln();
     for class in Class::ALL {
         if convicts(evidence.overall(), class, overall) {
             return Some(finding(None, evidence.overall(), class, |_| true));
         }
-        for (route, strata) in evidence.routes() {
+        for route in routes {
+            let Some(strata) = evidence.routes().get(route) else {
+                continue;
+            };
             if convicts(strata, class, single) {
                 return Some(finding(Some(*route), strata, class, |_| true));
             }
@@ -102,10 +104,18 @@
 
 /// The test that makes a version that runs alone suspect, if one does, over strata of the stages
 /// from `from_stage` to before `to_stage`.
-pub fn suspicion(evidence: &Evidence, from_stage: u8, to_stage: u8) -> Option<Finding> {
+pub fn suspicion(
+    evidence: &Evidence,
+    routes: &BTreeSet<RouteKey>,
+    from_stage: u8,
+    to_stage: u8,
+) -> Option<Finding> {
     let limit = SUSPICION.ln();
     for class in Class::ALL {
-        for (route, strata) in evidence.routes() {
+        for route in routes {
+            let Some(strata) = evidence.routes().get(route) else {
+                continue;
+            };
             if absolute(strata, class, from_stage, to_stage) > limit {
                 let recent = |stage: u8| stage >= from_stage && stage < to_stage;
                 return Some(finding(Some(*route), strata, class, recent));
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -1,6 +1,6 @@
 //! All moves at one daemon.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 
 use crate::active::{ActiveMove, Identity};
 use crate::evidence::LineKey;
-use crate::keys::{DomainKey, MoveKey, ReporterKey};
+use crate::keys::{DomainKey, MoveKey, ReporterKey, RouteKey, ServerKey};
 use crate::ladder;
 use crate::move_chart::MoveChart;
 use crate::payload::{Conviction, Packet, Payload, packets};
@@ -189,13 +189,13 @@
             let Some(side) = active.side(sample) else {
                 continue;
             };
-            if active.record(now, side, sample) {
+            if let Some(route) = active.record(now, side, sample) {
                 active.next_report = now.mono;
-                suspects.push(name.clone());
+                suspects.push((name.clone(), BTreeSet::from([route])));
             }
         }
-        for name in suspects {
-            self.judge(now, &name, out);
+        for (name, routes) in suspects {
+            self.judge(now, &name, &routes, out);
             self.next = self.next.min(now.mono);
         }
     }
@@ -226,7 +226,7 @@
         }
         let recurring: Vec<MoveName> = self.recurring();
         for name in recurring {
-            self.judge(now, &name, out);
+            self.judge(now, &name, &BTreeSet::new(), out);
         }
         self.append(now, out);
         self.report(now, out);
@@ -295,12 +295,18 @@
         }
     }
 
-    fn judge(&mut self, now: Now, name: &MoveName, out: &mut Vec<MovesEffect>) {
+    fn judge(
+        &mut self,
+        now: Now,
+        name: &MoveName,
+        routes: &BTreeSet<RouteKey>,
+        out: &mut Vec<MovesEffect>,
+    ) {
         let Some(active) = self.active.get_mut(name) else {
             return;
         };
-        let Some(reason) = active.judge() else {
-            if active.suspect() {
+        let Some(reason) = active.judge(routes) else {
+            if active.suspect(routes) {
                 out.push(MovesEffect::SplitsChanged);
             }
             return;
@@ -323,15 +329,17 @@
         let Some(active) = self.active.values_mut().find(|active| active.key == packet.id) else {
             return;
         };
-        let mut suspect = false;
+        let mut routes = BTreeSet::new();
         for entry in &packet.entries {
             let key = LineKey { stratum: packet.stratum, route: entry.route, server: entry.server };
             let growth = active.evidence.raise(packet.reporter, packet.domain, key, entry.counts);
-            suspect |= growth.failed + growth.slow > 0;
+            if entry.server != ServerKey::OLD && growth.failed + growth.slow > 0 {
+                routes.insert(entry.route);
+            }
         }
-        if suspect {
+        if !routes.is_empty() {
             let name = active.id.name.clone();
-            self.judge(now, &name, out);
+            self.judge(now, &name, &routes, out);
         }
     }
 
--- a/crates/moves/src/sequential.rs
+++ b/crates/moves/src/sequential.rs
@@ -94,6 +94,11 @@
 }
 
 /// The logarithm of the evidence that the new version is worse, paired over the strata.
+///
+/// The conditional bets take the number of bad calls of a stratum as given and bet that more of
+/// them than its share are the new version's. The informed bets take the old version's rate as
+/// known from earlier slots and add an excess for the new one, against the common rate that fits
+/// the stratum best.
 pub fn paired(strata: &Strata, class: Class, skipped: Option<ServerKey>) -> f64 {
     let mut conditional = [Bet { wealth: f64::NEG_INFINITY }; RATIOS.len()];
     let mut informed = [Bet { wealth: f64::NEG_INFINITY }; EXCESSES.len()];
@@ -120,11 +125,18 @@
             new_calls: new.calls as f64,
             new_bad: class.bad(new) as f64,
         };
-        for (bet, ratio) in conditional.iter_mut().zip(RATIOS) {
-            bet.wealth += conditional_factor(&table, ratio);
+        if table.old_bad + table.new_bad > 0.0 {
+            for (bet, ratio) in conditional.iter_mut().zip(RATIOS) {
+                bet.wealth += conditional_factor(&table, ratio);
+            }
         }
+        let (bad, calls) = (table.old_bad + table.new_bad, table.old_calls + table.new_calls);
+        let common = log_likelihood(bad, calls, bad / calls);
+        let rate = history.rate();
+        let base = log_likelihood(table.old_bad, table.old_calls, rate) - common;
         for (bet, excess) in informed.iter_mut().zip(EXCESSES) {
-            bet.wealth += informed_factor(&table, history.rate(), excess);
+            let worse = (rate + excess).min(HIGHEST_RATE);
+            bet.wealth += base + log_likelihood(table.new_bad, table.new_calls, worse);
         }
     }
     let mut sum = f64::NEG_INFINITY;
@@ -175,28 +187,12 @@
     1.0 / ((slot + 1.0) * (slot + 2.0))
 }
 
-/// Given how many calls were bad in all, bets that more of them than its share are the new
-/// version's.
 fn conditional_factor(table: &Table, ratio: f64) -> f64 {
-    if table.old_bad + table.new_bad == 0.0 {
-        return 0.0;
-    }
     let share = table.new_calls / (table.old_calls + table.new_calls);
     let bet = ratio * share / (1.0 - share + ratio * share);
     table.new_bad * (bet / share).ln() + table.old_bad * ((1.0 - bet) / (1.0 - share)).ln()
 }
 
-/// Bets on the old version's known rate and an excess of the new one, against the common rate
-/// that fits the stratum best.
-fn informed_factor(table: &Table, rate: f64, excess: f64) -> f64 {
-    let worse = (rate + excess).min(HIGHEST_RATE);
-    let old = log_likelihood(table.old_bad, table.old_calls, rate);
-    let new = log_likelihood(table.new_bad, table.new_calls, worse);
-    let bad = table.old_bad + table.new_bad;
-    let calls = table.old_calls + table.new_calls;
-    old + new - log_likelihood(bad, calls, bad / calls)
-}
-
 fn log_likelihood(bad: f64, calls: f64, rate: f64) -> f64 {
     let of_bad = if bad > 0.0 { bad * rate.ln() } else { 0.0 };
     let of_good = if bad < calls { (calls - bad) * (1.0 - rate).ln() } else { 0.0 };
