Keep one slow server and bursts of trouble from deciding a move

Closed time slots are folded once, judging looks at the routes that trouble came on, and the byte bound carries its debt over. The watch runs from the deadline, or from the last stage if that comes later, so that an early arrival does not shorten it.

--- a/crates/measure/src/moves/cores.rs
+++ b/crates/measure/src/moves/cores.rs
@@ -7,7 +7,7 @@
 
 use cyclamen_declarations::{ClashRule, Move};
 use cyclamen_ledger::{Config, Held, HeldMove, MoveId, MoveVerdict};
-use cyclamen_moves::{CallSample, MoveStatus, Moves, MovesEffect, MovesSettings};
+use cyclamen_moves::{CallSample, MoveStage, MoveStatus, Moves, MovesEffect, MovesSettings};
 use cyclamen_types::{
     ConfigVersion, Incarnation, Mono, MoveName, Now, Offset, ServiceName, VersionName, Wall,
 };
@@ -107,6 +107,11 @@
         self.cores[daemon].status(&self.names[0]).expect("adopted")
     }
 
+    /// Where the first move stands at a daemon.
+    pub fn stage(&self, daemon: usize) -> MoveStage {
+        self.cores[daemon].stage(&self.names[0]).expect("adopted")
+    }
+
     /// Daemons.
     pub fn len(&self) -> usize {
         self.cores.len()
@@ -200,10 +205,12 @@
 
     fn append(&mut self, from: usize, at: Mono, id: &MoveId, verdict: MoveVerdict) {
         let mut shown = at;
-        if let Some((begin, end)) = self.cut {
-            if from % DOMAINS == 0 && begin <= at && at < end {
-                shown = end;
-            }
+        if let Some((begin, end)) = self.cut
+            && from.is_multiple_of(DOMAINS)
+            && begin <= at
+            && at < end
+        {
+            shown = end;
         }
         let Some(held) = self.config.moves.get_mut(&id.name) else {
             return;
@@ -227,7 +234,7 @@
         let Some((begin, end)) = self.cut else {
             return false;
         };
-        let crossing = (from % DOMAINS == 0) != (to % DOMAINS == 0);
+        let crossing = from.is_multiple_of(DOMAINS) != to.is_multiple_of(DOMAINS);
         crossing && begin <= at && at < end
     }
 }
--- a/crates/measure/src/moves/versions.rs
+++ b/crates/measure/src/moves/versions.rs
@@ -95,7 +95,7 @@
 }
 
 fn slow_server(scenario: &Scenario, call: &Call) -> bool {
-    let slow_side_new = scenario.seed % 3 != 0;
+    let slow_side_new = !scenario.seed.is_multiple_of(3);
     scenario.kind == Kind::OneSlowServer && call.server == 0 && call.new == slow_side_new
 }
 
--- a/crates/measure/src/moves/world.rs
+++ b/crates/measure/src/moves/world.rs
@@ -239,7 +239,7 @@
     }
 
     fn taken_back(&self, daemon: usize) -> bool {
-        self.cores.status(daemon).stage == MoveStage::TakenBack
+        self.cores.stage(daemon) == MoveStage::TakenBack
     }
 
     fn all_taken_back(&self) -> bool {
@@ -255,9 +255,8 @@
     }
 
     fn ended(&self) -> bool {
-        let last = |daemon| {
-            matches!(self.cores.status(daemon).stage, MoveStage::Done | MoveStage::TakenBack)
-        };
+        let last =
+            |daemon| matches!(self.cores.stage(daemon), MoveStage::Done | MoveStage::TakenBack);
         match self.policy {
             Policy::Moves => (0..self.cores.len()).all(last),
             Policy::Baseline => self.baseline.taken_back.is_some(),
--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -26,6 +26,9 @@
 /// Time since the first call of a backend server in which none is called slow.
 const WARM_UP: Duration = Duration::from_secs(10);
 
+/// Time between two looks at evidence that holds a stage.
+const DOUBT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Who this daemon is, as reporter.
 #[derive(Clone, Debug)]
 pub(crate) struct Identity {
@@ -58,6 +61,8 @@
     pub(crate) evidence: Evidence,
     pub(crate) changed: BTreeSet<LineKey>,
     pub(crate) next_report: Mono,
+    pub(crate) urgent: BTreeSet<RouteKey>,
+    pub(crate) unjudged: BTreeSet<RouteKey>,
     pub(crate) conviction: Option<Conviction>,
     pub(crate) verdict: Option<MoveVerdict>,
     pub(crate) append_due: Mono,
@@ -70,6 +75,7 @@
     state: StateIndex,
     stage: u8,
     entered: Mono,
+    next_climb: Mono,
     watch_ends: Mono,
     check: Option<Check>,
     checks: u8,
@@ -108,6 +114,8 @@
             evidence: Evidence::default(),
             changed: BTreeSet::new(),
             next_report: now.mono,
+            urgent: BTreeSet::new(),
+            unjudged: BTreeSet::new(),
             conviction: None,
             verdict: None,
             append_due: Mono::NEVER,
@@ -120,6 +128,7 @@
             state: chart.initial(),
             stage: 0,
             entered: now.mono,
+            next_climb: now.mono,
             watch_ends: Mono::NEVER,
             check: None,
             checks: 0,
@@ -241,15 +250,37 @@
         let key = LineKey { stratum, route: self.route(sample.route).key, server };
         self.evidence.count(self.me.reporter, self.me.domain, key, counts);
         self.changed.insert(key);
-        (side == Side::New && (sample.failed || slow)).then_some(key.route)
+        if side == Side::Old || !(sample.failed || slow) {
+            return None;
+        }
+        if sample.failed {
+            self.urgent.insert(key.route);
+        }
+        Some(key.route)
+    }
+
+    /// Takes the changed lines of this reporter: all of them, or those of the urgent routes.
+    pub(crate) fn changed_lines(&mut self, all: bool) -> Vec<(LineKey, Counts)> {
+        let urgent = std::mem::take(&mut self.urgent);
+        let own = self.evidence.reporters().get(&self.me.reporter);
+        let mut lines = Vec::new();
+        self.changed.retain(|key| {
+            if !all && !urgent.contains(&key.route) {
+                return true;
+            }
+            let counts = own.and_then(|own| own.lines.get(key)).copied();
+            lines.push((*key, counts.unwrap_or_default()));
+            false
+        });
+        lines
     }
 
     /// Judges the evidence on some routes; returns why the move has to be taken back.
-    pub(crate) fn judge(&self, routes: &BTreeSet<RouteKey>) -> Option<Arc<str>> {
+    pub(crate) fn judge(&mut self, routes: &BTreeSet<RouteKey>) -> Option<Arc<str>> {
         if !self.open() {
             return None;
         }
-        if let Some(finding) = findings::conviction(&self.evidence, routes) {
+        if let Some(finding) = findings::conviction(&mut self.evidence, routes) {
             return Some(finding.sentence(self.name_of(&finding)).into());
         }
         if !self.recurs() {
@@ -261,18 +292,20 @@
 
     /// Sends part of the traffic back when the version that runs alone is suspect; returns
     /// whether it did.
-    pub(crate) fn suspect(&mut self, routes: &BTreeSet<RouteKey>) -> bool {
+    pub(crate) fn suspect(&mut self, now: Now, routes: &BTreeSet<RouteKey>) -> bool {
         if self.at() != MoveStage::Watched {
             return false;
         }
-        let (from, to) = (self.stratum_stage(), ladder::LONE_STRATA_END);
-        let Some(finding) = findings::suspicion(&self.evidence, routes, from, to) else {
+        let Some(finding) = findings::suspicion(&self.evidence, routes, self.stratum_stage())
+        else {
             return false;
         };
         if !self.fire(MoveEvent::Suspect) {
             return false;
         }
-        self.check = Some(Check { round: self.checks, finding });
+        let from_slot = ladder::slot(&self.declared, now.wall);
+        self.check = Some(Check { round: self.checks, from_slot, finding });
+        self.entered = now.mono;
         self.checks = self.checks.saturating_add(1);
         true
     }
@@ -322,8 +355,8 @@
         if self.fire(MoveEvent::Arrived) {
             self.entered = now.mono;
         }
-        let watched = now.wall.since(verdict.at);
-        let rest = self.declared.watch.saturating_sub(watched);
+        let end = verdict.at.max(self.declared.deadline) + self.declared.watch;
+        let rest = end.since(now.wall);
         self.watch_ends = self.watch_ends.min(now.mono + rest);
     }
 
@@ -345,14 +378,14 @@
     }
 
     fn climb(&mut self, now: Now) {
-        self.wait = Wait::Schedule;
         if self.stage == LAST_STAGE {
             self.arrive(now);
             return;
         }
-        if now.mono.since(self.entered) < ladder::SHORTEST_DWELL {
+        if now.mono.since(self.entered) < ladder::SHORTEST_DWELL || now.mono < self.next_climb {
             return;
         }
+        self.wait = Wait::Schedule;
         let hasten = self.order == Some(OrderAction::Hasten);
         if !hasten && now.wall < ladder::entry(&self.declared, self.stage + 1) {
             return;
@@ -361,13 +394,15 @@
             self.wait = Wait::Slots;
             return;
         }
-        let (seen, wanted) = (self.calls_at_stage(), ladder::rung(self.stage).calls);
+        let (seen, wanted) =
+            (self.evidence.new_calls_from(self.stage), ladder::rung(self.stage).calls);
         if seen < wanted && !self.deadline_wins(now) {
             self.wait = Wait::Calls { seen, wanted };
             return;
         }
-        if !findings::clean(&self.evidence) {
+        if !findings::clean(&mut self.evidence) {
             self.wait = Wait::Doubt;
+            self.next_climb = now.mono + DOUBT_PERIOD;
             return;
         }
         self.stage += 1;
@@ -387,7 +422,8 @@
             return;
         }
         if self.watch_ends == Mono::NEVER {
-            self.watch_ends = now.mono + self.declared.watch;
+            let until_deadline = self.declared.deadline.since(now.wall);
+            self.watch_ends = now.mono + until_deadline + self.declared.watch;
         }
     }
 
@@ -395,10 +431,13 @@
         let Some(check) = &self.check else {
             return;
         };
+        if now.mono.since(self.entered) < ladder::SHORTEST_DWELL {
+            return;
+        }
         let Some(cleared) = check.cleared(&self.evidence) else {
             return;
         };
-        if cleared == Cleared::Unexplained {
+        if cleared == Cleared::Unexplained && findings::lasting(&self.evidence, &check.finding) {
             self.recurrences += 1;
         }
         if self.recurrences < RECURRENCES {
@@ -413,17 +452,6 @@
         self.declared.clash == ClashRule::Deadline && now.wall + rest >= self.declared.deadline
     }
 
-    /// Calls of the new version at this stage or a later one, by all reporters heard of.
-    fn calls_at_stage(&self) -> u64 {
-        let mut calls = 0;
-        for ((stratum, _), pair) in self.evidence.overall() {
-            if stratum.stage >= self.stage {
-                calls += pair.new_without(None).calls;
-            }
-        }
-        calls
-    }
-
     fn stratum_stage(&self) -> u8 {
         match &self.check {
             Some(check) => check.stage(),
--- a/crates/moves/src/check.rs
+++ b/crates/moves/src/check.rs
@@ -23,6 +23,8 @@
 pub(crate) struct Check {
     /// Which one of the move's checks.
     pub(crate) round: u8,
+    /// The time slot in which it began.
+    pub(crate) from_slot: u16,
     /// What raised the suspicion.
     pub(crate) finding: Finding,
 }
@@ -76,8 +78,8 @@
 
     fn sums(&self, strata: &Strata) -> (Counts, Counts) {
         let (mut old, mut new) = (Counts::default(), Counts::default());
-        for ((stratum, _), pair) in strata {
-            if stratum.stage != self.stage() {
+        for ((stratum, _), pair) in strata.pairs() {
+            if stratum.stage < LONE_STRATA_END || stratum.slot < self.from_slot {
                 continue;
             }
             old += pair.old;
--- a/crates/moves/src/evidence.rs
+++ b/crates/moves/src/evidence.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::keys::{DomainKey, ReporterKey, RouteKey, ServerKey};
+use crate::sequential::{Class, Memo};
 
 /// Counts of finished calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -118,8 +119,51 @@
     }
 }
 
-/// Pairs in the order of time, then of failure domain.
-pub type Strata = BTreeMap<(Stratum, DomainKey), Pair>;
+/// Where a pair stands: time and stage, then failure domain.
+pub type Place = (Stratum, DomainKey);
+
+/// Pairs in the order of time, with the sums that the tests ask for again and again.
+#[derive(Clone, Debug, Default)]
+pub struct Strata {
+    pairs: BTreeMap<Place, Pair>,
+    new_calls: BTreeMap<ServerKey, u64>,
+    old: Counts,
+    memos: [Memo; Class::ALL.len()],
+}
+
+impl Strata {
+    /// The pairs in order.
+    pub fn pairs(&self) -> &BTreeMap<Place, Pair> {
+        &self.pairs
+    }
+
+    /// Calls of the new version by backend server.
+    pub fn new_calls(&self) -> &BTreeMap<ServerKey, u64> {
+        &self.new_calls
+    }
+
+    /// The old version over all pairs.
+    pub fn old(&self) -> Counts {
+        self.old
+    }
+
+    /// What the closed slots came to in the test of a class.
+    pub fn memo(&mut self, class: Class) -> &mut Memo {
+        &mut self.memos[class as usize]
+    }
+
+    fn add(&mut self, place: Place, server: ServerKey, counts: Counts) {
+        self.pairs.entry(place).or_default().add(server, counts);
+        if server == ServerKey::OLD {
+            self.old += counts;
+        } else {
+            *self.new_calls.entry(server).or_default() += counts.calls;
+        }
+        for memo in &mut self.memos {
+            memo.forget_from(place.0.slot);
+        }
+    }
+}
 
 /// The lines of one reporter.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -131,11 +175,12 @@
 }
 
 /// All evidence about one move.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct Evidence {
     reporters: BTreeMap<ReporterKey, Reporter>,
     routes: BTreeMap<RouteKey, Strata>,
     overall: Strata,
+    new_calls: BTreeMap<u8, u64>,
 }
 
 impl Evidence {
@@ -181,18 +226,35 @@
         &self.routes
     }
 
+    /// Sums of one route.
+    pub fn route_mut(&mut self, route: RouteKey) -> Option<&mut Strata> {
+        self.routes.get_mut(&route)
+    }
+
     /// Sums over all routes.
     pub fn overall(&self) -> &Strata {
         &self.overall
     }
 
+    /// Sums over all routes.
+    pub fn overall_mut(&mut self) -> &mut Strata {
+        &mut self.overall
+    }
+
+    /// Calls of the new version at a stage or a later one.
+    pub fn new_calls_from(&self, stage: u8) -> u64 {
+        self.new_calls.range(stage..).map(|(_, calls)| calls).sum()
+    }
+
     fn sum(&mut self, domain: DomainKey, key: LineKey, growth: Counts) {
         if growth == Counts::default() {
             return;
         }
         let place = (key.stratum, domain);
-        let strata = self.routes.entry(key.route).or_default();
-        strata.entry(place).or_default().add(key.server, growth);
-        self.overall.entry(place).or_default().add(key.server, growth);
+        self.routes.entry(key.route).or_default().add(place, key.server, growth);
+        self.overall.add(place, key.server, growth);
+        if key.server != ServerKey::OLD {
+            *self.new_calls.entry(key.stratum.stage).or_default() += growth.calls;
+        }
     }
 }
--- a/crates/moves/src/findings.rs
+++ b/crates/moves/src/findings.rs
@@ -1,12 +1,13 @@
 //! What the evidence about a move amounts to, with the false alarm budget spread over the tests.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use cyclamen_types::RouteName;
 
 use crate::evidence::{Counts, Evidence, Strata};
 use crate::keys::{RouteKey, ServerKey};
-use crate::sequential::{Class, absolute, paired};
+use crate::ladder::{LAST_STAGE, LONE_STRATA_END};
+use crate::sequential::{Class, Lone, absolute, paired, paired_without};
 
 /// Chance that a good version is taken back, over all tests of a move.
 const FALSE_ALARM: f64 = 1.0 / 1_000.0;
@@ -15,7 +16,10 @@
 const OVERALL_TESTS: f64 = 4.0;
 
 /// Evidence that the rest must show when the worst backend server is left out.
-const CORROBORATION: f64 = 10.0;
+const CORROBORATION: f64 = 1_000.0;
+
+/// The same for holding a stage.
+const DOUBT_CORROBORATION: f64 = 5.0;
 
 /// Evidence above which a stage does not grow.
 const CLEAN: f64 = 20.0;
@@ -67,15 +71,14 @@
 }
 
 /// The test that convicts the new version, if one does: over all routes, or on one of `routes`.
-pub fn conviction(evidence: &Evidence, routes: &BTreeSet<RouteKey>) -> Option<Finding> {
-    let overall = (OVERALL_TESTS / FALSE_ALARM).ln();
-    let single = overall + (evidence.routes().len().max(1) as f64).ln();
+pub fn conviction(evidence: &mut Evidence, routes: &BTreeSet<RouteKey>) -> Option<Finding> {
+    let (overall, single) = limits(evidence);
     for class in Class::ALL {
-        if convicts(evidence.overall(), class, overall) {
+        if convicts(evidence.overall_mut(), class, overall) {
             return Some(finding(None, evidence.overall(), class, |_| true));
         }
         for route in routes {
-            let Some(strata) = evidence.routes().get(route) else {
+            let Some(strata) = evidence.route_mut(*route) else {
                 continue;
             };
             if convicts(strata, class, single) {
@@ -87,14 +90,14 @@
 }
 
 /// Whether nothing speaks against a larger share.
-pub fn clean(evidence: &Evidence) -> bool {
-    let limit = CLEAN.ln();
+pub fn clean(evidence: &mut Evidence) -> bool {
+    let routes: Vec<RouteKey> = evidence.routes().keys().copied().collect();
     for class in Class::ALL {
-        if paired(evidence.overall(), class, None) > limit {
+        if doubtful(evidence.overall_mut(), class) {
             return false;
         }
-        for strata in evidence.routes().values() {
-            if paired(strata, class, None) > limit {
+        for route in &routes {
+            if evidence.route_mut(*route).is_some_and(|strata| doubtful(strata, class)) {
                 return false;
             }
         }
@@ -103,21 +106,19 @@
 }
 
 /// The test that makes a version that runs alone suspect, if one does, over strata of the stages
-/// from `from_stage` to before `to_stage`.
+/// from `from_stage` on.
 pub fn suspicion(
     evidence: &Evidence,
     routes: &BTreeSet<RouteKey>,
     from_stage: u8,
-    to_stage: u8,
 ) -> Option<Finding> {
-    let limit = SUSPICION.ln();
     for class in Class::ALL {
         for route in routes {
             let Some(strata) = evidence.routes().get(route) else {
                 continue;
             };
-            if absolute(strata, class, from_stage, to_stage) > limit {
-                let recent = |stage: u8| stage >= from_stage && stage < to_stage;
+            if alone_worse(strata, class, from_stage, false, SUSPICION.ln()) {
+                let recent = |stage: u8| stage >= from_stage && stage < LONE_STRATA_END;
                 return Some(finding(Some(*route), strata, class, recent));
             }
         }
@@ -125,28 +126,69 @@
     None
 }
 
-fn convicts(strata: &Strata, class: Class, limit: f64) -> bool {
-    if paired(strata, class, None) < limit {
+/// Whether a fault that was suspected shows over all calls that the version ran alone, the ones
+/// between two suspicions included.
+pub fn lasting(evidence: &Evidence, suspected: &Finding) -> bool {
+    let (overall, single) = limits(evidence);
+    let (strata, limit) = match suspected.route {
+        Some(route) => (evidence.routes().get(&route), single),
+        None => (Some(evidence.overall()), overall),
+    };
+    strata.is_some_and(|strata| alone_worse(strata, suspected.class, LAST_STAGE, true, limit))
+}
+
+/// The limits of the tests over all routes and on one route, in logarithms.
+fn limits(evidence: &Evidence) -> (f64, f64) {
+    let overall = (OVERALL_TESTS / FALSE_ALARM).ln();
+    (overall, overall + (evidence.routes().len().max(1) as f64).ln())
+}
+
+fn convicts(strata: &mut Strata, class: Class, limit: f64) -> bool {
+    paired(strata, class) >= limit && shared(strata, class, CORROBORATION)
+}
+
+fn doubtful(strata: &mut Strata, class: Class) -> bool {
+    if paired(strata, class) <= CLEAN.ln() {
         return false;
     }
+    class == Class::Failed
+        || seen_servers(strata).len() < 2
+        || shared(strata, class, DOUBT_CORROBORATION)
+}
+
+/// Whether a fault shows without the backend server that shows it most. A slow server is no slow
+/// version; a failing one is a fault of the version as far as callers can tell.
+fn shared(strata: &Strata, class: Class, limit: f64) -> bool {
     if class == Class::Failed {
         return true;
     }
     let servers = seen_servers(strata);
-    if servers.len() < 2 {
+    servers.len() >= 2
+        && servers.iter().all(|server| paired_without(strata, class, *server) >= limit.ln())
+}
+
+fn alone_worse(strata: &Strata, class: Class, from_stage: u8, whole: bool, limit: f64) -> bool {
+    let lone = Lone { from_stage, whole, skipped: None };
+    if absolute(strata, class, lone) < limit {
         return false;
     }
-    servers.iter().all(|server| paired(strata, class, Some(*server)) >= CORROBORATION.ln())
+    if class == Class::Failed {
+        return true;
+    }
+    let without = |server| Lone { skipped: Some(server), ..lone };
+    let servers = seen_servers(strata);
+    servers.len() >= 2
+        && servers.iter().all(|server| absolute(strata, class, without(*server)) >= limit)
 }
 
-fn seen_servers(strata: &Strata) -> BTreeSet<ServerKey> {
-    let mut calls: BTreeMap<ServerKey, u64> = Default::default();
-    for pair in strata.values() {
-        for (server, counts) in &pair.new {
-            *calls.entry(*server).or_default() += counts.calls;
+fn seen_servers(strata: &Strata) -> Vec<ServerKey> {
+    let mut seen = Vec::new();
+    for (server, calls) in strata.new_calls() {
+        if *calls >= SEEN_CALLS {
+            seen.push(*server);
         }
     }
-    calls.into_iter().filter(|(_, calls)| *calls >= SEEN_CALLS).map(|(server, _)| server).collect()
+    seen
 }
 
 fn finding(
@@ -156,7 +198,7 @@
     counted: impl Fn(u8) -> bool,
 ) -> Finding {
     let mut finding = Finding { route, class, old: Counts::default(), new: Counts::default() };
-    for ((stratum, _), pair) in strata {
+    for ((stratum, _), pair) in strata.pairs() {
         let new = pair.new_without(None);
         if new.calls == 0 || !counted(stratum.stage) {
             continue;
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -22,11 +22,14 @@
 /// Time between two ticks while a move is open.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Longest time from merged trouble to its judgement.
+const JUDGE_DELAY: Duration = Duration::from_millis(50);
+
 /// Bound on the evidence that one daemon sends, in bytes per second.
-const EVIDENCE_BYTES_PER_SECOND: u32 = 400;
+const EVIDENCE_BYTES_PER_SECOND: i64 = 400;
 
 /// Bytes of evidence that may be sent at once.
-const EVIDENCE_BURST_BYTES: u32 = 2_000;
+const EVIDENCE_BURST_BYTES: i64 = 2_000;
 
 /// Convictions kept for moves that this daemon has not heard of.
 const MOST_EARLY_CONVICTIONS: usize = 64;
@@ -118,7 +121,7 @@
     active: BTreeMap<MoveName, ActiveMove>,
     by_service: FastMap<ServiceName, Vec<MoveName>>,
     early: BTreeMap<MoveKey, Conviction>,
-    credit_bytes: u32,
+    credit_bytes: i64,
     credited: Mono,
     next: Mono,
 }
@@ -190,7 +193,6 @@
                 continue;
             };
             if let Some(route) = active.record(now, side, sample) {
-                active.next_report = now.mono;
                 suspects.push((name.clone(), BTreeSet::from([route])));
             }
         }
@@ -203,7 +205,7 @@
     /// Merges a payload of another daemon; a conviction or evidence.
     pub fn merge(&mut self, now: Now, payload: &[u8], out: &mut Vec<MovesEffect>) {
         match Payload::decode(payload) {
-            Some(Payload::Evidence(packet)) => self.merge_packet(now, &packet, out),
+            Some(Payload::Evidence(packet)) => self.merge_packet(now, &packet),
             Some(Payload::Conviction(conviction)) => self.merge_conviction(now, conviction, out),
             None => {}
         }
@@ -224,9 +226,8 @@
         if changed {
             out.push(MovesEffect::SplitsChanged);
         }
-        let recurring: Vec<MoveName> = self.recurring();
-        for name in recurring {
-            self.judge(now, &name, &BTreeSet::new(), out);
+        for (name, routes) in self.unjudged() {
+            self.judge(now, &name, &routes, out);
         }
         self.append(now, out);
         self.report(now, out);
@@ -267,6 +268,11 @@
         splits
     }
 
+    /// Where a move stands.
+    pub fn stage(&self, name: &MoveName) -> Option<MoveStage> {
+        self.active.get(name).map(ActiveMove::at)
+    }
+
     /// One move as an operator reads it.
     pub fn status(&self, name: &MoveName) -> Option<MoveStatus> {
         self.active.get(name).map(status)
@@ -277,14 +283,16 @@
         self.active.values().map(status).collect()
     }
 
-    fn recurring(&self) -> Vec<MoveName> {
-        let mut names = Vec::new();
-        for (name, active) in &self.active {
-            if active.recurs() {
-                names.push(name.clone());
+    /// Moves with something to judge, and the routes it came on.
+    fn unjudged(&mut self) -> Vec<(MoveName, BTreeSet<RouteKey>)> {
+        let mut moves = Vec::new();
+        for (name, active) in &mut self.active {
+            let routes = std::mem::take(&mut active.unjudged);
+            if !routes.is_empty() || active.recurs() {
+                moves.push((name.clone(), routes));
             }
         }
-        names
+        moves
     }
 
     fn index_services(&mut self) {
@@ -306,7 +314,7 @@
             return;
         };
         let Some(reason) = active.judge(routes) else {
-            if active.suspect(routes) {
+            if active.suspect(now, routes) {
                 out.push(MovesEffect::SplitsChanged);
             }
             return;
@@ -322,7 +330,7 @@
         self.append(now, out);
     }
 
-    fn merge_packet(&mut self, now: Now, packet: &Packet, out: &mut Vec<MovesEffect>) {
+    fn merge_packet(&mut self, now: Now, packet: &Packet) {
         if packet.reporter == self.me.reporter {
             return;
         }
@@ -338,8 +346,8 @@
             }
         }
         if !routes.is_empty() {
-            let name = active.id.name.clone();
-            self.judge(now, &name, &routes, out);
+            active.unjudged.append(&mut routes);
+            self.next = self.next.min(now.mono + JUDGE_DELAY);
         }
     }
 
@@ -391,37 +399,34 @@
     fn report(&mut self, now: Now, out: &mut Vec<MovesEffect>) {
         self.earn(now);
         for active in self.active.values_mut() {
-            if active.changed.is_empty() || active.next_report > now.mono {
+            if active.changed.is_empty() || active.at() == MoveStage::Scheduled {
                 continue;
             }
-            if active.at() == MoveStage::Scheduled || self.credit_bytes == 0 {
+            let routine = active.next_report <= now.mono && self.credit_bytes > 0;
+            let urgent = !active.urgent.is_empty() && self.credit_bytes > -EVIDENCE_BURST_BYTES;
+            if !routine && !urgent {
                 continue;
             }
-            let mut lines = Vec::new();
-            let own = active.evidence.reporters().get(&self.me.reporter);
-            for key in std::mem::take(&mut active.changed) {
-                let counts = own.and_then(|own| own.lines.get(&key)).copied();
-                lines.push((key, counts.unwrap_or_default()));
-            }
+            let lines = active.changed_lines(routine);
             for packet in packets(active.key, self.me.reporter, self.me.domain, &lines) {
                 let bytes = Payload::Evidence(packet).encode();
-                let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
-                self.credit_bytes = self.credit_bytes.saturating_sub(length);
+                self.credit_bytes -= bytes.len() as i64;
                 out.push(MovesEffect::Evidence(bytes));
             }
-            active.next_report = now.mono + self.settings.evidence_period;
+            if routine {
+                active.next_report = now.mono + self.settings.evidence_period;
+            }
         }
     }
 
     fn earn(&mut self, now: Now) {
-        let passed = now.mono.since(self.credited).as_millis() as u64;
-        let earned = passed * u64::from(EVIDENCE_BYTES_PER_SECOND) / 1_000;
+        let passed = now.mono.since(self.credited).as_millis() as i64;
+        let earned = passed * EVIDENCE_BYTES_PER_SECOND / 1_000;
         if earned == 0 {
             return;
         }
         self.credited = now.mono;
-        let credit = u64::from(self.credit_bytes) + earned;
-        self.credit_bytes = credit.min(u64::from(EVIDENCE_BURST_BYTES)) as u32;
+        self.credit_bytes = (self.credit_bytes + earned).min(EVIDENCE_BURST_BYTES);
     }
 }
 
--- a/crates/moves/src/sentences.rs
+++ b/crates/moves/src/sentences.rs
@@ -47,7 +47,7 @@
             continue;
         };
         let (mut old, mut new) = (Counts::default(), Counts::default());
-        for pair in strata.values() {
+        for pair in strata.pairs().values() {
             old += pair.old;
             new += pair.new_without(None);
         }
@@ -89,7 +89,7 @@
 
 fn sums(active: &ActiveMove) -> (Counts, Counts) {
     let (mut old, mut new) = (Counts::default(), Counts::default());
-    for pair in active.evidence.overall().values() {
+    for pair in active.evidence.overall().pairs().values() {
         old += pair.old;
         new += pair.new_without(None);
     }
--- a/crates/moves/src/sequential.rs
+++ b/crates/moves/src/sequential.rs
@@ -7,8 +7,9 @@
 //! exceeds `1 / a` with probability at most `a` (Ville's inequality). A stratum that holds only
 //! one version has the factor one.
 
-use crate::evidence::{Counts, Strata};
-use crate::keys::ServerKey;
+use crate::evidence::{Counts, Pair, Strata, Stratum};
+use crate::keys::{DomainKey, ServerKey};
+use crate::ladder::LONE_STRATA_END;
 
 /// What is counted against a version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -49,6 +50,9 @@
 /// Highest rate that an informed bet is placed on.
 const HIGHEST_RATE: f64 = 0.98;
 
+/// Latest slots that evidence may still come for without looking back further.
+const OPEN_SLOTS: u16 = 2;
+
 /// Old and new over one stratum, by class.
 #[derive(Clone, Copy, Debug)]
 struct Table {
@@ -58,18 +62,6 @@
     new_bad: f64,
 }
 
-/// A bet whose wealth is carried in logarithms.
-#[derive(Clone, Copy, Debug)]
-struct Bet {
-    wealth: f64,
-}
-
-impl Bet {
-    fn stake(&mut self, weight: f64) {
-        self.wealth = log_add(self.wealth, weight.ln());
-    }
-}
-
 /// The rate of the old version as known before a slot.
 #[derive(Clone, Copy, Debug)]
 struct History {
@@ -93,31 +85,36 @@
     }
 }
 
-/// The logarithm of the evidence that the new version is worse, paired over the strata.
-///
-/// The conditional bets take the number of bad calls of a stratum as given and bet that more of
-/// them than its share are the new version's. The informed bets take the old version's rate as
-/// known from earlier slots and add an excess for the new one, against the common rate that fits
-/// the stratum best.
-pub fn paired(strata: &Strata, class: Class, skipped: Option<ServerKey>) -> f64 {
-    let mut conditional = [Bet { wealth: f64::NEG_INFINITY }; RATIOS.len()];
-    let mut informed = [Bet { wealth: f64::NEG_INFINITY }; EXCESSES.len()];
-    let mut history = History::new(class);
-    let mut pending = history;
-    let mut slot = None;
-    for ((stratum, _), pair) in strata {
-        if slot != Some(stratum.slot) {
-            let first = if slot.is_none() { 0 } else { stratum.slot };
-            slot = Some(stratum.slot);
-            history = pending;
-            let weight = onset_weight(first);
-            conditional.iter_mut().for_each(|bet| bet.stake(weight));
-            informed.iter_mut().for_each(|bet| bet.stake(weight));
+/// All bets of one test, with their wealth in logarithms.
+#[derive(Clone, Copy, Debug)]
+struct Bets {
+    conditional: [f64; RATIOS.len()],
+    informed: [f64; EXCESSES.len()],
+    /// The old version before the present slot.
+    history: History,
+    /// The old version up to now.
+    pending: History,
+    slot: Option<u16>,
+}
+
+impl Bets {
+    fn new(class: Class) -> Self {
+        let history = History::new(class);
+        Self {
+            conditional: [f64::NEG_INFINITY; RATIOS.len()],
+            informed: [f64::NEG_INFINITY; EXCESSES.len()],
+            history,
+            pending: history,
+            slot: None,
         }
-        pending.add(pair.old, class);
+    }
+
+    fn take(&mut self, slot: u16, pair: &Pair, class: Class, skipped: Option<ServerKey>) {
+        self.enter(slot);
+        self.pending.add(pair.old, class);
         let new = pair.new_without(skipped);
         if pair.old.calls == 0 || new.calls == 0 {
-            continue;
+            return;
         }
         let table = Table {
             old_calls: pair.old.calls as f64,
@@ -126,58 +123,124 @@
             new_bad: class.bad(new) as f64,
         };
         if table.old_bad + table.new_bad > 0.0 {
-            for (bet, ratio) in conditional.iter_mut().zip(RATIOS) {
-                bet.wealth += conditional_factor(&table, ratio);
+            for (wealth, ratio) in self.conditional.iter_mut().zip(RATIOS) {
+                *wealth += conditional_factor(&table, ratio);
             }
         }
         let (bad, calls) = (table.old_bad + table.new_bad, table.old_calls + table.new_calls);
-        let common = log_likelihood(bad, calls, bad / calls);
-        let rate = history.rate();
-        let base = log_likelihood(table.old_bad, table.old_calls, rate) - common;
-        for (bet, excess) in informed.iter_mut().zip(EXCESSES) {
+        let rate = self.history.rate();
+        let base = log_likelihood(table.old_bad, table.old_calls, rate)
+            - log_likelihood(bad, calls, bad / calls);
+        for (wealth, excess) in self.informed.iter_mut().zip(EXCESSES) {
             let worse = (rate + excess).min(HIGHEST_RATE);
-            bet.wealth += base + log_likelihood(table.new_bad, table.new_calls, worse);
+            *wealth += base + log_likelihood(table.new_bad, table.new_calls, worse);
         }
     }
-    let mut sum = f64::NEG_INFINITY;
-    for bet in conditional.iter().chain(&informed) {
-        sum = log_add(sum, bet.wealth);
+
+    fn enter(&mut self, slot: u16) {
+        if self.slot == Some(slot) {
+            return;
+        }
+        let weight = onset_weight(if self.slot.is_none() { 0 } else { slot }).ln();
+        self.slot = Some(slot);
+        self.history = self.pending;
+        for wealth in self.conditional.iter_mut().chain(&mut self.informed) {
+            *wealth = log_add(*wealth, weight);
+        }
     }
-    sum - ((RATIOS.len() + EXCESSES.len()) as f64).ln()
+
+    fn mean(&self) -> f64 {
+        log_mean(self.conditional.iter().chain(&self.informed))
+    }
+}
+
+/// The bets over all slots before one, so that a look costs the latest slots only.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Memo {
+    until: u16,
+    bets: Option<Bets>,
+}
+
+impl Memo {
+    /// Drops what was kept if it holds this slot.
+    pub fn forget_from(&mut self, slot: u16) {
+        if slot < self.until {
+            *self = Self::default();
+        }
+    }
+}
+
+/// The logarithm of the evidence that the new version is worse, paired over the strata.
+///
+/// The conditional bets take the number of bad calls of a stratum as given and bet that more of
+/// them than its share are the new version's. The informed bets take the old version's rate as
+/// known from earlier slots and add an excess for the new one, against the common rate that fits
+/// the stratum best.
+pub fn paired(strata: &mut Strata, class: Class) -> f64 {
+    let memo = *strata.memo(class);
+    let mut bets = memo.bets.unwrap_or_else(|| Bets::new(class));
+    let last = strata.pairs().last_key_value().map_or(0, |((stratum, _), _)| stratum.slot);
+    let keep = last.saturating_sub(OPEN_SLOTS);
+    let from = (Stratum { slot: memo.until, stage: 0 }, DomainKey::default());
+    let mut kept = memo;
+    for ((stratum, _), pair) in strata.pairs().range(from..) {
+        if stratum.slot >= keep && kept.until < keep {
+            kept = Memo { until: keep, bets: Some(bets) };
+        }
+        bets.take(stratum.slot, pair, class, None);
+    }
+    *strata.memo(class) = kept;
+    bets.mean()
+}
+
+/// The same without one backend server of the new version.
+pub fn paired_without(strata: &Strata, class: Class, skipped: ServerKey) -> f64 {
+    let mut bets = Bets::new(class);
+    for ((stratum, _), pair) in strata.pairs() {
+        bets.take(stratum.slot, pair, class, Some(skipped));
+    }
+    bets.mean()
+}
+
+/// Which strata of a version that runs alone are looked at.
+#[derive(Clone, Copy, Debug)]
+pub struct Lone {
+    /// The first stage number.
+    pub from_stage: u8,
+    /// Whether calls before the fault count as well.
+    pub whole: bool,
+    /// A backend server that is left out.
+    pub skipped: Option<ServerKey>,
 }
 
 /// The logarithm of the evidence that the new version is worse than the old one ever was, over
-/// the strata from a stage on, in which it runs alone. Trouble common to both looks the same
-/// here, so this raises a suspicion and convicts nobody.
-pub fn absolute(strata: &Strata, class: Class, from_stage: u8, to_stage: u8) -> f64 {
+/// strata in which it runs alone. Trouble common to both looks the same here, so this raises a
+/// suspicion and convicts nobody.
+pub fn absolute(strata: &Strata, class: Class, lone: Lone) -> f64 {
     let rate = rate_before(strata, class);
-    let mut bets = [Bet { wealth: 0.0 }; EXCESSES.len()];
-    for ((stratum, _), pair) in strata {
-        if stratum.stage < from_stage || stratum.stage >= to_stage {
+    let mut bets = [0.0_f64; EXCESSES.len()];
+    for ((stratum, _), pair) in strata.pairs() {
+        if stratum.stage < lone.from_stage || stratum.stage >= LONE_STRATA_END {
             continue;
         }
-        let new = pair.new_without(None);
+        let new = pair.new_without(lone.skipped);
         let bad = class.bad(new) as f64;
         let good = new.calls as f64 - bad;
-        for (bet, excess) in bets.iter_mut().zip(EXCESSES) {
+        for (wealth, excess) in bets.iter_mut().zip(EXCESSES) {
             let worse = (rate + excess).min(HIGHEST_RATE);
-            let factor = bad * (worse / rate).ln() + good * ((1.0 - worse) / (1.0 - rate)).ln();
-            bet.wealth = bet.wealth.max(0.0) + factor;
+            if !lone.whole {
+                *wealth = wealth.max(0.0);
+            }
+            *wealth += bad * (worse / rate).ln() + good * ((1.0 - worse) / (1.0 - rate)).ln();
         }
     }
-    let mut sum = f64::NEG_INFINITY;
-    for bet in bets {
-        sum = log_add(sum, bet.wealth);
-    }
-    sum - (EXCESSES.len() as f64).ln()
+    log_mean(bets.iter())
 }
 
 /// The rate of the old version over all strata.
 pub fn rate_before(strata: &Strata, class: Class) -> f64 {
     let mut history = History::new(class);
-    for pair in strata.values() {
-        history.add(pair.old, class);
-    }
+    history.add(strata.old(), class);
     history.rate()
 }
 
@@ -199,6 +262,16 @@
     of_bad + of_good
 }
 
+fn log_mean<'a>(wealths: impl Iterator<Item = &'a f64>) -> f64 {
+    let mut sum = f64::NEG_INFINITY;
+    let mut count = 0.0_f64;
+    for wealth in wealths {
+        sum = log_add(sum, *wealth);
+        count += 1.0;
+    }
+    sum - count.ln()
+}
+
 /// `ln(exp(a) + exp(b))` without overflow.
 fn log_add(a: f64, b: f64) -> f64 {
     let (low, high) = if a < b { (a, b) } else { (b, a) };
