Keep retries of one change to one append, and waits from holding up a stop

An operator who repeated a publication while the log was down added one more append each time, all tried again twice a second: five repeats left five records once the log was back. A publication under an id that is under way now adds nothing. A request that waited for its outcome also held up a graceful stop for up to its whole wait, 30 s; waits now end with the stop and are answered with what is known.

--- a/crates/cli/src/commands/get.rs
+++ b/crates/cli/src/commands/get.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use cyclamen_daemon::admin::api::{DeclarationAnswer, DeclarationList};
+use serde::Serialize;
 
 use super::Cx;
 use crate::client::Ask;
@@ -44,10 +45,17 @@
     if cx.json {
         return output::print_json(answer);
     }
-    let summary = &answer.summary;
-    let body = serde_yaml_ng::to_string(&answer.body)
+    let file = ChangeFile { declarations: vec![&answer.body] };
+    let text = serde_yaml_ng::to_string(&file)
         .map_err(|error| Failure::Answer(format!("the body is no YAML ({error})")))?;
-    output::print_text(&format!("# team {}, offset {}\n{body}", summary.team, summary.offset))
+    let summary = &answer.summary;
+    output::print_text(&format!("# team {}, offset {}\n{text}", summary.team, summary.offset))
+}
+
+/// A declaration as a file that can be edited and published.
+#[derive(Serialize)]
+struct ChangeFile<'a> {
+    declarations: Vec<&'a serde_json::Value>,
 }
 
 fn show_list(cx: &Cx, list: &DeclarationList) -> Result<(), Failure> {
--- a/crates/cyclamenmoor/src/appends.rs
+++ b/crates/cyclamenmoor/src/appends.rs
@@ -47,6 +47,12 @@
         self.pending.insert(ticket, Pending { payload, settles, retry_at: Mono::NEVER });
     }
 
+    /// Whether an append of this change is under way.
+    fn has_change(&self, id: &ChangeId) -> bool {
+        let same = |settles: &Settles| matches!(settles, Settles::Change(known) if known == id);
+        self.pending.values().any(|pending| same(&pending.settles))
+    }
+
     pub(crate) fn verdict(&mut self, id: MoveId, verdict: MoveVerdict, out: &mut Effects) {
         let payload = Ledger::verdict_payload(&id, &verdict).into();
         self.push(payload, Settles::Verdict(id, verdict), out);
@@ -100,8 +106,12 @@
 
 impl Instance {
     /// Publishes a change: it is appended, and appended again under the same id until the fold
-    /// shows it. [`Instance::outcome`] tells what became of it.
+    /// shows it. [`Instance::outcome`] tells what became of it. Nothing new is appended while one
+    /// of the same id is under way.
     pub fn publish(&mut self, now: Now, change: &Change, out: &mut Effects) {
+        if self.appends.has_change(&change.id) {
+            return;
+        }
         let payload = Ledger::change_payload(change).into();
         self.appends.push(payload, Settles::Change(change.id.clone()), out);
         self.settle(now, out);
--- a/crates/daemon/src/admin/auth.rs
+++ b/crates/daemon/src/admin/auth.rs
@@ -10,6 +10,9 @@
 use super::error::{ApiError, ErrorCode};
 use crate::settings::{OperatorToken, TokenHash};
 
+#[cfg(test)]
+mod tests;
+
 impl TokenHash {
     /// The hash of a token.
     pub fn of(token: &str) -> Self {
--- a/crates/daemon/src/admin/context.rs
+++ b/crates/daemon/src/admin/context.rs
@@ -6,6 +6,7 @@
 
 use cyclamen_types::TeamName;
 use dropshot::RequestContext;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::auth;
@@ -22,6 +23,7 @@
 /// What the endpoints of one daemon share.
 pub(super) struct Context {
     shared: OnceLock<Shared>,
+    stopping: watch::Sender<bool>,
     tokens: Vec<OperatorToken>,
     listen: SocketAddr,
     pub(super) announcement_lease: Duration,
@@ -31,6 +33,7 @@
     pub(super) fn new(settings: &Settings) -> Self {
         Self {
             shared: OnceLock::new(),
+            stopping: watch::Sender::new(false),
             tokens: settings.tokens.clone(),
             listen: settings.listen.calls,
             announcement_lease: settings.limits.announcement_lease,
@@ -48,7 +51,12 @@
         self.shared.get().ok_or_else(starting)
     }
 
-    /// Waits until `look` finds something, or `wait` is over.
+    /// Ends all waits, so that no request holds up a stop.
+    pub(super) fn stop(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// Waits until `look` finds something; `None` once `wait` is over or the daemon stops.
     pub(super) async fn wait_for<T>(
         &self,
         wait: Duration,
@@ -57,13 +65,19 @@
         let shared = self.shared()?;
         let deadline = Instant::now() + wait.min(LONGEST_WAIT);
         let mut changed = shared.changed();
+        let mut stopping = self.stopping.subscribe();
         loop {
             if let Some(found) = shared.read(&look) {
                 return Ok(Some(found));
             }
-            match tokio::time::timeout_at(deadline, changed.changed()).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) | Err(_) => return Ok(None),
+            tokio::select! {
+                told = changed.changed() => {
+                    if told.is_err() {
+                        return Ok(None);
+                    }
+                }
+                _ = stopping.wait_for(|stopping| *stopping) => return Ok(None),
+                () = tokio::time::sleep_until(deadline) => return Ok(None),
             }
         }
     }
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -70,8 +70,9 @@
         self.server.app_private().serve(shared);
     }
 
-    /// Stops the API; requests under way are answered.
+    /// Stops the API; requests under way are answered, those that wait at once.
     pub async fn stop(self) {
+        self.server.app_private().stop();
         // The server reports an error only when its accept loop had ended before.
         let _ = self.server.close().await;
     }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,5 +1,7 @@
 //! Log lines by log4rs: where they go, and the bridge from the libraries that log by slog.
 
+use std::path::Path;
+
 use anyhow::{Context, anyhow};
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
@@ -49,6 +51,12 @@
     config.map(|_| ()).map_err(|errors| errors.to_string())
 }
 
+/// Whether log4rs takes a configuration file; the error says what it refuses.
+pub(crate) fn check_file(path: &Path) -> Result<(), String> {
+    let config = log4rs::config::load_config_file(path, Deserializers::default());
+    config.map(|_| ()).map_err(|error| format!("{error:#}"))
+}
+
 /// A slog logger whose warnings and errors become lines of `log`.
 pub(crate) fn slog_bridge() -> slog::Logger {
     let drain = slog::LevelFilter::new(slog_stdlog::StdLog, slog::Level::Warning);
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -1,7 +1,7 @@
 //! The settings file as it was written, and its way to checked settings.
 
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use cyclamen_membership::{Addresses, MeshKey};
@@ -205,7 +205,7 @@
 }
 
 fn read_logging(mut section: Section<'_>) -> LoggingSettings {
-    let file = section.optional("file", values::path);
+    let file = section.optional("file", log4rs_file);
     let inline = section.optional("log4rs", log4rs_tree);
     let logging = match (file, inline) {
         (Some(_), Some(_)) => {
@@ -221,6 +221,13 @@
     logging
 }
 
+fn log4rs_file(value: &Value) -> Result<PathBuf, Misfit> {
+    let path = values::path(value)?;
+    let misfit = |problem| Misfit::new(problem, "name a configuration as log4rs documents it");
+    logging::check_file(&path).map_err(misfit)?;
+    Ok(path)
+}
+
 fn log4rs_tree(value: &Value) -> Result<Value, Misfit> {
     let misfit = |problem| Misfit::new(problem, "write a configuration as log4rs documents it");
     logging::check(value).map_err(misfit)?;
--- a/crates/daemon/tests/admin/bench.rs
+++ b/crates/daemon/tests/admin/bench.rs
@@ -1,6 +1,7 @@
 //! A daemon on free ports with a log service beside it, and a client of its administration API.
 
 use std::net::SocketAddr;
+use std::ops::Deref;
 
 use bytes::Bytes;
 use cyclamen_daemon::{LimitSettings, OperatorToken, Running, Settings, TokenHash, start};
@@ -23,7 +24,22 @@
 pub struct Bench {
     pub running: Running,
     pub log: LogService,
+    pub api: Api,
+}
+
+/// A client of the daemon's administration API.
+#[derive(Clone)]
+pub struct Api {
     http: Client<HttpConnector, Full<Bytes>>,
+    admin: SocketAddr,
+}
+
+impl Deref for Bench {
+    type Target = Api;
+
+    fn deref(&self) -> &Api {
+        &self.api
+    }
 }
 
 /// An answer of the administration API.
@@ -69,11 +85,17 @@
 impl Bench {
     /// Starts log service and daemon.
     pub async fn start() -> Self {
+        Self::start_with(LogOptions::default()).await
+    }
+
+    /// Starts a log service with these options, and a daemon.
+    pub async fn start_with(options: LogOptions) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
-        let log = LogService::start(free, LogOptions::default()).await.expect("a free port");
+        let log = LogService::start(free, options).await.expect("a free port");
         let running = start(settings(log.address())).await.expect("free ports");
         let http = Client::builder(TokioExecutor::new()).build_http();
-        Self { running, log, http }
+        let api = Api { http, admin: running.addresses.admin };
+        Self { running, log, api }
     }
 
     /// Stops both.
@@ -81,7 +103,9 @@
         self.running.stop().await;
         self.log.stop().await;
     }
+}
 
+impl Api {
     /// Sends a request with a token, if one is given.
     pub async fn send(
         &self,
@@ -92,7 +116,7 @@
     ) -> Reply {
         let mut req = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.running.addresses.admin))
+            .uri(format!("http://{}{path}", self.admin))
             .header(http::header::CONTENT_TYPE, "application/json");
         if let Some(token) = token {
             req = req.header(http::header::AUTHORIZATION, format!("Bearer {token}"));
--- a/crates/daemon/tests/admin/publish.rs
+++ b/crates/daemon/tests/admin/publish.rs
@@ -1,8 +1,10 @@
 //! Publishing through the administration API of a real daemon.
 
 use crate::bench::{Bench, OTHER_TOKEN, TOKEN};
+use std::time::Duration;
+
 use bytes::Bytes;
-use cyclamen_standins::LogFaults;
+use cyclamen_standins::{LogFaults, LogOptions};
 use http::Method;
 
 const SERVICE: &str =
@@ -18,6 +20,9 @@
 /// Long enough for any answer that comes at all.
 const WAIT: &str = "wait_ms=20000";
 
+/// Ends a test whose daemon does not stop; shorter than the longest wait of a request.
+const STOP_WATCHDOG: Duration = Duration::from_secs(20);
+
 #[tokio::test]
 async fn publish_accepted() {
     let bench = Bench::start().await;
@@ -108,6 +113,37 @@
     bench.stop().await;
 }
 
+#[tokio::test]
+async fn publish_again_while_log_is_down() {
+    let bench = Bench::start().await;
+    bench.log.set_faults(LogFaults { down: true, ..Default::default() });
+    for _ in 0..5 {
+        let reply = bench.publish("late", "wait_ms=0", SERVICE).await;
+        assert_eq!(reply.body["outcome"], "pending");
+    }
+    bench.log.set_faults(LogFaults::default());
+    let read = bench.get(&format!("/v1/changes/late?{WAIT}")).await;
+    assert_eq!(read.body["outcome"], "accepted");
+    assert_eq!(bench.publish("after", WAIT, SERVICE).await.body["outcome"], "accepted");
+    assert_eq!(bench.log.next().0, 2, "one record for each id");
+    bench.stop().await;
+}
+
+/// A request that waits is answered when the daemon stops, long before its own deadline.
+#[tokio::test]
+async fn stop_answers_those_that_wait() {
+    let bench = Bench::start_with(LogOptions { appends_per_second: 0, ..Default::default() }).await;
+    let api = bench.api.clone();
+    let waiting = tokio::spawn(async move { api.publish("late", "wait_ms=30000", SERVICE).await });
+    while bench.log.counters().appends_refused == 0 {
+        tokio::task::yield_now().await;
+    }
+    let stopped = tokio::time::timeout(STOP_WATCHDOG, bench.stop()).await;
+    assert!(stopped.is_ok(), "the stop waits for the request");
+    let reply = waiting.await.expect("an answer");
+    assert_eq!(reply.body["outcome"], "pending");
+}
+
 #[tokio::test]
 async fn order_move() {
     let bench = Bench::start().await;
