Measure convergence over real sockets

First run with three daemons: a change was held everywhere within 0.6 ms, but the fleet settled only after 11 s: the first read of an empty log waited for the whole long poll before anybody was ready. A reader that is not ready now asks without waiting.

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -130,6 +130,11 @@
         &self.membership
     }
 
+    /// Who fetches what from whom.
+    pub fn distribution(&self) -> &Distribution {
+        &self.distribution
+    }
+
     /// The moves.
     pub fn moves(&self) -> &Moves {
         &self.moves
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -158,6 +158,7 @@
             relay_silence: limits.gossip_period * RELAY_SILENCE_PERIODS,
             snapshot_transfers: SNAPSHOT_TRANSFERS,
             fresh_peers: FRESH_PEERS,
+            poll_log: limits.poll_log,
         },
         announcement_lease: limits.announcement_lease,
         evidence_period: limits.evidence_period,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -70,6 +70,8 @@
     pub announcement_lease: Duration,
     /// Longest time between two payloads of evidence.
     pub evidence_period: Duration,
+    /// Makes every daemon read the log this often, instead of the relays only.
+    pub poll_log: Option<Duration>,
 }
 
 impl Default for LimitSettings {
@@ -83,6 +85,7 @@
             gossip_bytes_per_second: 2_048,
             announcement_lease: Duration::from_secs(6),
             evidence_period: Duration::from_secs(1),
+            poll_log: None,
         }
     }
 }
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -42,6 +42,8 @@
     pub snapshot_transfers: u32,
     /// Peers whose answers a fresh daemon waits for.
     pub fresh_peers: u32,
+    /// Makes every daemon read the log this often, and none push or pull.
+    pub poll_log: Option<Duration>,
 }
 
 /// Something to fetch; the answer comes back with the same value.
@@ -99,6 +101,10 @@
     pub snapshots_served: u64,
     /// Requests refused with a hint.
     pub refused_busy: u64,
+    /// Bytes of records and snapshots sent to peers.
+    pub bytes_sent: u64,
+    /// Bytes of records and snapshots received from peers and the log.
+    pub bytes_received: u64,
 }
 
 /// Distribution at one daemon.
@@ -142,6 +148,10 @@
         if std::mem::take(&mut self.log_answered) {
             m.log_answered(now);
         }
+        if let Some(pause) = self.settings.poll_log {
+            self.poll_log(now, ledger, pause, out);
+            return;
+        }
         self.peers_hold = m.best_version();
         self.find_role(now, m);
         self.read_log(now, ledger, m, out);
@@ -155,6 +165,16 @@
         }
     }
 
+    fn poll_log(&mut self, now: Now, ledger: &Ledger, pause: Duration, out: &mut Vec<Fetch>) {
+        self.next = now.mono + pause;
+        if self.log.cause(now, true, ledger.version()).is_none() {
+            return;
+        }
+        self.log.begin();
+        self.counters.log_reads += 1;
+        out.push(Fetch::Log { from: ledger.version().next_offset(), wait: Duration::ZERO });
+    }
+
     /// When [`Distribution::tick`] is due.
     pub fn next_tick(&self) -> Mono {
         self.next
@@ -162,7 +182,7 @@
 
     /// Notes what peers are known to hold; a gap is closed soon unless the records come first.
     pub fn heard(&mut self, now: Now, ledger: &Ledger, m: &Membership) {
-        if m.best_version() <= ledger.version() {
+        if m.best_version() <= ledger.version() || self.settings.poll_log.is_some() {
             return;
         }
         self.gaps.notice(now, &mut self.rng);
@@ -182,7 +202,9 @@
         answer: Result<LogBatch, LogReadError>,
         ledger: &mut Ledger,
     ) -> Vec<LogRecord> {
-        self.next = now.mono;
+        if self.settings.poll_log.is_none() {
+            self.next = now.mono;
+        }
         let Ok(batch) = answer else {
             self.log.fail(now, &mut self.rng);
             return Vec::new();
@@ -190,6 +212,7 @@
         self.log.succeed(now, Duration::ZERO);
         self.log.forget_expected(batch.next);
         self.log_answered = true;
+        self.counters.bytes_received += bytes_of(&batch.records);
         for record in &batch.records {
             ledger.fold(record);
         }
@@ -218,12 +241,14 @@
                 self.fresh.forget(from);
             }
             Some(PeerResponse::Records { records, held, ready }) => {
+                self.counters.bytes_received += bytes_of(&records);
                 for record in &records {
                     ledger.fold(record);
                 }
                 self.take_word(now, from, held, ready);
             }
             Some(PeerResponse::Snapshot { text, held, ready }) => {
+                self.counters.bytes_received += text.len() as u64;
                 ledger.install_snapshot(&text);
                 self.take_word(now, from, held, ready);
             }
@@ -241,6 +266,7 @@
             return PeerResponse::Records { records: Vec::new(), held: mine, ready };
         }
         if let Some(records) = ledger.records_from(held, RECORDS_BYTES) {
+            self.counters.bytes_sent += bytes_of(&records);
             return PeerResponse::Records { records, held: mine, ready };
         }
         if self.transfers >= self.settings.snapshot_transfers {
@@ -250,7 +276,9 @@
         }
         self.transfers += 1;
         self.counters.snapshots_served += 1;
-        PeerResponse::Snapshot { text: ledger.snapshot(), held: mine, ready }
+        let text = ledger.snapshot();
+        self.counters.bytes_sent += text.len() as u64;
+        PeerResponse::Snapshot { text, held: mine, ready }
     }
 
     /// A snapshot was sent, or its connection broke.
@@ -289,7 +317,8 @@
             return;
         };
         let wait = match cause {
-            Cause::Relay => self.settings.long_poll,
+            Cause::Relay if self.fresh.ready() => self.settings.long_poll,
+            Cause::Relay => Duration::ZERO,
             Cause::Expected => EXPECTED_WAIT,
             Cause::Silence => Duration::ZERO,
         };
@@ -361,7 +390,7 @@
     }
 
     fn unknown_to_peers(&self, records: Vec<LogRecord>) -> Vec<LogRecord> {
-        if records.len() > PUSHED_RECORDS {
+        if records.len() > PUSHED_RECORDS || self.settings.poll_log.is_some() {
             return Vec::new();
         }
         let known = self.peers_hold.next_offset();
@@ -370,3 +399,7 @@
         unknown
     }
 }
+
+fn bytes_of(records: &[LogRecord]) -> u64 {
+    records.iter().map(|record| record.payload.len() as u64).sum()
+}
