--- a/crates/cyclamenmoor/src/appends.rs
+++ b/crates/cyclamenmoor/src/appends.rs
@@ -52,6 +52,12 @@
         self.push(payload, Settles::Verdict(id, verdict), out);
     }
 
+    /// Appends a record that is not tried again.
+    pub(crate) fn once(&mut self, payload: Arc<str>, out: &mut Effects) {
+        self.tickets += 1;
+        out.push(Effect::Append { ticket: Ticket(self.tickets), payload });
+    }
+
     pub(crate) fn answered(
         &mut self,
         now: Now,
--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -52,15 +52,7 @@
         out: &mut Effects,
     ) -> Next {
         if let Some(failed) = convicts(finished.outcome) {
-            let sample = CallSample {
-                route: &attempt.route,
-                service: &attempt.service,
-                version: &attempt.version,
-                server: &attempt.server,
-                failed,
-                latency: finished.latency,
-                cold: finished.cold,
-            };
+            let sample = sample(attempt, failed, finished.latency, finished.cold);
             self.moves.record(now, &sample, &mut self.moves_out);
         }
         let next = self.router.finish(now, attempt.id, finished.outcome);
@@ -77,14 +69,7 @@
         if end != BodyEnd::Truncated {
             return;
         }
-        let sample = CallSample {
-            route: &attempt.route,
-            service: &attempt.service,
-            version: &attempt.version,
-            failed: true,
-            latency: Duration::ZERO,
-            cold: false,
-        };
+        let sample = sample(attempt, true, Duration::ZERO, false);
         self.moves.record(now, &sample, &mut self.moves_out);
         if !self.moves_out.is_empty() {
             self.settle(now, out);
@@ -107,6 +92,19 @@
     }
 }
 
+/// What the evidence reads of an attempt.
+fn sample(attempt: &Attempt, failed: bool, latency: Duration, cold: bool) -> CallSample<'_> {
+    CallSample {
+        route: &attempt.route,
+        service: &attempt.service,
+        version: &attempt.version,
+        server: &attempt.server,
+        failed,
+        latency,
+        cold,
+    }
+}
+
 /// Whether an outcome says something about a version: `Some(true)` for a failure.
 fn convicts(outcome: Outcome) -> Option<bool> {
     match outcome {
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -19,6 +19,9 @@
 use crate::settings::InstanceSettings;
 use crate::sync;
 
+/// Largest part of a snapshot in the log, in bytes.
+const SNAPSHOT_PART_BYTES: usize = 32 * 1024;
+
 /// One instance of the system.
 #[derive(Debug)]
 pub struct Instance {
@@ -156,6 +159,7 @@
         }
         if now.mono >= self.distribution.next_tick() {
             self.distribution.tick(now, &self.ledger, &mut self.membership, &mut self.fetches);
+            self.append_snapshot_if_due(now, out);
         }
         if now.mono >= self.moves.next_tick() {
             self.tick_moves(now);
@@ -180,19 +184,17 @@
                 RiderKind::Conviction | RiderKind::Evidence => {
                     self.moves.merge(now, &rider.payload, &mut self.moves_out);
                 }
-                RiderKind::Records => self.fold_rider(&rider),
+                RiderKind::Records => self.fold_rider(now, &rider),
             }
         }
         self.distribution.heard(now, &self.ledger, &self.membership);
     }
 
-    fn fold_rider(&mut self, rider: &Rider) {
+    fn fold_rider(&mut self, now: Now, rider: &Rider) {
         let Ok(records) = postcard::from_bytes::<Vec<LogRecord>>(&rider.payload) else {
             return;
         };
-        for record in &records {
-            self.ledger.fold(record);
-        }
+        self.distribution.on_records(now, &records, &mut self.ledger);
     }
 
     fn on_log(&mut self, now: Now, answer: Result<LogBatch, LogReadError>) {
@@ -212,6 +214,15 @@
         self.distribution.on_peer(now, from, response, &mut self.ledger);
     }
 
+    fn append_snapshot_if_due(&mut self, now: Now, out: &mut Effects) {
+        if !self.distribution.snapshot_due(now) {
+            return;
+        }
+        for payload in self.ledger.snapshot_payloads(SNAPSHOT_PART_BYTES) {
+            self.appends.once(payload.into(), out);
+        }
+    }
+
     fn spread_records(&mut self, now: Now, records: &[LogRecord]) {
         for record in records {
             let Ok(bytes) = postcard::to_stdvec(std::slice::from_ref(record)) else {
--- a/crates/daemon/src/admin/api.rs
+++ b/crates/daemon/src/admin/api.rs
@@ -141,6 +141,8 @@
     Scheduled,
     /// Traffic moves.
     Moving,
+    /// Part of the traffic is back on the old version while a suspicion is checked.
+    Checking,
     /// An operator paused it.
     Paused,
     /// All traffic is on the new version and the watch goes on.
--- a/crates/daemon/src/admin/moves.rs
+++ b/crates/daemon/src/admin/moves.rs
@@ -89,6 +89,7 @@
         match stage {
             MoveStage::Scheduled => Self::Scheduled,
             MoveStage::Moving => Self::Moving,
+            MoveStage::Checking => Self::Checking,
             MoveStage::Paused => Self::Paused,
             MoveStage::Watched => Self::Watched,
             MoveStage::Done => Self::Done,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -16,10 +16,11 @@
 const MEMBER_STATES: [MemberState; 4] =
     [MemberState::Alive, MemberState::Suspect, MemberState::Dead, MemberState::Left];
 
-const MOVE_STAGES: [(MoveStage, &str); 6] = [
+const MOVE_STAGES: [(MoveStage, &str); 7] = [
     (MoveStage::Scheduled, "scheduled"),
     (MoveStage::Moving, "moving"),
     (MoveStage::Paused, "paused"),
+    (MoveStage::Checking, "checking"),
     (MoveStage::Watched, "watched"),
     (MoveStage::Done, "done"),
     (MoveStage::TakenBack, "taken-back"),
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -15,6 +15,8 @@
 use crate::gaps::Gaps;
 use crate::log_reader::{Cause, LogReader};
 use crate::messages::{PeerRequest, PeerResponse};
+use crate::restore::Restore;
+use crate::snapshots::Snapshots;
 
 /// Pause between two looks at what may be due.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
@@ -116,6 +118,8 @@
     log: LogReader,
     gaps: Gaps,
     fresh: Fresh,
+    restore: Option<Restore>,
+    snapshots: Snapshots,
     transfers: u32,
     relay: bool,
     relay_topology: Option<u64>,
@@ -127,8 +131,11 @@
 impl Distribution {
     /// A daemon that holds nothing.
     pub fn new(settings: DistributionSettings, seed: u64, now: Now) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed.rotate_left(17));
         Self {
-            rng: SmallRng::seed_from_u64(seed.rotate_left(17)),
+            snapshots: Snapshots::new(now, &mut rng),
+            restore: None,
+            rng,
             counters: DistributionCounters::default(),
             log: LogReader::new(),
             gaps: Gaps::default(),
@@ -205,23 +212,78 @@
         if self.settings.poll_log.is_none() {
             self.next = now.mono;
         }
-        let Ok(batch) = answer else {
-            self.log.fail(now, &mut self.rng);
-            return Vec::new();
-        };
+        match answer {
+            Err(LogReadError::Down) => {
+                self.log.fail(now, &mut self.rng);
+                Vec::new()
+            }
+            Err(LogReadError::Trimmed { first }) => {
+                self.restore_from(now, first);
+                Vec::new()
+            }
+            Ok(batch) => self.take_batch(now, batch, ledger),
+        }
+    }
+
+    /// Folds records that other daemons pushed.
+    pub fn on_records(&mut self, now: Now, records: &[LogRecord], ledger: &mut Ledger) {
+        for record in records {
+            if record.is_snapshot() {
+                self.snapshots.seen(now, record.offset, &mut self.rng);
+            }
+            ledger.fold(record);
+        }
+    }
+
+    /// Whether this daemon has to append a snapshot to the log now, as a relay does well before
+    /// the last one may be trimmed.
+    pub fn snapshot_due(&mut self, now: Now) -> bool {
+        self.relay && self.fresh.ready() && self.snapshots.take_due(now, &mut self.rng)
+    }
+
+    fn take_batch(&mut self, now: Now, batch: LogBatch, ledger: &mut Ledger) -> Vec<LogRecord> {
         self.log.succeed(now, Duration::ZERO);
         self.log.forget_expected(batch.next);
         self.log_answered = true;
         self.counters.bytes_received += bytes_of(&batch.records);
-        for record in &batch.records {
-            ledger.fold(record);
+        self.snapshots.log_keeps(now, batch.first, batch.next, &mut self.rng);
+        if self.restore.is_some() {
+            self.take_restored(now, batch, ledger);
+            return Vec::new();
+        }
+        let wanted = ledger.version().next_offset();
+        if batch.first > wanted {
+            self.restore_from(now, batch.first);
+            return Vec::new();
         }
+        self.on_records(now, &batch.records, ledger);
         if ledger.version().next_offset() >= batch.next {
             self.fresh.log_read();
         }
         self.unknown_to_peers(batch.records)
     }
 
+    fn restore_from(&mut self, now: Now, first: Offset) {
+        self.log.succeed(now, Duration::ZERO);
+        self.restore = Some(Restore::new(first));
+    }
+
+    fn take_restored(&mut self, now: Now, batch: LogBatch, ledger: &mut Ledger) {
+        let Some(restore) = &mut self.restore else {
+            return;
+        };
+        restore.gather(batch.records);
+        let Some(records) = restore.whole(batch.next) else {
+            return;
+        };
+        if ledger.restore_from_records(records) {
+            self.fresh.log_read();
+        } else {
+            self.log.fail(now, &mut self.rng);
+        }
+        self.restore = None;
+    }
+
     /// Takes the answer of a peer; folds or installs what it brings. `None` when it failed.
     pub fn on_peer(
         &mut self,
@@ -242,9 +304,7 @@
             }
             Some(PeerResponse::Records { records, held, ready }) => {
                 self.counters.bytes_received += bytes_of(&records);
-                for record in &records {
-                    ledger.fold(record);
-                }
+                self.on_records(now, &records, ledger);
                 self.take_word(now, from, held, ready);
             }
             Some(PeerResponse::Snapshot { text, held, ready }) => {
@@ -322,9 +382,13 @@
             Cause::Expected => EXPECTED_WAIT,
             Cause::Silence => Duration::ZERO,
         };
+        self.restore.take_if(|restore| restore.is_needless(ledger.version()));
+        let restoring = self.restore.as_ref().map(Restore::next);
+        let from = restoring.unwrap_or(ledger.version().next_offset());
+        let wait = if restoring.is_some() { Duration::ZERO } else { wait };
         self.log.begin();
         self.counters.log_reads += 1;
-        out.push(Fetch::Log { from: ledger.version().next_offset(), wait });
+        out.push(Fetch::Log { from, wait });
     }
 
     /// How long nobody may be known to have reached the log before this daemon tries.
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -9,6 +9,8 @@
 mod gaps;
 mod log_reader;
 mod messages;
+mod restore;
+mod snapshots;
 
 pub use distribution::{
     Distribution, DistributionCounters, DistributionSettings, Fetch, LogBatch, LogReadError,
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cyclamen_declarations::generated::RecordHead;
 use cyclamen_types::Offset;
 use serde::{Deserialize, Serialize};
 
@@ -14,3 +15,11 @@
     /// Its text.
     pub payload: Arc<str>,
 }
+
+impl LogRecord {
+    /// Whether this is a part of a snapshot.
+    pub fn is_snapshot(&self) -> bool {
+        let head: Option<RecordHead> = serde_json::from_str(&self.payload).ok();
+        head.and_then(|head| head.kind).is_some_and(|kind| kind == "snapshot")
+    }
+}
--- a/crates/measure/src/converge/fleet.rs
+++ b/crates/measure/src/converge/fleet.rs
@@ -7,9 +7,13 @@
 use anyhow::Context;
 use cyclamen_daemon::log_client::LogClient;
 use cyclamen_daemon::{LimitSettings, Running, Settings, Shared};
+use cyclamen_declarations::{
+    Change, ChangeEntry, EntryAction, Labels, Service, Version, VersionId,
+};
+use cyclamen_ledger::Ledger;
 use cyclamen_membership::{Addresses, MemberState, MeshKey};
 use cyclamen_standins::{LogOptions, LogService};
-use cyclamen_types::ConfigVersion;
+use cyclamen_types::{ConfigVersion, ServiceName, VersionName};
 use cyclamenmoor::Announcement;
 use tokio::task::JoinHandle;
 
@@ -24,6 +28,9 @@
 /// Announcements of this measurement need no renewal.
 const LEASE: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Bytes of one label, about.
+const LABEL_BYTES: usize = 48;
+
 /// When a daemon held which version.
 type Held = Arc<Mutex<Vec<(ConfigVersion, Instant)>>>;
 
@@ -59,6 +66,14 @@
         Ok(fleet)
     }
 
+    /// Whether a daemon accepted all changes that were appended.
+    pub fn accepted_all(&self) -> bool {
+        self.daemons.iter().all(|daemon| {
+            let services = daemon.running.shared.read(|instance| instance.config().services.len());
+            services as u64 == self.appended
+        })
+    }
+
     /// Whether every daemon is ready and knows all others and all backend servers.
     pub fn is_settled(&self) -> bool {
         let wanted = self.daemons.len();
@@ -86,7 +101,7 @@
     /// Appends a change of about `bytes` bytes; the version that it leads to.
     pub async fn append(&mut self, bytes: usize) -> anyhow::Result<ConfigVersion> {
         self.appended += 1;
-        let payload = change_payload(self.appended, bytes);
+        let payload = change_payload(self.appended, bytes)?;
         let offset = self.client.append(&payload.into()).await.context("no append")?;
         Ok(offset.version_after())
     }
@@ -211,8 +226,26 @@
     }
 }
 
-fn change_payload(count: u64, bytes: usize) -> String {
-    format!("{{\"change\":{count},\"filler\":\"{}\"}}", "x".repeat(bytes))
+/// A change that declares one service more, with labels of about `bytes` bytes.
+fn change_payload(count: u64, bytes: usize) -> anyhow::Result<String> {
+    let service: ServiceName = format!("service-{count}").parse()?;
+    let version: VersionName = "v1".parse()?;
+    let id = VersionId { service: service.clone(), version: version.clone() };
+    let mut labels = Labels::default();
+    for index in 0..bytes / LABEL_BYTES {
+        let value = "x".repeat(LABEL_BYTES / 2);
+        labels.0.insert(format!("label-{index}").into(), value.into());
+    }
+    let put = |declaration| ChangeEntry { base: None, action: EntryAction::Put(declaration) };
+    let change = Change {
+        id: format!("change-{count}").parse()?,
+        team: "spolek".parse()?,
+        entries: vec![
+            put(Version { id, labels: Labels::default() }.into()),
+            put(Service { name: service, labels, version }.into()),
+        ],
+    };
+    Ok(Ledger::change_payload(&change))
 }
 
 fn any_port() -> SocketAddr {
--- a/crates/measure/src/converge/mod.rs
+++ b/crates/measure/src/converge/mod.rs
@@ -127,6 +127,7 @@
         let left = pause.saturating_sub(start.elapsed());
         tokio::time::sleep(left.mul_f64(rng.random_range(0.5..=1.5))).await;
     }
+    anyhow::ensure!(fleet.accepted_all(), "a change was refused");
     Ok(times)
 }
 
--- /dev/null
+++ b/crates/membership/benches/gossip.rs
@@ -0,0 +1,112 @@
+//! One tick, and one datagram, of a member of a large mesh.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use cyclamen_membership::{
+    Addresses, MemberRecord, Membership, MembershipSettings, MeshKey, Outgoing, ServerRecord,
+    ServerState,
+};
+use cyclamen_types::{Incarnation, Mono, Now, Wall};
+
+/// Members of the mesh.
+const MEMBERS: usize = 910;
+
+/// Failure domains.
+const DOMAINS: usize = 6;
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], index as u16 + 1))
+}
+
+fn membership(index: usize, now: Now) -> Membership {
+    let me = MemberRecord {
+        instance: format!("instance-{index}").parse().unwrap(),
+        incarnation: Incarnation(now.wall.0),
+        domain: format!("domain-{}", index % DOMAINS).parse().unwrap(),
+        region: "region".parse().unwrap(),
+        addresses: Addresses {
+            calls: address(index),
+            peer: address(index),
+            admin: address(index),
+        },
+    };
+    let settings = MembershipSettings {
+        period: Duration::from_secs(1),
+        suspicion: Duration::from_secs(3),
+        datagram_bytes: 1_200,
+        bytes_per_second: 1 << 24,
+        seeds: vec![address(0)],
+        key: MeshKey([7; 32]),
+    };
+    let mut membership = Membership::new(me, settings, index as u64, now);
+    membership.put_server(now, server(index));
+    membership
+}
+
+fn server(index: usize) -> ServerRecord {
+    ServerRecord {
+        name: format!("server-{index}").parse().unwrap(),
+        service: format!("service-{}", index % 90).parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        labels: Default::default(),
+        slots: 15,
+        connections: 130,
+        address: address(index),
+        state: ServerState::Ready,
+        sequence: (Incarnation(1_000_000), 1),
+    }
+}
+
+/// A member that knows all others, and one of the others that does.
+fn mesh(now: Now) -> (Membership, Membership) {
+    let (mut first, mut second) = (membership(0, now), membership(1, now));
+    let mut out = Vec::new();
+    for index in 2..MEMBERS {
+        let mut other = membership(index, now);
+        out.clear();
+        other.tick(now, &mut out);
+        for datagram in out.drain(..) {
+            let mut answers = Vec::new();
+            let _ = first.on_datagram(now, address(index), &datagram.bytes, &mut answers);
+            let _ = second.on_datagram(now, address(index), &datagram.bytes, &mut answers);
+        }
+    }
+    (first, second)
+}
+
+fn bench(c: &mut Criterion) {
+    let now = Now { mono: Mono(1_000_000_000), wall: Wall(1_000_000) };
+    let (mut first, mut second) = mesh(now);
+    let mut clock = now;
+    let mut out: Vec<Outgoing> = Vec::new();
+    c.bench_function("tick_910", |b| {
+        b.iter(|| {
+            clock = clock + Duration::from_secs(1);
+            out.clear();
+            first.tick(clock, &mut out);
+        });
+    });
+    c.bench_function("datagram_910", |b| {
+        b.iter_batched(
+            || {
+                clock = clock + Duration::from_secs(1);
+                let mut sent = Vec::new();
+                second.tick(clock, &mut sent);
+                sent
+            },
+            |sent| {
+                for datagram in sent {
+                    out.clear();
+                    let _ = first.on_datagram(clock, address(1), &datagram.bytes, &mut out);
+                }
+            },
+            BatchSize::SmallInput,
+        );
+    });
+    c.bench_function("servers_910", |b| b.iter(|| first.servers().len()));
+}
+
+criterion_group!(benches, bench);
+criterion_main!(benches);
