--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -21,18 +21,21 @@
         /// The system's word.
         cause: std::io::Error,
     },
-    /// A checked file has faults.
-    #[error("{} faults:\n  {}", .0.len(), .0.join("\n  "))]
-    Faults(Vec<String>),
     /// The daemon answered with an error.
     #[error("{}", shown(.0))]
     Api(Box<ApiError>),
     /// No daemon answered.
     #[error("no daemon answers: {0}; start one, or name others by --daemon or CYCLAMEN_DAEMON")]
     Unreachable(String),
+    /// No daemon of this instance is known.
+    #[error("no daemon `{0}` is known: `cyclamen members` lists them")]
+    NoDaemon(String),
     /// An answer is none of this API.
     #[error("{0}: is this the administration address of a daemon of this release?")]
     Answer(String),
+    /// The demonstration could not be set up.
+    #[error("the demonstration did not run: {0}; free some ports and try again")]
+    Demo(String),
     /// The answer cannot be written.
     #[error("the answer cannot be written ({0}): look at standard output")]
     Output(#[from] std::io::Error),
@@ -43,10 +46,10 @@
     pub fn status(&self) -> Status {
         match self {
             Self::Usage(_) | Self::File { .. } => Status::Usage,
-            Self::Faults(_) => Status::Refused,
             Self::Api(error) => api_status(error.error_code),
+            Self::NoDaemon(_) => Status::NotFound,
             Self::Unreachable(_) => Status::Unreachable,
-            Self::Answer(_) | Self::Output(_) => Status::Failed,
+            Self::Answer(_) | Self::Output(_) | Self::Demo(_) => Status::Failed,
         }
     }
 }
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -225,7 +225,8 @@
 
     fn spread_records(&mut self, now: Now, records: &[LogRecord]) {
         for record in records {
-            let Ok(bytes) = postcard::to_stdvec(std::slice::from_ref(record)) else {
+            let record = record.for_peers();
+            let Ok(bytes) = postcard::to_stdvec(std::slice::from_ref(&record)) else {
                 continue;
             };
             let rider = Rider { kind: RiderKind::Records, payload: bytes.into() };
--- a/crates/membership/benches/gossip.rs
+++ b/crates/membership/benches/gossip.rs
@@ -1,5 +1,8 @@
 //! One tick, and one datagram, of a member of a large mesh.
 
+#![allow(missing_docs, reason = "criterion_group! writes a public function")]
+
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,11 +29,7 @@
         incarnation: Incarnation(now.wall.0),
         domain: format!("domain-{}", index % DOMAINS).parse().unwrap(),
         region: "region".parse().unwrap(),
-        addresses: Addresses {
-            calls: address(index),
-            peer: address(index),
-            admin: address(index),
-        },
+        addresses: Addresses { calls: address(index), peer: address(index), admin: address(index) },
     };
     let settings = MembershipSettings {
         period: Duration::from_secs(1),
@@ -79,27 +78,30 @@
 fn bench(c: &mut Criterion) {
     let now = Now { mono: Mono(1_000_000_000), wall: Wall(1_000_000) };
     let (mut first, mut second) = mesh(now);
-    let mut clock = now;
+    let clock = Cell::new(now);
+    let step = || {
+        clock.set(clock.get() + Duration::from_secs(1));
+        clock.get()
+    };
     let mut out: Vec<Outgoing> = Vec::new();
     c.bench_function("tick_910", |b| {
         b.iter(|| {
-            clock = clock + Duration::from_secs(1);
+            let now = step();
             out.clear();
-            first.tick(clock, &mut out);
+            first.tick(now, &mut out);
         });
     });
     c.bench_function("datagram_910", |b| {
         b.iter_batched(
             || {
-                clock = clock + Duration::from_secs(1);
                 let mut sent = Vec::new();
-                second.tick(clock, &mut sent);
+                second.tick(step(), &mut sent);
                 sent
             },
             |sent| {
                 for datagram in sent {
                     out.clear();
-                    let _ = first.on_datagram(clock, address(1), &datagram.bytes, &mut out);
+                    let _ = first.on_datagram(clock.get(), address(1), &datagram.bytes, &mut out);
                 }
             },
             BatchSize::SmallInput,
--- a/crates/membership/src/joining.rs
+++ b/crates/membership/src/joining.rs
@@ -55,7 +55,7 @@
 
     pub(crate) fn answer_join(&mut self, now: Now, from: SocketAddr, out: &mut Vec<Outgoing>) {
         let me: Vec<Item> = self.member_item(self.id).into_iter().collect();
-        self.send(now, from, Message::Gossip, Spend::News, &me, out);
+        self.send(now, from, Message::Gossip, Spend::Repair, &me, out);
     }
 
     /// Tells a few members that this daemon stops; they pass it on.
--- a/crates/membership/src/sending.rs
+++ b/crates/membership/src/sending.rs
@@ -61,7 +61,7 @@
             let Some(to) = self.address_of(id) else {
                 continue;
             };
-            self.send(now, to, Message::Gossip, Spend::News, &[], out);
+            self.send(now, to, Message::Gossip, Spend::Urgent, &[], out);
         }
     }
 
@@ -131,7 +131,12 @@
 
     fn add_news(&mut self, writer: &mut Writer) {
         for (topic, urgency) in self.hot.order() {
-            let spend = if urgency == Urgency::Bulk { Spend::Bulk } else { Spend::News };
+            let spend = match urgency {
+                Urgency::Urgent => Spend::Urgent,
+                Urgency::Records => Spend::Records,
+                Urgency::Soon => Spend::News,
+                Urgency::Bulk => Spend::Bulk,
+            };
             let Some(item) = self.news_item(&topic) else {
                 self.hot.forget(&topic);
                 continue;
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -27,6 +27,7 @@
     pub membership: Membership,
     pub up: bool,
     pub riders: Vec<Rider>,
+    life: u32,
 }
 
 /// The nodes, the datagrams under way and the clock.
@@ -36,7 +37,9 @@
     pub faults: Faults,
     /// Pairs of failure domains that cannot reach each other.
     pub cuts: Vec<(usize, usize)>,
-    pub sent: BTreeMap<usize, Vec<(Mono, usize)>>,
+    /// What each life of a node sent, and when.
+    pub sent: BTreeMap<(usize, u32), Vec<(Mono, usize)>>,
+    lives: u32,
     domains: usize,
     under_way: BTreeMap<(Mono, u64), (usize, usize, Vec<u8>)>,
     count: u64,
@@ -53,6 +56,7 @@
             faults: Faults::default(),
             cuts: Vec::new(),
             sent: BTreeMap::new(),
+            lives: 0,
             domains,
             under_way: BTreeMap::new(),
             count: 0,
@@ -60,7 +64,7 @@
         };
         for index in 0..nodes {
             let membership = net.membership(index);
-            net.nodes.push(Node { membership, up: true, riders: Vec::new() });
+            net.nodes.push(Node { membership, up: true, riders: Vec::new(), life: 0 });
         }
         net
     }
@@ -97,6 +101,8 @@
     pub fn restart(&mut self, index: usize) {
         self.nodes[index].membership = self.membership(index);
         self.nodes[index].up = true;
+        self.lives += 1;
+        self.nodes[index].life = self.lives;
     }
 
     pub fn announce(&mut self, index: usize, state: ServerState, count: u64) {
@@ -142,7 +148,8 @@
     /// Sends what a node wants sent.
     pub fn send(&mut self, from: usize, out: Vec<Outgoing>) {
         for datagram in out {
-            self.sent.entry(from).or_default().push((self.now.mono, datagram.bytes.len()));
+            let life = self.nodes[from].life;
+            self.sent.entry((from, life)).or_default().push((self.now.mono, datagram.bytes.len()));
             let to = usize::from(datagram.to.port()) - 1;
             if to >= self.nodes.len() || self.is_cut(from, to) {
                 continue;
