Let a herd of daemons join without their few known addresses in the way

25 daemons on loopback took 27 s to know each other and be ready, and 200 members under the virtual clock 58 s to agree.

Causes, each seen in that run: a log without records kept non-readers from ever being ready by the word of their peers; all joined by the same three members, whose bytes ran out; whatever a page of repair brought was told on again; an exchange that brought nothing paused for four periods even while everything was still changing.

Now a ready peer's word counts at any version, a join is answered with addresses of other members to join by, joins carry the backend servers of both sides, pages are not told on, the number of tellings falls with the backlog, and exchanges follow each other quickly until the first agreement. The burst of the bucket is 32 s of its rate.

--- a/crates/distribution/src/fresh.rs
+++ b/crates/distribution/src/fresh.rs
@@ -70,9 +70,10 @@
         self.ready = true;
     }
 
-    /// Looks whether enough peers spoke and their highest version is held.
+    /// Looks whether enough peers spoke and their highest version is held. Only peers that are
+    /// ready count, so that the first one of all had the word of the log.
     pub(crate) fn judge(&mut self, now: Now, version: ConfigVersion) {
-        if version == ConfigVersion::NONE || version < self.highest {
+        if version < self.highest {
             return;
         }
         let patient = now.mono.since(self.started) < PATIENCE;
--- a/crates/membership/src/budget.rs
+++ b/crates/membership/src/budget.rs
@@ -5,7 +5,7 @@
 use cyclamen_types::{Mono, Now};
 
 /// Seconds of the rate that may be sent at once after a quiet time.
-const BURST_SECONDS: u64 = 16;
+const BURST_SECONDS: u64 = 32;
 
 /// Microseconds in a second.
 const SECOND_US: u64 = 1_000_000;
@@ -37,7 +37,7 @@
             Self::Repair => 2,
             Self::News => 8,
             Self::Records => 12,
-            Self::Bulk => 32,
+            Self::Bulk => 64,
         }
     }
 }
--- a/crates/membership/src/datagram.rs
+++ b/crates/membership/src/datagram.rs
@@ -1,6 +1,7 @@
 //! The datagrams between daemons: a head, then items until the end, then the keyed hash.
 
 use std::fmt::{self, Formatter};
+use std::net::SocketAddr;
 
 use cyclamen_types::{Incarnation, InstanceName};
 use serde::{Deserialize, Serialize};
@@ -59,8 +60,10 @@
 pub(crate) enum Message {
     /// Nothing but its head and items.
     Gossip,
-    /// A daemon without members asks to be let in.
+    /// A daemon with few members or none asks to be let in.
     Join,
+    /// Answers a join with other members to join by, so that the load of many spreads.
+    Welcome { others: Vec<SocketAddr> },
     /// Asks for an [`Message::Ack`].
     Probe { nonce: u32 },
     /// Answers a probe; `unknown` asks for the record of who probed.
--- a/crates/membership/src/hot.rs
+++ b/crates/membership/src/hot.rs
@@ -78,6 +78,11 @@
         self.news.get(topic)?.rider.as_ref()
     }
 
+    /// How many pieces of news there are.
+    pub(crate) fn len(&self) -> usize {
+        self.news.len()
+    }
+
     /// Counts a telling; news told often enough is forgotten.
     pub(crate) fn told(&mut self, topic: &Topic) {
         let Some(news) = self.news.get_mut(topic) else {
--- a/crates/membership/src/items.rs
+++ b/crates/membership/src/items.rs
@@ -9,7 +9,10 @@
 use crate::roster::Known;
 
 impl Membership {
-    pub(crate) fn take_items(&mut self, now: Now, items: Vec<Item>) -> Received {
+    /// Takes the items of a datagram; `tell` passes on what is new. Pages are not passed on, since
+    /// whoever lacks their entries finds that out as this daemon did.
+    pub(crate) fn take_items(&mut self, now: Now, items: Vec<Item>, tell: bool) -> Received {
+        self.telling = tell;
         let mut received = Received::default();
         for item in items {
             match item {
@@ -26,6 +29,7 @@
                 }
             }
         }
+        self.telling = true;
         received
     }
 
@@ -121,11 +125,20 @@
     }
 
     fn tell_member(&mut self, id: ShortId) {
+        if !self.telling && id != self.id {
+            return;
+        }
+        let left = self.roster.get(id).is_some_and(|known| known.state == MemberState::Left);
+        let urgency = if left { Urgency::Urgent } else { Urgency::Soon };
+        self.push_due |= left;
         let times = self.retransmits();
-        self.hot.add(Topic::Member(id), Urgency::Soon, times);
+        self.hot.add(Topic::Member(id), urgency, times);
     }
 
     fn tell_server(&mut self, host: ShortId, name: cyclamen_types::ServerName, state: ServerState) {
+        if !self.telling {
+            return;
+        }
         let urgency = if state == ServerState::Ready { Urgency::Soon } else { Urgency::Urgent };
         self.push_due |= urgency == Urgency::Urgent;
         let times = self.retransmits();
--- a/crates/membership/src/joining.rs
+++ b/crates/membership/src/joining.rs
@@ -1,6 +1,7 @@
 //! Joins and leaves: the addresses of the settings are asked until somebody answers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cyclamen_types::{Mono, Now};
 use rand::Rng;
@@ -15,6 +16,12 @@
 /// Addresses asked at a time.
 const ASKED: usize = 3;
 
+/// Addresses of other members in an answer to a join.
+const OTHERS: usize = 6;
+
+/// Members to join by, beyond those of the settings.
+const OTHERS_ASKED: u32 = 6;
+
 /// Longest pause between two tries, in periods.
 const LONGEST_PAUSE_PERIODS: u32 = 8;
 
@@ -26,11 +33,13 @@
 pub(crate) struct Joining {
     due: Mono,
     tries: u32,
+    others: Vec<SocketAddr>,
+    others_asked: u32,
 }
 
 impl Joining {
     pub(crate) fn new(now: Now) -> Self {
-        Self { due: now.mono, tries: 0 }
+        Self { due: now.mono, tries: 0, others: Vec::new(), others_asked: 0 }
     }
 
     pub(crate) fn due(&self) -> Mono {
@@ -43,19 +52,30 @@
         if now.mono < self.joining.due || self.leaving {
             return;
         }
-        let alone = self.roster.reachable().len() <= 1;
-        let pause = if alone { self.join_pause() } else { self.settings.period * LOOK_PERIODS };
-        self.joining.due = now.mono + pause;
-        let asked = if alone { ASKED } else { 1 };
-        let me: Vec<Item> = self.member_item(self.id).into_iter().collect();
-        for to in self.unknown_seeds(asked) {
+        self.joining.due = now.mono + self.join_pause();
+        let me = self.own_items();
+        for to in self.next_to_ask() {
             self.send(now, to, Message::Join, Spend::Probe, &me, out);
         }
     }
 
     pub(crate) fn answer_join(&mut self, now: Now, from: SocketAddr, out: &mut Vec<Outgoing>) {
-        let me: Vec<Item> = self.member_item(self.id).into_iter().collect();
-        self.send(now, from, Message::Gossip, Spend::Repair, &me, out);
+        let me = self.own_items();
+        let mut others = Vec::new();
+        for id in self.choose(OTHERS, |_, _| true) {
+            others.extend(self.address_of(id).filter(|address| *address != from));
+        }
+        self.send(now, from, Message::Welcome { others }, Spend::Urgent, &me, out);
+    }
+
+    /// Joins by other members as well, until a few were asked or all is known.
+    pub(crate) fn take_welcome(&mut self, now: Now, others: &[SocketAddr]) {
+        if self.syncing.has_agreed() || self.joining.others_asked >= OTHERS_ASKED {
+            return;
+        }
+        self.joining.others = others.to_vec();
+        let pause = self.settings.period.mul_f64(self.rng.random_range(0.0..=0.25));
+        self.joining.due = self.joining.due.min(now.mono + pause);
     }
 
     /// Tells a few members that this daemon stops; they pass it on.
@@ -69,20 +89,51 @@
         self.push_news(now, out);
     }
 
-    /// Full jitter under a bound that doubles with each try.
-    fn join_pause(&mut self) -> std::time::Duration {
-        let longest = self.settings.period * LONGEST_PAUSE_PERIODS;
-        let bound = (self.settings.period / 4).saturating_mul(1 << self.joining.tries.min(10));
-        self.joining.tries += 1;
-        bound.min(longest).mul_f64(self.rng.random_range(0.1..=1.0))
+    /// This daemon and the backend servers beside it.
+    fn own_items(&self) -> Vec<Item> {
+        let mut items: Vec<Item> = self.member_item(self.id).into_iter().collect();
+        let Some(me) = self.roster.get(self.id) else {
+            return items;
+        };
+        for server in me.servers.values() {
+            items.push(Item::Server { host: self.id, record: server.record.clone() });
+        }
+        items
     }
 
-    fn unknown_seeds(&mut self, count: usize) -> Vec<SocketAddr> {
-        let mut known: Vec<SocketAddr> = vec![self.me.addresses.peer];
-        for id in self.roster.reachable().to_vec() {
-            known.extend(self.address_of(id));
+    /// Whom to ask now: members heard of, addresses of the settings while alone, else now and
+    /// then one of those that is no member, since it may belong to a mesh cut off for long.
+    fn next_to_ask(&mut self) -> Vec<SocketAddr> {
+        let known = self.known_addresses();
+        let mut others = std::mem::take(&mut self.joining.others);
+        others.retain(|other| !known.contains(other));
+        if !others.is_empty() {
+            self.joining.others_asked += 1;
+            return others.into_iter().choose_multiple(&mut self.rng, ASKED);
         }
+        let asked = if known.len() <= 1 { ASKED } else { 1 };
         let seeds = self.settings.seeds.iter().filter(|seed| !known.contains(seed));
-        seeds.copied().choose_multiple(&mut self.rng, count)
+        seeds.copied().choose_multiple(&mut self.rng, asked)
+    }
+
+    fn known_addresses(&mut self) -> Vec<SocketAddr> {
+        let mut known = vec![self.me.addresses.peer];
+        for id in self.roster.reachable().to_vec() {
+            if id != self.id {
+                known.extend(self.address_of(id));
+            }
+        }
+        known
+    }
+
+    /// Full jitter under a bound that doubles with each try while alone; long otherwise.
+    fn join_pause(&mut self) -> Duration {
+        let period = self.settings.period;
+        if self.roster.reachable().len() > 1 {
+            return period * LOOK_PERIODS;
+        }
+        let bound = (period / 4).saturating_mul(1 << self.joining.tries.min(10));
+        self.joining.tries += 1;
+        bound.min(period * LONGEST_PAUSE_PERIODS).mul_f64(self.rng.random_range(0.1..=1.0))
     }
 }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -101,6 +101,7 @@
     pub(crate) best: ConfigVersion,
     pub(crate) push_due: bool,
     pub(crate) leaving: bool,
+    pub(crate) telling: bool,
     windows: FastMap<ShortId, Window>,
     pub(crate) sequence: u64,
     next_period: Mono,
@@ -128,6 +129,7 @@
             best: ConfigVersion::NONE,
             push_due: false,
             leaving: false,
+            telling: true,
             windows: FastMap::default(),
             sequence: 0,
             next_period: now.mono,
@@ -189,8 +191,9 @@
         }
         let (head, items) = result?;
         let topology = self.roster.topology();
-        let received = self.take_items(now, items);
-        if matches!(head.message, Message::Page { .. }) && self.roster.topology() != topology {
+        let is_page = matches!(head.message, Message::Page { .. });
+        let received = self.take_items(now, items, !is_page);
+        if is_page && self.roster.topology() != topology {
             self.page_brought_news(now);
         }
         self.hear(now, &head);
@@ -236,6 +239,7 @@
         match &head.message {
             Message::Gossip => {}
             Message::Join => self.answer_join(now, from, out),
+            Message::Welcome { others } => self.take_welcome(now, others),
             Message::Probe { nonce } => self.answer_probe(now, from, head.from, *nonce, out),
             Message::Ack { nonce, unknown } => {
                 self.take_ack(now, from, *nonce, *unknown, out);
--- a/crates/membership/src/sending.rs
+++ b/crates/membership/src/sending.rs
@@ -18,6 +18,12 @@
 /// Tellings of a piece of news beyond the logarithm of the number of members.
 const EXTRA_TELLINGS: u32 = 3;
 
+/// Tellings of all news together that should be waiting at most.
+const BACKLOG_TELLINGS: u32 = 512;
+
+/// Tellings of a piece of news, however much there is to tell.
+const FEWEST_TELLINGS: u32 = 2;
+
 /// Unit of the age of the last answer of the log.
 const LOG_AGE_UNIT: Duration = Duration::from_millis(100);
 
@@ -89,9 +95,11 @@
         Some(Item::Member { life: known.life, state, record: known.record.clone() })
     }
 
-    /// How often a piece of news is told.
+    /// How often a piece of news is told; less often the more there is to tell.
     pub(crate) fn retransmits(&self) -> u32 {
-        EXTRA_TELLINGS + (self.roster.len() + 1).ilog2()
+        let enough = EXTRA_TELLINGS + (self.roster.len() + 1).ilog2();
+        let share = BACKLOG_TELLINGS / (self.hot.len() as u32 + 1);
+        enough.min(share.max(FEWEST_TELLINGS))
     }
 
     /// How many members a member pushes urgent news to.
--- a/crates/membership/src/syncing.rs
+++ b/crates/membership/src/syncing.rs
@@ -40,11 +40,19 @@
     peer: Option<ShortId>,
     quick: bool,
     agreed: bool,
+    topology: u64,
 }
 
 impl Syncing {
     pub(crate) fn new(now: Now) -> Self {
-        Self { due: Mono::NEVER, allowed: now.mono, peer: None, quick: true, agreed: false }
+        Self {
+            due: Mono::NEVER,
+            allowed: now.mono,
+            peer: None,
+            quick: true,
+            agreed: false,
+            topology: 0,
+        }
     }
 
     pub(crate) fn due(&self) -> Mono {
@@ -68,7 +76,8 @@
     fn differs(&mut self, now: Now, id: ShortId, patience: Duration) {
         self.peer = Some(id);
         if self.due == Mono::NEVER {
-            let patience = if self.quick { Duration::ZERO } else { patience };
+            let eager = self.quick || !self.agreed;
+            let patience = if eager { Duration::ZERO } else { patience };
             self.due = self.allowed.max(now.mono + patience);
         }
     }
@@ -105,7 +114,7 @@
         }
         self.syncing.due = Mono::NEVER;
         self.syncing.quick = false;
-        self.syncing.allowed = now.mono + self.settings.period * SLOW_PERIODS;
+        self.syncing.allowed = now.mono + self.sync_pause();
         let Some(to) = self.syncing.peer.take().and_then(|id| self.address_of(id)) else {
             return;
         };
@@ -114,6 +123,14 @@
         self.send(now, to, Message::Digest { salt, buckets }, Spend::Repair, &[], out);
     }
 
+    /// Pause after an exchange: shorter while what is known still changes.
+    fn sync_pause(&mut self) -> Duration {
+        let topology = self.roster.topology();
+        let changing = self.syncing.topology != topology || !self.syncing.agreed;
+        self.syncing.topology = topology;
+        if changing { self.settings.period / 2 } else { self.settings.period * SLOW_PERIODS }
+    }
+
     /// Sends the entries of buckets that differ, and asks for those of the other side.
     pub(crate) fn answer_digest(
         &mut self,
