--- a/crates/membership/src/hot.rs
+++ b/crates/membership/src/hot.rs
@@ -10,11 +10,16 @@
 /// News kept at most.
 const NEWS_LIMIT: usize = 2_048;
 
+/// Records kept at most; peers pull what they missed.
+const RECORDS_LIMIT: usize = 16;
+
 /// How soon a piece of news should be told; lower ones go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Urgency {
-    /// At once and to all: convictions, records, backend servers that leave.
+    /// At once and to all: convictions, backend servers that leave.
     Urgent,
+    /// At once, but whoever misses them can pull them.
+    Records,
     /// With every datagram: members and backend servers.
     Soon,
     /// As bytes allow.
@@ -54,7 +59,8 @@
     /// Adds a rider to be told `limit` times.
     pub(crate) fn add_rider(&mut self, id: u64, rider: Rider, limit: u32) {
         let urgency = match rider.kind {
-            RiderKind::Conviction | RiderKind::Records => Urgency::Urgent,
+            RiderKind::Conviction => Urgency::Urgent,
+            RiderKind::Records => Urgency::Records,
             RiderKind::Evidence => Urgency::Bulk,
         };
         self.insert(Topic::Rider(id), urgency, Some(rider), limit);
@@ -72,6 +78,11 @@
         self.news.get(topic)?.rider.as_ref()
     }
 
+    /// How many pieces of news there are.
+    pub(crate) fn len(&self) -> usize {
+        self.news.len()
+    }
+
     /// Counts a telling; news told often enough is forgotten.
     pub(crate) fn told(&mut self, topic: &Topic) {
         let Some(news) = self.news.get_mut(topic) else {
@@ -92,14 +103,25 @@
         self.count += 1;
         let news = News { urgency, rider, told: 0, limit, added: self.count };
         self.news.insert(topic, news);
-        if self.news.len() > NEWS_LIMIT {
-            self.shed();
+        if urgency == Urgency::Records {
+            self.shed(RECORDS_LIMIT, |news| news.urgency == Urgency::Records);
         }
+        self.shed(NEWS_LIMIT, |_| true);
     }
 
-    fn shed(&mut self) {
-        let last = self.news.iter().max_by_key(|(_, n)| (n.urgency, n.told, u64::MAX - n.added));
-        if let Some(topic) = last.map(|(topic, _)| topic.clone()) {
+    /// Forgets the least urgent, most told and oldest of the news that `counts`, when there is
+    /// more of it than `limit`.
+    fn shed(&mut self, limit: usize, counts: impl Fn(&News) -> bool) {
+        if self.news.len() <= limit {
+            return;
+        }
+        let counted: Vec<(&Topic, &News)> =
+            self.news.iter().filter(|(_, news)| counts(news)).collect();
+        if counted.len() <= limit {
+            return;
+        }
+        let last = counted.iter().max_by_key(|(_, n)| (n.urgency, n.told, u64::MAX - n.added));
+        if let Some(topic) = last.map(|(topic, _)| (*topic).clone()) {
             self.news.remove(&topic);
         }
     }
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -133,7 +133,7 @@
         self.probing.take_relayed(nonce);
         if unknown {
             let me: Vec<Item> = self.member_item(self.id).into_iter().collect();
-            self.send(now, from, Message::Gossip, Spend::News, &me, out);
+            self.send(now, from, Message::Gossip, Spend::Repair, &me, out);
         }
         let waiting = self.probing.relayed.iter().position(|relayed| relayed.nonce == nonce);
         if let Some(index) = waiting {
@@ -177,7 +177,7 @@
             return;
         }
         let claim = Item::Claim { id, incarnation: known.record.incarnation, state: known.state };
-        self.send(now, from, Message::Gossip, Spend::News, &[claim], out);
+        self.send(now, from, Message::Gossip, Spend::Repair, &[claim], out);
     }
 
     fn probe_next(&mut self, now: Now, out: &mut Vec<Outgoing>) {
