--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -490,6 +490,7 @@
                 relay_silence: period * 5,
                 snapshot_transfers: 4,
                 fresh_peers: 3,
+                poll_log: None,
             },
             announcement_lease: Duration::from_secs(6),
             evidence_period: Duration::from_secs(1),
