Take the stop signals before the daemon starts

Cause: run_stop_on_signals failed once on a busy machine: SIGTERM came after the line that says started and before its handler stood, so it killed the process. Ruled out: a wrong exit status, since the line stopping was missing. Change: the signals are taken before the sockets are bound.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon's program: reads its settings, runs until SIGTERM or SIGINT, stops gracefully.
 
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -7,7 +8,7 @@
 use cyclamen_daemon::settings::{ProcessSettings, RawSettings, SettingsFaults};
 use cyclamen_daemon::{StartError, logging, run_until};
 use tokio::runtime::Builder;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The settings have faults.
 const SETTINGS_STATUS: u8 = 2;
@@ -81,7 +82,18 @@
             return ExitCode::from(START_STATUS);
         }
     };
-    match runtime.block_on(run_until(settings.daemon, stop_signal())) {
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: ProcessSettings) -> ExitCode {
+    let signals = match StopSignals::listen() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("cyclamend: no signals: {error}; look at the limits of this process");
+            return ExitCode::from(START_STATUS);
+        }
+    };
+    match run_until(settings.daemon, signals.received()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("cyclamend: {error}");
@@ -106,13 +118,25 @@
     }
 }
 
-/// Ends at the first SIGTERM or SIGINT.
-async fn stop_signal() {
-    let Ok(mut term) = signal(SignalKind::terminate()) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
+/// The signals that stop the daemon. They are taken from the moment this exists, so that one
+/// which comes during the start is not lost, and does not kill the process.
+struct StopSignals {
+    term: Signal,
+    int: Signal,
+}
+
+impl StopSignals {
+    fn listen() -> io::Result<Self> {
+        let term = signal(SignalKind::terminate())?;
+        let int = signal(SignalKind::interrupt())?;
+        Ok(Self { term, int })
+    }
+
+    /// Ends at the first SIGTERM or SIGINT.
+    async fn received(mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.int.recv() => {}
+        }
     }
 }
