Tell a publisher when its change id names another change

A change under an id already in the log counted as its repeat, whoever wrote it and whatever it said: its publisher was told "accepted" of a change that was never carried out, also across teams. The fold now keeps a fingerprint with each outcome (the change without the times of its moves, since `+10m` is another time at each attempt); `Ledger::outcome_of(&Change)` answers for this very change, and such records are counted as `ids_taken`. The daemon's admin still asks `outcome` by id: it should ask `outcome_of` in both places.

--- a/crates/declarations/src/generated.rs
+++ b/crates/declarations/src/generated.rs
@@ -698,72 +698,6 @@
         }
     }
 }
-///What became of a change.
-///
-/// <details><summary>JSON schema</summary>
-///
-/// ```json
-///{
-///  "description": "What became of a change.",
-///  "type": "object",
-///  "properties": {
-///    "faults": {
-///      "description": "Why it was refused; empty when it was accepted.",
-///      "type": "array",
-///      "items": {
-///        "type": "string"
-///      }
-///    },
-///    "id": {
-///      "description": "The change.",
-///      "type": "string"
-///    },
-///    "offset": {
-///      "description": "Its record.",
-///      "type": "integer",
-///      "format": "uint64",
-///      "minimum": 0.0
-///    },
-///    "stale_base": {
-///      "description": "Whether another change came in between.",
-///      "type": "boolean"
-///    }
-///  },
-///  "additionalProperties": false
-///}
-/// ```
-/// </details>
-#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
-#[serde(deny_unknown_fields)]
-pub struct OutcomeItem {
-    ///Why it was refused; empty when it was accepted.
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub faults: ::std::vec::Vec<::std::string::String>,
-    ///The change.
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub id: ::std::option::Option<::std::string::String>,
-    ///Its record.
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub offset: ::std::option::Option<u64>,
-    ///Whether another change came in between.
-    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
-    pub stale_base: ::std::option::Option<bool>,
-}
-impl ::std::convert::From<&OutcomeItem> for OutcomeItem {
-    fn from(value: &OutcomeItem) -> Self {
-        value.clone()
-    }
-}
-impl ::std::default::Default for OutcomeItem {
-    fn default() -> Self {
-        Self {
-            faults: Default::default(),
-            id: Default::default(),
-            offset: Default::default(),
-            stale_base: Default::default(),
-        }
-    }
-}
 ///Limits and retries attached by selectors.
 ///
 /// <details><summary>JSON schema</summary>
@@ -875,6 +809,82 @@
         }
     }
 }
+///A change that was refused.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A change that was refused.",
+///  "type": "object",
+///  "properties": {
+///    "faults": {
+///      "description": "Why it was refused; empty long after.",
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    },
+///    "id": {
+///      "description": "The change.",
+///      "type": "string"
+///    },
+///    "offset": {
+///      "description": "Its record.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
+///    "print": {
+///      "description": "Tells it from another change under the same id.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
+///    "stale_base": {
+///      "description": "Whether another change came in between.",
+///      "type": "boolean"
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct RefusedItem {
+    ///Why it was refused; empty long after.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub faults: ::std::vec::Vec<::std::string::String>,
+    ///The change.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub id: ::std::option::Option<::std::string::String>,
+    ///Its record.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub offset: ::std::option::Option<u64>,
+    ///Tells it from another change under the same id.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub print: ::std::option::Option<u32>,
+    ///Whether another change came in between.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub stale_base: ::std::option::Option<bool>,
+}
+impl ::std::convert::From<&RefusedItem> for RefusedItem {
+    fn from(value: &RefusedItem) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for RefusedItem {
+    fn default() -> Self {
+        Self {
+            faults: Default::default(),
+            id: Default::default(),
+            offset: Default::default(),
+            print: Default::default(),
+            stale_base: Default::default(),
+        }
+    }
+}
 ///Retries of a service.
 ///
 /// <details><summary>JSON schema</summary>
@@ -1188,6 +1198,13 @@
 ///  "description": "The text of a snapshot: the whole state of a reader.",
 ///  "type": "object",
 ///  "properties": {
+///    "accepted": {
+///      "description": "Recent changes accepted, oldest first, each as `ID OFFSET PRINT`.",
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    },
 ///    "format": {
 ///      "description": "1.",
 ///      "type": "integer",
@@ -1205,11 +1222,11 @@
 ///        "$ref": "#/definitions/HeldItem"
 ///      }
 ///    },
-///    "outcomes": {
-///      "description": "What became of recent changes, oldest first.",
+///    "refused": {
+///      "description": "Recent changes refused, oldest first.",
 ///      "type": "array",
 ///      "items": {
-///        "$ref": "#/definitions/OutcomeItem"
+///        "$ref": "#/definitions/RefusedItem"
 ///      }
 ///    },
 ///    "version": {
@@ -1226,6 +1243,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct StateSnapshot {
+    ///Recent changes accepted, oldest first, each as `ID OFFSET PRINT`.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub accepted: ::std::vec::Vec<::std::string::String>,
     ///1.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub format: ::std::option::Option<u32>,
@@ -1235,9 +1255,9 @@
     ///Every declaration.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub held: ::std::vec::Vec<HeldItem>,
-    ///What became of recent changes, oldest first.
+    ///Recent changes refused, oldest first.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub outcomes: ::std::vec::Vec<OutcomeItem>,
+    pub refused: ::std::vec::Vec<RefusedItem>,
     ///How much of the log it was folded from.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
@@ -1250,10 +1270,11 @@
 impl ::std::default::Default for StateSnapshot {
     fn default() -> Self {
         Self {
+            accepted: Default::default(),
             format: Default::default(),
             hash: Default::default(),
             held: Default::default(),
-            outcomes: Default::default(),
+            refused: Default::default(),
             version: Default::default(),
         }
     }
--- a/crates/ledger/src/conflict.rs
+++ b/crates/ledger/src/conflict.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cyclamen_declarations::DeclarationKey;
-use cyclamen_types::{MoveName, Offset, ServiceName, TeamName, VersionName};
+use cyclamen_types::{ChangeId, MoveName, Offset, ServiceName, TeamName, VersionName};
 use thiserror::Error;
 
 /// Why a change cannot be accepted as it stands. The message says what to do.
@@ -85,6 +85,14 @@
     /// The move has its verdict.
     #[error("move `{0}` has ended: declare it anew to run it again")]
     Ended(MoveName),
+    /// The id of the change names another change.
+    #[error("change id `{id}` names another change, of record {by}: publish under a new id")]
+    IdTaken {
+        /// The id.
+        id: ChangeId,
+        /// The record of the other change.
+        by: Offset,
+    },
     /// One change writes a declaration twice.
     #[error("{0} stands twice in the change: keep one")]
     Twice(DeclarationKey),
--- a/crates/ledger/src/hash.rs
+++ b/crates/ledger/src/hash.rs
@@ -1,9 +1,11 @@
 //! The hash of a state: a sum of the hashes of its parts, kept up to date at each change.
 
-use cyclamen_declarations::generated::HeldItem;
+use cyclamen_declarations::Change;
+use cyclamen_declarations::generated::{ChangeRecord, HeldItem};
 use cyclamen_types::ChangeId;
 
 use crate::ledger::{ChangeOutcome, StateHash};
+use crate::outcomes::Recorded;
 use crate::payload::json;
 
 impl StateHash {
@@ -21,11 +23,39 @@
     of_bytes(json(item).as_bytes())
 }
 
-/// The hash of an outcome. Texts of faults stay out: they may differ between releases.
-pub(crate) fn of_outcome(id: &ChangeId, outcome: &ChangeOutcome) -> u64 {
-    let text = match outcome {
-        ChangeOutcome::Accepted(offset) => format!("{id} accepted {offset}"),
-        ChangeOutcome::Refused(offset, _) => format!("{id} refused {offset}"),
+/// Tells a change from another one under the same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Fingerprint(pub(crate) u32);
+
+impl Fingerprint {
+    /// The fingerprint of a change. The times of moves stay out: where they count from the
+    /// publication, each attempt to publish the same file has others.
+    pub(crate) fn of_change(change: &Change) -> Self {
+        let mut record = ChangeRecord::from(change);
+        for item in &mut record.declarations {
+            let Some(mv) = &mut item.move_ else {
+                continue;
+            };
+            mv.start = None;
+            mv.deadline = None;
+        }
+        Self::of_text(&json(&record))
+    }
+
+    /// The fingerprint of a payload that is no change.
+    pub(crate) fn of_text(text: &str) -> Self {
+        let [a, b, c, d, ..] = of_bytes(text.as_bytes()).to_le_bytes();
+        Self(u32::from_le_bytes([a, b, c, d]))
+    }
+}
+
+/// The hash of what is remembered of a change. Texts of faults stay out: they may differ between
+/// releases.
+pub(crate) fn of_recorded(id: &ChangeId, recorded: &Recorded) -> u64 {
+    let print = recorded.print.0;
+    let text = match recorded.outcome {
+        ChangeOutcome::Accepted(offset) => format!("{id} {print} accepted {offset}"),
+        ChangeOutcome::Refused(offset, _) => format!("{id} {print} refused {offset}"),
     };
     of_bytes(text.as_bytes())
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -10,8 +10,9 @@
 
 use crate::apply::{apply_change, apply_verdict};
 use crate::config::{Config, MoveId, MoveVerdict};
-use crate::hash;
-use crate::outcomes::Outcomes;
+use crate::conflict::Conflict;
+use crate::hash::{self, Fingerprint};
+use crate::outcomes::{Outcomes, Recorded};
 use crate::payload::{self, Payload};
 use crate::record::LogRecord;
 use crate::snapshot::{self, Restored};
@@ -62,10 +63,12 @@
     pub accepted: u64,
     /// Changes refused.
     pub refused: u64,
-    /// Records whose change id was folded before.
+    /// Changes that were folded before.
     pub repeated: u64,
     /// Records of a kind this release does not know.
     pub unknown: u64,
+    /// Changes whose id named another change; they count for nothing.
+    pub ids_taken: u64,
     /// Records that are no record of any release: not JSON, or without format, kind or id.
     pub malformed: u64,
     /// Verdicts that counted.
@@ -99,17 +102,18 @@
         }
         let payload = payload::parse(&record.payload);
         let is_part = matches!(payload, Payload::Snapshot(_));
-        let changed = self.fold_payload(payload, record.offset);
+        let changed = self.fold_payload(payload, record);
         Arc::make_mut(&mut self.config).version = record.offset.version_after();
         let kept = if is_part { record.without_text() } else { record.clone() };
         self.window.push(kept, self.hash);
         if changed { FoldOutcome::Changed } else { FoldOutcome::Unchanged }
     }
 
-    fn fold_payload(&mut self, payload: Payload, offset: Offset) -> bool {
+    fn fold_payload(&mut self, payload: Payload, record: &LogRecord) -> bool {
+        let offset = record.offset;
         match payload {
             Payload::Change(change) => return self.fold_change(change, offset),
-            Payload::BadChange(id, faults) => self.refuse_malformed(id, &faults, offset),
+            Payload::BadChange(id, faults) => self.refuse_malformed(id, &faults, record),
             Payload::Verdict(id, verdict) => return self.fold_verdict(&id, verdict, offset),
             Payload::Snapshot(part) => self.compare(&part),
             Payload::Unknown => self.counters.unknown += 1,
@@ -120,45 +124,60 @@
     }
 
     fn fold_change(&mut self, change: Change, offset: Offset) -> bool {
-        if self.outcomes.get(&change.id).is_some() {
-            self.counters.repeated += 1;
+        let id = change.id.clone();
+        let print = Fingerprint::of_change(&change);
+        if self.is_repeat(&id, print) {
             return false;
         }
-        let id = change.id.clone();
         let report = verify(&change, &self.config);
         if !report.accepts() {
             let faults = report.faults.iter().map(ToString::to_string);
             let refusal = Refusal::new(faults, report.stale_base());
-            self.settle(id, ChangeOutcome::Refused(offset, refusal));
-            self.counters.refused += 1;
+            self.refuse(id, print, offset, refusal);
             return false;
         }
         let config = Arc::make_mut(&mut self.config);
         let changed = apply_change(config, &mut self.hash, change, offset);
-        self.settle(id, ChangeOutcome::Accepted(offset));
+        self.settle(id, Recorded { outcome: ChangeOutcome::Accepted(offset), print });
         self.counters.accepted += 1;
         changed
     }
 
     /// Refuses a change whose record has faults of its own, so that its publisher is told.
-    fn refuse_malformed(&mut self, id: Option<ChangeId>, faults: &Faults, offset: Offset) {
+    fn refuse_malformed(&mut self, id: Option<ChangeId>, faults: &Faults, record: &LogRecord) {
         let Some(id) = id else {
             self.counters.malformed += 1;
             return;
         };
-        if self.outcomes.get(&id).is_some() {
+        let print = Fingerprint::of_text(&record.payload);
+        if !self.is_repeat(&id, print) {
+            let refusal = Refusal::new(faults.0.iter().map(ToString::to_string), false);
+            self.refuse(id, print, record.offset, refusal);
+        }
+    }
+
+    /// Whether the id is known; counts whether it names the same change.
+    fn is_repeat(&mut self, id: &ChangeId, print: Fingerprint) -> bool {
+        let Some(known) = self.outcomes.get(id) else {
+            return false;
+        };
+        if known.print == print {
             self.counters.repeated += 1;
-            return;
+        } else {
+            self.counters.ids_taken += 1;
         }
-        let refusal = Refusal::new(faults.0.iter().map(ToString::to_string), false);
-        self.settle(id, ChangeOutcome::Refused(offset, refusal));
+        true
+    }
+
+    fn refuse(&mut self, id: ChangeId, print: Fingerprint, offset: Offset, refusal: Refusal) {
+        self.settle(id, Recorded { outcome: ChangeOutcome::Refused(offset, refusal), print });
         self.counters.refused += 1;
     }
 
-    fn settle(&mut self, id: ChangeId, outcome: ChangeOutcome) {
-        self.hash.add(hash::of_outcome(&id, &outcome));
-        if let Some((id, outcome)) = self.outcomes.push(id, outcome) {
-            self.hash.remove(hash::of_outcome(&id, &outcome));
+    fn settle(&mut self, id: ChangeId, recorded: Recorded) {
+        self.hash.add(hash::of_recorded(&id, &recorded));
+        if let Some((id, recorded)) = self.outcomes.push(id, recorded) {
+            self.hash.remove(hash::of_recorded(&id, &recorded));
         }
     }
 
@@ -212,7 +231,21 @@
     /// What became of a change; `None` while its record is not folded, or once more than
     /// [`OUTCOMES_KEPT`](crate::OUTCOMES_KEPT) later changes are.
     pub fn outcome(&self, id: &ChangeId) -> Option<&ChangeOutcome> {
-        self.outcomes.get(id)
+        self.outcomes.get(id).map(|recorded| &recorded.outcome)
+    }
+
+    /// What became of this very change, as [`Ledger::outcome`] has it by id. Where its id names
+    /// another change already, it is refused, and counts for nothing when it is folded.
+    pub fn outcome_of(&self, change: &Change) -> Option<ChangeOutcome> {
+        let recorded = self.outcomes.get(&change.id)?;
+        if recorded.print == Fingerprint::of_change(change) {
+            return Some(recorded.outcome.clone());
+        }
+        let (ChangeOutcome::Accepted(offset) | ChangeOutcome::Refused(offset, _)) =
+            recorded.outcome;
+        let taken = Conflict::IdTaken { id: change.id.clone(), by: offset };
+        let refusal = Refusal::new([taken.to_string()].into_iter(), false);
+        Some(ChangeOutcome::Refused(offset, refusal))
     }
 
     /// The records from `from` on, up to `max_bytes` of payload but at least one where there is
--- a/crates/ledger/src/outcomes.rs
+++ b/crates/ledger/src/outcomes.rs
@@ -4,6 +4,7 @@
 
 use cyclamen_types::{ChangeId, SeededMap};
 
+use crate::hash::Fingerprint;
 use crate::ledger::{ChangeOutcome, Refusal};
 
 /// Changes remembered, so that a repeated append counts once: the newest 2,048. At 430 changes a
@@ -30,30 +31,37 @@
     }
 }
 
+/// What is remembered of a change.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Recorded {
+    pub(crate) outcome: ChangeOutcome,
+    pub(crate) print: Fingerprint,
+}
+
 /// Outcomes by change, the oldest forgotten first.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Outcomes {
-    by_id: SeededMap<ChangeId, ChangeOutcome>,
+    by_id: SeededMap<ChangeId, Recorded>,
     order: VecDeque<ChangeId>,
     explained: VecDeque<ChangeId>,
 }
 
 impl Outcomes {
-    pub(crate) fn get(&self, id: &ChangeId) -> Option<&ChangeOutcome> {
+    pub(crate) fn get(&self, id: &ChangeId) -> Option<&Recorded> {
         self.by_id.get(id)
     }
 
-    /// Adds the outcome of a change that is not held; returns the one forgotten for it.
+    /// Adds a change that is not held; returns the one forgotten for it.
     pub(crate) fn push(
         &mut self,
         id: ChangeId,
-        outcome: ChangeOutcome,
-    ) -> Option<(ChangeId, ChangeOutcome)> {
+        recorded: Recorded,
+    ) -> Option<(ChangeId, Recorded)> {
         self.order.push_back(id.clone());
-        if matches!(outcome, ChangeOutcome::Refused(..)) {
+        if matches!(recorded.outcome, ChangeOutcome::Refused(..)) {
             self.explain(id.clone());
         }
-        self.by_id.insert(id, outcome);
+        self.by_id.insert(id, recorded);
         if self.order.len() <= OUTCOMES_KEPT {
             return None;
         }
@@ -70,13 +78,16 @@
         let Some(oldest) = self.explained.pop_front() else {
             return;
         };
-        if let Some(ChangeOutcome::Refused(_, refusal)) = self.by_id.get_mut(&oldest) {
+        let Some(recorded) = self.by_id.get_mut(&oldest) else {
+            return;
+        };
+        if let ChangeOutcome::Refused(_, refusal) = &mut recorded.outcome {
             refusal.faults.clear();
         }
     }
 
     /// The outcomes, oldest first.
-    pub(crate) fn oldest_first(&self) -> impl Iterator<Item = (&ChangeId, &ChangeOutcome)> {
+    pub(crate) fn oldest_first(&self) -> impl Iterator<Item = (&ChangeId, &Recorded)> {
         self.order.iter().filter_map(|id| self.by_id.get_key_value(id))
     }
 }
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -3,15 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use cyclamen_declarations::generated::{HeldItem, OutcomeItem, SnapshotRecord, StateSnapshot};
+use cyclamen_declarations::generated::{HeldItem, RefusedItem, SnapshotRecord, StateSnapshot};
 use cyclamen_declarations::{ChangeEntry, DeclarationKind, EntryAction, VersionId, parse_json};
 use cyclamen_types::{ChangeId, ConfigVersion, Offset, TeamName};
 
 use crate::apply::put;
 use crate::config::Config;
-use crate::hash;
+use crate::hash::{self, Fingerprint};
 use crate::ledger::{ChangeOutcome, Refusal, StateHash};
-use crate::outcomes::Outcomes;
+use crate::outcomes::{Outcomes, Recorded};
 use crate::payload::{FORMAT, Payload, json, parse, verdict_of};
 use crate::record::LogRecord;
 
@@ -31,32 +31,29 @@
 
 /// Writes a state.
 pub(crate) fn write(config: &Config, hash: StateHash, outcomes: &Outcomes) -> String {
-    let mut recent = Vec::new();
-    for (id, outcome) in outcomes.oldest_first() {
-        recent.push(outcome_item(id, outcome));
-    }
-    json(&StateSnapshot {
+    let mut snapshot = StateSnapshot {
         format: Some(FORMAT),
         version: Some(config.version.0),
         hash: Some(hash.to_string()),
         held: config.items(),
-        outcomes: recent,
-    })
-}
-
-fn outcome_item(id: &ChangeId, outcome: &ChangeOutcome) -> OutcomeItem {
-    let id = Some(id.to_string());
-    match outcome {
-        ChangeOutcome::Accepted(offset) => {
-            OutcomeItem { id, offset: Some(offset.0), faults: Vec::new(), stale_base: None }
+        ..StateSnapshot::default()
+    };
+    for (id, recorded) in outcomes.oldest_first() {
+        let print = recorded.print.0;
+        match &recorded.outcome {
+            ChangeOutcome::Accepted(offset) => {
+                snapshot.accepted.push(format!("{id} {offset} {print}"));
+            }
+            ChangeOutcome::Refused(offset, refusal) => snapshot.refused.push(RefusedItem {
+                id: Some(id.to_string()),
+                offset: Some(offset.0),
+                print: Some(print),
+                faults: refusal.faults.iter().map(ToString::to_string).collect(),
+                stale_base: Some(refusal.stale_base),
+            }),
         }
-        ChangeOutcome::Refused(offset, refusal) => OutcomeItem {
-            id,
-            offset: Some(offset.0),
-            faults: refusal.faults.iter().map(ToString::to_string).collect(),
-            stale_base: Some(refusal.stale_base),
-        },
     }
+    json(&snapshot)
 }
 
 /// Reads a state; `None` when it is broken in any way or its hash differs.
@@ -74,23 +71,38 @@
         hash.add(hash::of_item(&item));
     }
     let mut outcomes = Outcomes::default();
-    for item in snapshot.outcomes {
-        let (id, outcome) = read_outcome(item)?;
-        hash.add(hash::of_outcome(&id, &outcome));
-        outcomes.push(id, outcome);
+    for (_, (id, recorded)) in read_recorded(&snapshot.accepted, snapshot.refused)? {
+        hash.add(hash::of_recorded(&id, &recorded));
+        outcomes.push(id, recorded);
     }
     let whole = hash.to_string() == snapshot.hash? && is_closed(&config);
     whole.then_some(Restored { config, hash, outcomes })
 }
 
-fn read_outcome(item: OutcomeItem) -> Option<(ChangeId, ChangeOutcome)> {
-    let id = item.id?.parse().ok()?;
-    let offset = Offset(item.offset?);
-    let Some(stale_base) = item.stale_base else {
-        return Some((id, ChangeOutcome::Accepted(offset)));
-    };
-    let faults = item.faults.into_iter().map(Arc::from).collect();
-    Some((id, ChangeOutcome::Refused(offset, Refusal { faults, stale_base })))
+/// What is remembered of changes, by offset.
+fn read_recorded(
+    accepted: &[String],
+    refused: Vec<RefusedItem>,
+) -> Option<BTreeMap<Offset, (ChangeId, Recorded)>> {
+    let mut by_offset = BTreeMap::new();
+    for row in accepted {
+        let mut fields = row.split(' ');
+        let id = fields.next()?.parse().ok()?;
+        let offset = Offset(fields.next()?.parse().ok()?);
+        let print = Fingerprint(fields.next()?.parse().ok()?);
+        let outcome = ChangeOutcome::Accepted(offset);
+        by_offset.insert(offset, (id, Recorded { outcome, print }));
+    }
+    for item in refused {
+        let id = item.id?.parse().ok()?;
+        let offset = Offset(item.offset?);
+        let print = Fingerprint(item.print?);
+        let faults = item.faults.into_iter().map(Arc::from).collect();
+        let refusal = Refusal { faults, stale_base: item.stale_base? };
+        let outcome = ChangeOutcome::Refused(offset, refusal);
+        by_offset.insert(offset, (id, Recorded { outcome, print }));
+    }
+    Some(by_offset)
 }
 
 fn insert(config: &mut Config, item: HeldItem) -> Option<()> {
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use common::{MESH, append, change, mesh, publish, verdict, verdict_of};
+use std::time::Duration;
+
+use common::{MESH, NOW, append, change, change_of, mesh, publish, verdict, verdict_of};
+use cyclamen_declarations::parse_change;
 use cyclamen_ledger::{
     ChangeOutcome, FoldOutcome, Ledger, LogRecord, MoveId, OUTCOMES_KEPT, VerdictKind,
 };
@@ -52,6 +55,32 @@
     assert_eq!(ledger.hash(), hash);
 }
 
+#[test]
+fn fold_id_taken() {
+    let mut ledger = mesh();
+    let hash = ledger.hash();
+    let other = change("mesh", "declarations: [{name: other, route: {service: dvere}}]");
+    append(&mut ledger, &Ledger::change_payload(&other));
+    assert_eq!((ledger.counters().repeated, ledger.counters().ids_taken), (0, 1));
+    assert_eq!(ledger.hash(), hash);
+    let Some(ChangeOutcome::Refused(_, refusal)) = ledger.outcome_of(&other) else {
+        panic!("told that it is accepted");
+    };
+    insta::assert_yaml_snapshot!(refusal.faults);
+    let theirs = change_of("mesh", "intruders", MESH);
+    assert!(matches!(ledger.outcome_of(&theirs), Some(ChangeOutcome::Refused(..))));
+}
+
+#[test]
+fn fold_repeated_with_later_times() {
+    let ledger = moving();
+    let id = "move".parse().expect("an id");
+    let team = "doors".parse().expect("a team");
+    let later = parse_change(MOVE, id, team, NOW + Duration::from_secs(60)).expect("a change");
+    assert_eq!(ledger.outcome_of(&later), Some(ChangeOutcome::Accepted(Offset(1))));
+    assert_eq!(ledger.outcome_of(&change("unheard", MESH)), None);
+}
+
 #[test]
 fn fold_identical_put() {
     let mut ledger = mesh();
