List faults by item, and leave out what only follows

Faults of shape came first and the rest after them, so an operator read the items of a file twice; and a key dropped for its fault made its item count as empty ("gives 0 of ..."). Faults are now in order of items, and one that misses what was dropped for a fault within it stays out.

--- a/crates/declarations/src/change.rs
+++ b/crates/declarations/src/change.rs
@@ -125,12 +125,31 @@
             faults.0.push(fault);
         }
     }
+    faults.0.sort_by_key(|fault| item_of(&fault.place));
     faults.or(Change { id, team, entries })
 }
 
-/// Whether a fault only follows from one already reported at its place.
+/// The number of the item that a place lies in; `None` outside the items.
+fn item_of(place: &str) -> Option<usize> {
+    let (number, _) = place.strip_prefix("declarations[")?.split_once(']')?;
+    number.parse().ok()
+}
+
+/// Whether a fault only follows from one already reported, because what it misses was dropped.
 fn is_known(faults: &Faults, fault: &Fault) -> bool {
-    faults.0.iter().any(|known| known.place == fault.place)
+    let misses = matches!(
+        fault.problem,
+        Problem::Missing | Problem::Empty | Problem::Kinds(0) | Problem::NoWeight
+    );
+    for known in &faults.0 {
+        let Some(rest) = known.place.strip_prefix(fault.place.as_ref()) else {
+            continue;
+        };
+        if rest.is_empty() || misses && rest.starts_with(['.', '[']) {
+            return true;
+        }
+    }
+    false
 }
 
 /// Replaces relative times by absolute ones.
