--- a/crates/declarations/src/bodies.rs
+++ b/crates/declarations/src/bodies.rs
@@ -3,7 +3,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use cyclamen_types::VersionName;
+use cyclamen_types::{VersionName, Wall};
 
 use crate::checked::{Limits, Move, Policy, Retries, Service, Version, VersionId};
 use crate::fault::{Faults, Problem};
@@ -154,23 +154,8 @@
         let body = raw.body;
         let name = faults.name("name", raw.name);
         let service = faults.name("move.service", body.service);
-        let from = faults.name::<VersionName>("move.from", body.from);
-        let to = faults.name::<VersionName>("move.to", body.to);
-        if let (Some(from), Some(to)) = (&from, &to)
-            && from == to
-        {
-            faults.push("move.to", Problem::SameVersion(to.to_string()));
-        }
-        let start = faults.required("move.start", body.start);
-        let start = start.and_then(|text| faults.take("move.start", text::parse_time(&text)));
-        let deadline = faults.required("move.deadline", body.deadline);
-        let deadline =
-            deadline.and_then(|text| faults.take("move.deadline", text::parse_time(&text)));
-        if let (Some(start), Some(deadline)) = (start, deadline)
-            && deadline <= start
-        {
-            faults.push("move.deadline", Problem::DeadlineFirst);
-        }
+        let versions = move_versions(&mut faults, body.from, body.to);
+        let times = move_times(&mut faults, body.start, body.deadline);
         let watch = span(&mut faults, "move.watch", body.watch.as_ref(), DEFAULT_WATCH);
         let tolerance_ppm = body.tolerance_ppm.unwrap_or(DEFAULT_TOLERANCE_PPM);
         faults.range("move.tolerance_ppm", tolerance_ppm.into(), 0, 1_000_000);
@@ -178,10 +163,46 @@
         let (Some(name), Some(service)) = (name, service) else {
             return Err(faults);
         };
-        let (Some(from), Some(to), Some(start), Some(deadline)) = (from, to, start, deadline)
-        else {
+        let (Some((from, to)), Some((start, deadline))) = (versions, times) else {
             return Err(faults);
         };
         faults.or(Self { name, service, from, to, start, deadline, watch, tolerance_ppm, clash })
     }
 }
+
+/// The two versions of a move, which differ.
+fn move_versions(
+    faults: &mut Faults,
+    from: Option<String>,
+    to: Option<String>,
+) -> Option<(VersionName, VersionName)> {
+    let from = faults.name::<VersionName>("move.from", from);
+    let to = faults.name::<VersionName>("move.to", to);
+    let (from, to) = (from?, to?);
+    if from == to {
+        faults.push("move.to", Problem::SameVersion(to.to_string()));
+        return None;
+    }
+    Some((from, to))
+}
+
+/// The start and the deadline of a move, in this order.
+fn move_times(
+    faults: &mut Faults,
+    start: Option<String>,
+    deadline: Option<String>,
+) -> Option<(Wall, Wall)> {
+    let start = time(faults, "move.start", start);
+    let deadline = time(faults, "move.deadline", deadline);
+    let (start, deadline) = (start?, deadline?);
+    if deadline <= start {
+        faults.push("move.deadline", Problem::DeadlineFirst);
+        return None;
+    }
+    Some((start, deadline))
+}
+
+fn time(faults: &mut Faults, place: &str, text: Option<String>) -> Option<Wall> {
+    let text = faults.required(place, text)?;
+    faults.take(place, text::parse_time(&text))
+}
--- a/crates/declarations/tests/files.rs
+++ b/crates/declarations/tests/files.rs
@@ -24,3 +24,16 @@
         }
     });
 }
+
+/// The example in the reference of the format is a change file.
+#[test]
+fn parse_reference() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/DECLARATIONS.md");
+    let page = std::fs::read_to_string(path).expect("the reference");
+    let (_, rest) = page.split_once("```yaml\n").expect("an example");
+    let (yaml, _) = rest.split_once("```").expect("its end");
+    let id = "change".parse().expect("an id");
+    let team = "doors".parse().expect("a team");
+    let change = parse_change(yaml, id, team, NOW).unwrap_or_else(|faults| panic!("{faults}"));
+    assert_eq!(change.entries.len(), 5);
+}
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -220,11 +220,30 @@
     parts
 }
 
-/// The newest whole state that these records carry and that reaches at least `first`, the offset
-/// of the first of them.
+/// Parts by number.
+type Parts = BTreeMap<u32, SnapshotRecord>;
+
+/// The newest whole state that these records carry and that reaches at least the offset of the
+/// first of them.
 pub(crate) fn newest_in(records: &[LogRecord]) -> Option<Restored> {
-    let first = records.first()?.offset;
-    let mut by_text: BTreeMap<(u64, String), BTreeMap<u32, SnapshotRecord>> = BTreeMap::new();
+    for ((version, digest), parts) in parts_in(records).into_iter().rev() {
+        let Some(text) = join(&digest, parts) else {
+            continue;
+        };
+        let Some(restored) = read(&text) else {
+            continue;
+        };
+        if restored.config.version.0 == version {
+            return Some(restored);
+        }
+    }
+    None
+}
+
+/// The parts of snapshots in these records, by version and digest of the whole text.
+fn parts_in(records: &[LogRecord]) -> BTreeMap<(u64, String), Parts> {
+    let mut by_text: BTreeMap<(u64, String), Parts> = BTreeMap::new();
+    let first = records.first().map_or(Offset(0), |record| record.offset);
     for record in records {
         let Payload::Snapshot(part) = parse(&record.payload) else {
             continue;
@@ -241,21 +260,11 @@
             by_text.entry((version, digest)).or_default().insert(number, part);
         }
     }
-    for ((version, digest), parts) in by_text.into_iter().rev() {
-        let Some(text) = join(&digest, parts) else {
-            continue;
-        };
-        let Some(restored) = read(&text) else {
-            continue;
-        };
-        if restored.config.version.0 == version {
-            return Some(restored);
-        }
-    }
-    None
+    by_text
 }
 
-fn join(digest: &str, parts: BTreeMap<u32, SnapshotRecord>) -> Option<String> {
+/// The text of all parts; `None` when one is missing or the digest differs.
+fn join(digest: &str, parts: Parts) -> Option<String> {
     let wanted = parts.values().next()?.parts?;
     let numbers: BTreeSet<u32> = parts.keys().copied().collect();
     if !numbers.into_iter().eq(0..wanted) {
