Bet on excess rates that matter, and let checks run long enough

Versions slow on 2 to 4% of one route's calls escaped at low traffic, and one cold-started good version was held at a fifth of the traffic for its whole schedule. Causes: a check was ended by too few calls, the doubt limit had no budget for its many tests, a later onset cost more wealth than it need, and one call in a hundred of the old version counted as slow. Now all bets are on excess rates of 2% and more, above four times the tolerated rate; a call is slow from one and a half times the reference quantile on; checks clear against half the suspected excess, double their least length, and tell common trouble by the old version's own record. A move can be replayed by its number.

--- a/crates/measure/src/moves/mod.rs
+++ b/crates/measure/src/moves/mod.rs
@@ -42,6 +42,9 @@
     /// file for a plot of a good and a bad move, as SVG
     #[argh(option)]
     plot: Option<PathBuf>,
+    /// replay one move of the population and print its changes
+    #[argh(option)]
+    replay: Option<usize>,
     /// print every move that ended otherwise than it should
     #[argh(switch)]
     misses: bool,
@@ -57,6 +60,13 @@
         "baseline" => (Policy::Baseline, "baseline"),
         other => bail!("the policy `{other}` is not known: give `moves` or `baseline`"),
     };
+    if let Some(index) = args.replay {
+        let scenario = Scenario::draw(args.seed, index);
+        println!("{scenario:?}");
+        let outcome = World::new(&scenario, policy, true).run();
+        print_course(&outcome);
+        return Ok(());
+    }
     let outcomes = run_population(args, policy)?;
     if args.misses {
         print_misses(args.seed, &outcomes);
@@ -126,6 +136,17 @@
     }
 }
 
+fn print_course(outcome: &Outcome) {
+    let mut shown = -1.0;
+    for point in &outcome.course {
+        if point.share != shown {
+            shown = point.share;
+            println!("{:8.1} s: share {:.3}, failures {:.4}", point.at_s, shown, point.failures);
+        }
+    }
+    println!("{}", outcome.reason);
+}
+
 /// The course of the first move of a kind.
 fn course(seed: u64, kind: Kind, policy: Policy) -> Outcome {
     let mut index = 0;
--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -107,11 +107,12 @@
 impl ActiveMove {
     pub(crate) fn new(held: &HeldMove, me: &Identity, chart: &Arc<MoveChart>, now: Now) -> Self {
         let id = held.id();
+        let tolerated = f64::from(held.held.body.tolerance_ppm) / f64::from(ladder::WHOLE_PPM);
         Self {
             key: MoveKey::from(&id),
             id,
             declared: Arc::clone(&held.held.body),
-            evidence: Evidence::default(),
+            evidence: Evidence::new(tolerated),
             changed: BTreeSet::new(),
             next_report: now.mono,
             urgent: BTreeSet::new(),
@@ -431,7 +432,7 @@
         let Some(check) = &self.check else {
             return;
         };
-        if now.mono.since(self.entered) < ladder::SHORTEST_DWELL {
+        if now.mono.since(self.entered) < check.shortest() {
             return;
         }
         let Some(cleared) = check.cleared(&self.evidence) else {
--- a/crates/moves/src/check.rs
+++ b/crates/moves/src/check.rs
@@ -1,10 +1,12 @@
 //! The check of a version that runs alone: part of the traffic goes back to the old version, so
 //! that both can be compared over the same calls.
 
+use std::time::Duration;
+
 use crate::evidence::{Counts, Evidence, Strata};
 use crate::findings::Finding;
-use crate::ladder::LONE_STRATA_END;
-use crate::sequential::{Class, rate_before};
+use crate::ladder::{LONE_STRATA_END, SHORTEST_DWELL};
+use crate::sequential::{Class, HIGHEST_RATE, rate_before};
 
 /// Evidence against the suspicion that ends a check.
 const CLEARED: f64 = 20.0;
@@ -12,6 +14,15 @@
 /// Fewest calls of the new version that end a check.
 const FEWEST_CALLS: u64 = 3;
 
+/// Fewest calls of the old version that show that it has no trouble.
+const FEWEST_OLD_CALLS: u64 = 20;
+
+/// Times that the shortest check doubles.
+const MOST_DOUBLINGS: u8 = 4;
+
+/// Evidence that the old version has trouble as well.
+const COMMON: f64 = 10.0;
+
 /// Calls at the rate of before that are added to those of the old version.
 const OLD_PRIOR_CALLS: f64 = 10.0;
 
@@ -44,6 +55,11 @@
         LONE_STRATA_END.saturating_add(self.round)
     }
 
+    /// Shortest time that the check goes on; later checks of a move take longer.
+    pub(crate) fn shortest(&self) -> Duration {
+        SHORTEST_DWELL * 2_u32.pow(u32::from(self.round.min(MOST_DOUBLINGS)))
+    }
+
     /// Whether the calls since the check began speak clearly enough against the suspicion.
     pub(crate) fn cleared(&self, evidence: &Evidence) -> Option<Cleared> {
         let strata = match self.finding.route {
@@ -59,15 +75,17 @@
         }
         let old_calls = old.calls as f64 + OLD_PRIOR_CALLS;
         let rate = (class.bad(old) as f64 + before * OLD_PRIOR_CALLS) / old_calls;
-        let worse = (rate + suspected).min(0.98);
+        let worse = (rate + suspected / 2.0).min(HIGHEST_RATE);
         let bad = class.bad(new) as f64;
         let good = new.calls as f64 - bad;
         let ratio = bad * (worse / rate).ln() + good * ((1.0 - worse) / (1.0 - rate)).ln();
         if ratio > -CLEARED.ln() {
             return None;
         }
-        let common = rate > before + suspected / 2.0;
-        Some(if common { Cleared::Common } else { Cleared::Unexplained })
+        if common(class.bad(old) as f64, old.calls as f64, before) {
+            return Some(Cleared::Common);
+        }
+        (old.calls >= FEWEST_OLD_CALLS).then_some(Cleared::Unexplained)
     }
 
     fn suspected_excess(&self, before: f64) -> f64 {
@@ -89,6 +107,17 @@
     }
 }
 
+/// Whether the old version did worse than before, too.
+fn common(bad: f64, calls: f64, before: f64) -> bool {
+    if bad <= before * calls {
+        return false;
+    }
+    let rate = bad / calls;
+    let good = calls - bad;
+    let of_good = if good > 0.0 { good * ((1.0 - rate) / (1.0 - before)).ln() } else { 0.0 };
+    bad * (rate / before).ln() + of_good > COMMON.ln()
+}
+
 /// The sentence of a conviction after recurring suspicions.
 pub(crate) fn recurred(finding: &Finding, place: &str) -> String {
     let verb = match finding.class {
--- a/crates/moves/src/evidence.rs
+++ b/crates/moves/src/evidence.rs
@@ -128,10 +128,15 @@
     pairs: BTreeMap<Place, Pair>,
     new_calls: BTreeMap<ServerKey, u64>,
     old: Counts,
+    tolerated: f64,
     memos: [Memo; Class::ALL.len()],
 }
 
 impl Strata {
+    fn new(tolerated: f64) -> Self {
+        Self { tolerated, ..Self::default() }
+    }
+
     /// The pairs in order.
     pub fn pairs(&self) -> &BTreeMap<Place, Pair> {
         &self.pairs
@@ -147,6 +152,11 @@
         self.old
     }
 
+    /// Excess of the new version's rate that is tolerated, as a share of calls.
+    pub fn tolerated(&self) -> f64 {
+        self.tolerated
+    }
+
     /// What the closed slots came to in the test of a class.
     pub fn memo(&mut self, class: Class) -> &mut Memo {
         &mut self.memos[class as usize]
@@ -181,9 +191,15 @@
     routes: BTreeMap<RouteKey, Strata>,
     overall: Strata,
     new_calls: BTreeMap<u8, u64>,
+    tolerated: f64,
 }
 
 impl Evidence {
+    /// No evidence yet, about a version that may add `tolerated` to the old one's failure rate.
+    pub fn new(tolerated: f64) -> Self {
+        Self { overall: Strata::new(tolerated), tolerated, ..Self::default() }
+    }
+
     /// Raises a line to at least `counts`; returns by how much it grew.
     pub fn raise(
         &mut self,
@@ -251,7 +267,8 @@
             return;
         }
         let place = (key.stratum, domain);
-        self.routes.entry(key.route).or_default().add(place, key.server, growth);
+        let fresh = || Strata::new(self.tolerated);
+        self.routes.entry(key.route).or_insert_with(fresh).add(place, key.server, growth);
         self.overall.add(place, key.server, growth);
         if key.server != ServerKey::OLD {
             *self.new_calls.entry(key.stratum.stage).or_default() += growth.calls;
--- a/crates/moves/src/findings.rs
+++ b/crates/moves/src/findings.rs
@@ -22,7 +22,7 @@
 const DOUBT_CORROBORATION: f64 = 5.0;
 
 /// Evidence above which a stage does not grow.
-const CLEAN: f64 = 20.0;
+const CLEAN: f64 = 100.0;
 
 /// Evidence above which a version that runs alone is checked against the old one.
 const SUSPICION: f64 = 1_000.0;
--- a/crates/moves/src/reference.rs
+++ b/crates/moves/src/reference.rs
@@ -20,6 +20,9 @@
 /// Highest quantile taken as the reference.
 const QUANTILE: f64 = 0.99;
 
+/// How far above that quantile a call is slow, so that few calls of the old version are.
+const MARGIN: f64 = 1.5;
+
 /// A histogram of recent latencies of the old version on one route.
 #[derive(Clone, Debug)]
 pub struct Reference {
@@ -46,7 +49,7 @@
         if self.calls < self.recount {
             return;
         }
-        self.limit = Some(self.quantile());
+        self.limit = Some(self.quantile().mul_f64(MARGIN));
         self.recount = (self.calls + self.calls / 4).min(HALVING_CALLS - 1);
     }
 
--- a/crates/moves/src/sequential.rs
+++ b/crates/moves/src/sequential.rs
@@ -36,19 +36,29 @@
     fn prior(self) -> (f64, f64) {
         match self {
             Self::Failed => (500.0, 0.5),
-            Self::Slow => (300.0, 4.5),
+            Self::Slow => (300.0, 1.5),
         }
     }
 }
 
-/// Ratios of rates that the conditional bets are placed on.
-const RATIOS: [f64; 5] = [3.0, 8.0, 25.0, 100.0, 500.0];
-
-/// Excess rates that the informed bets are placed on.
+/// Excess rates that bets are placed on.
 const EXCESSES: [f64; 5] = [0.02, 0.06, 0.15, 0.4, 0.9];
 
+/// Tolerated excess rates that the least excess bet on is above, so that a version that adds what
+/// is tolerated loses the bets.
+const TOLERANCES: f64 = 4.0;
+
 /// Highest rate that an informed bet is placed on.
-const HIGHEST_RATE: f64 = 0.98;
+pub const HIGHEST_RATE: f64 = 0.98;
+
+/// Share of wealth staked on a fault that is there from the first.
+const FIRST_ONSET: f64 = 0.3;
+
+/// Slots that a move has as planned, with some to spare.
+const PLANNED_SLOTS: u16 = 56;
+
+/// Share of wealth staked on a fault that begins after the planned end.
+const LATE_ONSET: f64 = 0.05;
 
 /// Latest slots that evidence may still come for without looking back further.
 const OPEN_SLOTS: u16 = 2;
@@ -88,20 +98,22 @@
 /// All bets of one test, with their wealth in logarithms.
 #[derive(Clone, Copy, Debug)]
 struct Bets {
-    conditional: [f64; RATIOS.len()],
+    conditional: [f64; EXCESSES.len()],
     informed: [f64; EXCESSES.len()],
     /// The old version before the present slot.
     history: History,
     /// The old version up to now.
     pending: History,
     slot: Option<u16>,
+    excesses: [f64; EXCESSES.len()],
 }
 
 impl Bets {
-    fn new(class: Class) -> Self {
+    fn new(class: Class, tolerated: f64) -> Self {
         let history = History::new(class);
         Self {
-            conditional: [f64::NEG_INFINITY; RATIOS.len()],
+            excesses: excesses(tolerated),
+            conditional: [f64::NEG_INFINITY; EXCESSES.len()],
             informed: [f64::NEG_INFINITY; EXCESSES.len()],
             history,
             pending: history,
@@ -122,16 +134,16 @@
             new_calls: new.calls as f64,
             new_bad: class.bad(new) as f64,
         };
+        let rate = self.history.rate();
         if table.old_bad + table.new_bad > 0.0 {
-            for (wealth, ratio) in self.conditional.iter_mut().zip(RATIOS) {
-                *wealth += conditional_factor(&table, ratio);
+            for (wealth, excess) in self.conditional.iter_mut().zip(self.excesses) {
+                *wealth += conditional_factor(&table, 1.0 + excess / rate);
             }
         }
         let (bad, calls) = (table.old_bad + table.new_bad, table.old_calls + table.new_calls);
-        let rate = self.history.rate();
         let base = log_likelihood(table.old_bad, table.old_calls, rate)
             - log_likelihood(bad, calls, bad / calls);
-        for (wealth, excess) in self.informed.iter_mut().zip(EXCESSES) {
+        for (wealth, excess) in self.informed.iter_mut().zip(self.excesses) {
             let worse = (rate + excess).min(HIGHEST_RATE);
             *wealth += base + log_likelihood(table.new_bad, table.new_calls, worse);
         }
@@ -172,13 +184,13 @@
 
 /// The logarithm of the evidence that the new version is worse, paired over the strata.
 ///
-/// The conditional bets take the number of bad calls of a stratum as given and bet that more of
-/// them than its share are the new version's. The informed bets take the old version's rate as
-/// known from earlier slots and add an excess for the new one, against the common rate that fits
-/// the stratum best.
+/// All bets take the old version's rate as known from earlier slots and add an excess for the new
+/// one. The conditional bets take the number of bad calls of a stratum as given and bet that more
+/// of them than its share are the new version's; the informed bets bet on both rates, against the
+/// common rate that fits the stratum best.
 pub fn paired(strata: &mut Strata, class: Class) -> f64 {
     let memo = *strata.memo(class);
-    let mut bets = memo.bets.unwrap_or_else(|| Bets::new(class));
+    let mut bets = memo.bets.unwrap_or_else(|| Bets::new(class, strata.tolerated()));
     let last = strata.pairs().last_key_value().map_or(0, |((stratum, _), _)| stratum.slot);
     let keep = last.saturating_sub(OPEN_SLOTS);
     let from = (Stratum { slot: memo.until, stage: 0 }, DomainKey::default());
@@ -195,7 +207,7 @@
 
 /// The same without one backend server of the new version.
 pub fn paired_without(strata: &Strata, class: Class, skipped: ServerKey) -> f64 {
-    let mut bets = Bets::new(class);
+    let mut bets = Bets::new(class, strata.tolerated());
     for ((stratum, _), pair) in strata.pairs() {
         bets.take(stratum.slot, pair, class, Some(skipped));
     }
@@ -218,6 +230,7 @@
 /// suspicion and convicts nobody.
 pub fn absolute(strata: &Strata, class: Class, lone: Lone) -> f64 {
     let rate = rate_before(strata, class);
+    let excesses = excesses(strata.tolerated());
     let mut bets = [0.0_f64; EXCESSES.len()];
     for ((stratum, _), pair) in strata.pairs() {
         if stratum.stage < lone.from_stage || stratum.stage >= LONE_STRATA_END {
@@ -226,7 +239,7 @@
         let new = pair.new_without(lone.skipped);
         let bad = class.bad(new) as f64;
         let good = new.calls as f64 - bad;
-        for (wealth, excess) in bets.iter_mut().zip(EXCESSES) {
+        for (wealth, excess) in bets.iter_mut().zip(excesses) {
             let worse = (rate + excess).min(HIGHEST_RATE);
             if !lone.whole {
                 *wealth = wealth.max(0.0);
@@ -246,8 +259,18 @@
 
 /// The share of wealth that is staked on a fault that begins in a slot; the shares sum to one.
 fn onset_weight(slot: u16) -> f64 {
-    let slot = f64::from(slot);
-    1.0 / ((slot + 1.0) * (slot + 2.0))
+    if slot == 0 {
+        return FIRST_ONSET;
+    }
+    if slot <= PLANNED_SLOTS {
+        return (1.0 - FIRST_ONSET - LATE_ONSET) / f64::from(PLANNED_SLOTS);
+    }
+    let late = f64::from(slot - PLANNED_SLOTS);
+    LATE_ONSET / (late * (late + 1.0))
+}
+
+fn excesses(tolerated: f64) -> [f64; EXCESSES.len()] {
+    EXCESSES.map(|excess| excess.max(TOLERANCES * tolerated).min(HIGHEST_RATE))
 }
 
 fn conditional_factor(table: &Table, ratio: f64) -> f64 {
