--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -1,33 +1,24 @@
-//! One move at one daemon: its state, stage, evidence and verdict.
+//! One move at one daemon: its state, evidence and verdict.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cyclamen_charts::StateIndex;
-use cyclamen_declarations::{ClashRule, Move, OrderAction};
+use cyclamen_declarations::{Move, OrderAction};
 use cyclamen_ledger::{HeldMove, MoveId, MoveVerdict, VerdictKind};
-use cyclamen_types::{FastMap, InstanceName, Mono, Now, RouteName, ServerName};
+use cyclamen_types::{InstanceName, Mono, Now, RouteName};
 
-use crate::check::{Check, Cleared, RECURRENCES, recurred};
+use crate::appends::Append;
+use crate::check::{Check, RECURRENCES, recurred};
 use crate::evidence::{Counts, Evidence, LineKey, Stratum};
 use crate::findings::{self, Finding};
-use crate::keys::{DomainKey, MoveKey, ReporterKey, RouteKey, ServerKey};
+use crate::keys::{DomainKey, MoveKey, ReporterKey, RouteKey};
 use crate::ladder::{self, LAST_STAGE};
 use crate::move_chart::{MoveChart, MoveEvent};
-use crate::moves::{CallSample, Side};
 use crate::payload::Conviction;
-use crate::reference::Reference;
+use crate::recorder::Recorder;
 use crate::status::MoveStage;
-
-/// Calls of a backend server, as this daemon counts them, that are never called slow.
-const WARM_UP_CALLS: u32 = 10;
-
-/// Time since the first call of a backend server in which none is called slow.
-const WARM_UP: Duration = Duration::from_secs(10);
-
-/// Time between two looks at evidence that holds a stage.
-const DOUBT_PERIOD: Duration = Duration::from_secs(1);
+use crate::types::{CallSample, Side};
 
 /// Who this daemon is, as reporter.
 #[derive(Clone, Debug)]
@@ -37,19 +28,30 @@
     pub(crate) domain: DomainKey,
 }
 
-/// What this daemon knows of a route.
-#[derive(Clone, Debug)]
-struct RouteMemory {
-    key: RouteKey,
-    reference: Reference,
+/// Why a stage does not grow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Wait {
+    /// The schedule has not come to the next stage.
+    #[default]
+    Schedule,
+    /// The stage has too few calls of the new version.
+    Calls {
+        /// Calls seen.
+        seen: u64,
+        /// Calls wanted.
+        wanted: u64,
+    },
+    /// Something speaks against the new version, too little to convict it.
+    Doubt,
+    /// The announced slots of the new version carry no more.
+    Slots,
 }
 
-/// What this daemon knows of a backend server of the new version.
-#[derive(Clone, Copy, Debug)]
-struct ServerMemory {
-    key: ServerKey,
-    first: Mono,
-    calls: u32,
+/// What both versions announced in this daemon's failure domain.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AnnouncedSlots {
+    pub(crate) old: u32,
+    pub(crate) new: u32,
 }
 
 /// One move.
@@ -59,52 +61,38 @@
     pub(crate) key: MoveKey,
     pub(crate) declared: Arc<Move>,
     pub(crate) evidence: Evidence,
+    pub(crate) recorder: Recorder,
+    /// Own lines that other daemons have not been told.
     pub(crate) changed: BTreeSet<LineKey>,
-    pub(crate) next_report: Mono,
+    /// Routes with failures of the new version that other daemons have not been told.
     pub(crate) urgent: BTreeSet<RouteKey>,
+    /// Routes with merged trouble of the new version that was not judged.
     pub(crate) unjudged: BTreeSet<RouteKey>,
+    pub(crate) next_report: Mono,
+    pub(crate) next_reminder: Mono,
     pub(crate) conviction: Option<Conviction>,
     pub(crate) verdict: Option<MoveVerdict>,
-    pub(crate) append_due: Mono,
-    pub(crate) own_calls: bool,
+    pub(crate) append: Append,
+    pub(crate) slots: Option<AnnouncedSlots>,
     pub(crate) wait: Wait,
-    pub(crate) carried_ppm: u32,
     pub(crate) late: bool,
+    pub(crate) late_because: Option<Wait>,
+    pub(crate) stage: u8,
+    pub(crate) entered: Mono,
+    pub(crate) next_climb: Mono,
+    pub(crate) arrived_once: bool,
+    pub(crate) watch_ends: Mono,
+    pub(crate) order: Option<OrderAction>,
+    pub(crate) check: Option<Check>,
+    pub(crate) checks: u8,
+    pub(crate) recurrences: u32,
     me: Identity,
     chart: Arc<MoveChart>,
     state: StateIndex,
-    stage: u8,
-    entered: Mono,
-    next_climb: Mono,
-    watch_ends: Mono,
-    check: Option<Check>,
-    checks: u8,
-    recurrences: u32,
-    order: Option<OrderAction>,
-    routes: FastMap<RouteName, RouteMemory>,
-    servers: FastMap<ServerName, ServerMemory>,
-}
-
-/// Why a stage does not grow.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Wait {
-    /// The schedule has not come to the next stage.
-    #[default]
-    Schedule,
-    /// The stage has too few calls of the new version.
-    Calls {
-        /// Calls seen.
-        seen: u64,
-        /// Calls wanted.
-        wanted: u64,
-    },
-    /// Something speaks against the new version, too little to convict it.
-    Doubt,
-    /// The announced slots of the new version carry no more.
-    Slots,
 }
 
 impl ActiveMove {
+    /// A move that this daemon has just heard of.
     pub(crate) fn new(held: &HeldMove, me: &Identity, chart: &Arc<MoveChart>, now: Now) -> Self {
         let id = held.id();
         let tolerated = f64::from(held.held.body.tolerance_ppm) / f64::from(ladder::WHOLE_PPM);
@@ -113,30 +101,31 @@
             id,
             declared: Arc::clone(&held.held.body),
             evidence: Evidence::new(tolerated),
+            recorder: Recorder::default(),
             changed: BTreeSet::new(),
-            next_report: now.mono,
             urgent: BTreeSet::new(),
             unjudged: BTreeSet::new(),
+            next_report: now.mono,
+            next_reminder: now.mono,
             conviction: None,
             verdict: None,
-            append_due: Mono::NEVER,
-            own_calls: false,
+            append: Append::Nothing,
+            slots: None,
             wait: Wait::Schedule,
-            carried_ppm: 0,
             late: false,
-            me: me.clone(),
-            chart: Arc::clone(chart),
-            state: chart.initial(),
+            late_because: None,
             stage: 0,
             entered: now.mono,
             next_climb: now.mono,
+            arrived_once: false,
             watch_ends: Mono::NEVER,
+            order: None,
             check: None,
             checks: 0,
             recurrences: 0,
-            order: None,
-            routes: FastMap::default(),
-            servers: FastMap::default(),
+            me: me.clone(),
+            chart: Arc::clone(chart),
+            state: chart.initial(),
         }
     }
 
@@ -152,12 +141,12 @@
             MoveStage::Checking => ladder::rung(ladder::CHECK_STAGE).share_ppm,
             _ => ladder::rung(self.stage).share_ppm,
         };
-        share.min(self.carried_ppm)
+        share.min(self.carried_ppm())
     }
 
-    /// Whether all traffic of this daemon is on the new version.
-    pub(crate) fn arrived(&self) -> bool {
-        matches!(self.at(), MoveStage::Watched | MoveStage::Done)
+    /// The share that the announced slots carry; none before they are known.
+    pub(crate) fn carried_ppm(&self) -> u32 {
+        self.slots.map_or(0, |slots| ladder::carried_ppm(slots.old, slots.new))
     }
 
     /// Whether evidence is still gathered.
@@ -177,33 +166,31 @@
     /// Adopts what the log decided about the move.
     pub(crate) fn adopt(&mut self, now: Now, held: &HeldMove) {
         self.verdict = held.verdict.clone();
-        let order = held.order;
-        if order != self.order {
-            self.order = order;
-            self.obey(now, order);
-        }
-        let Some(verdict) = held.verdict.clone() else {
-            return;
-        };
-        match verdict.kind {
-            VerdictKind::TakenBack => {
+        self.order = held.order;
+        if self.order == Some(OrderAction::TakeBack) && self.at() != MoveStage::TakenBack {
+            let (id, by) = (self.key, self.me.instance.clone());
+            let reason = "an operator took it back".into();
+            self.convict(Conviction { id, at: now.wall, by, reason, repeat: 0 });
+        }
+        match held.verdict.clone() {
+            Some(verdict) if verdict.kind == VerdictKind::TakenBack => {
                 let (id, at, by, reason) = (self.key, verdict.at, verdict.by, verdict.reason);
-                self.convict(Conviction { id, at, by, reason });
+                self.convict(Conviction { id, at, by, reason, repeat: 0 });
             }
-            VerdictKind::Done if self.open() => self.adopt_done(now, &verdict),
-            VerdictKind::Done => {}
+            Some(verdict) if self.open() => self.adopt_done(now, &verdict),
+            _ => {}
         }
         if self.verdict_shown() {
-            self.append_due = Mono::NEVER;
+            self.append = Append::Nothing;
         }
     }
 
     /// Whether the log holds what this daemon decided.
     pub(crate) fn verdict_shown(&self) -> bool {
-        let Some(verdict) = &self.verdict else {
-            return false;
-        };
-        verdict.kind == VerdictKind::TakenBack || self.conviction.is_none()
+        match &self.verdict {
+            Some(verdict) => verdict.kind == VerdictKind::TakenBack || self.conviction.is_none(),
+            None => false,
+        }
     }
 
     /// Takes the move back; the least of several convictions is kept. Returns whether the state
@@ -213,7 +200,7 @@
         if known.is_none_or(|known| conviction.rank() < known.rank()) {
             self.conviction = Some(conviction);
         }
-        self.at() != MoveStage::TakenBack && self.fire(MoveEvent::Convict)
+        self.fire(MoveEvent::Convict)
     }
 
     /// Which side of the move a version is on.
@@ -231,30 +218,16 @@
         side: Side,
         sample: &CallSample<'_>,
     ) -> Option<RouteKey> {
-        self.own_calls = true;
-        let server = match side {
-            Side::Old => ServerKey::OLD,
-            Side::New => self.server_key(now, sample.server),
-        };
-        let warm = side == Side::Old || self.warm(now, sample.server);
-        let route = self.route(sample.route);
-        let mut slow = false;
-        if !sample.failed && !sample.cold {
-            slow = warm && route.reference.slow(sample.latency) == Some(true);
-            if side == Side::Old {
-                route.reference.add(sample.latency);
-            }
-        }
-        let stratum =
-            Stratum { slot: ladder::slot(&self.declared, now.wall), stage: self.stratum_stage() };
-        let counts = Counts { calls: 1, failed: u64::from(sample.failed), slow: u64::from(slow) };
-        let key = LineKey { stratum, route: self.route(sample.route).key, server };
+        let slot = ladder::slot(&self.declared, now.wall);
+        let stratum = Stratum { slot, stage: self.stratum_stage() };
+        let counted = self.recorder.count(now, stratum, side, sample);
+        let (key, counts) = (counted.key, counted.counts);
         self.evidence.count(self.me.reporter, self.me.domain, key, counts);
         self.changed.insert(key);
-        if side == Side::Old || !(sample.failed || slow) {
+        if side == Side::Old || counts.failed + counts.slow == 0 {
             return None;
         }
-        if sample.failed {
+        if counts.failed > 0 {
             self.urgent.insert(key.route);
         }
         Some(key.route)
@@ -291,10 +264,15 @@
         Some(recurred(finding, &finding.place(self.name_of(finding))).into())
     }
 
-    /// Sends part of the traffic back when the version that runs alone is suspect; returns
-    /// whether it did.
+    /// Whether a suspicion came back too often to be chance.
+    pub(crate) fn recurs(&self) -> bool {
+        self.open() && self.check.is_some() && self.recurrences >= RECURRENCES
+    }
+
+    /// Sends part of the traffic back when the version that runs alone is suspect, as long as
+    /// there are old servers to send it to; returns whether it did.
     pub(crate) fn suspect(&mut self, now: Now, routes: &BTreeSet<RouteKey>) -> bool {
-        if self.at() != MoveStage::Watched {
+        if self.at() != MoveStage::Watched || self.slots.is_none_or(|slots| slots.old == 0) {
             return false;
         }
         let Some(finding) = findings::suspicion(&self.evidence, routes, self.stratum_stage())
@@ -311,149 +289,20 @@
         true
     }
 
-    /// Whether a suspicion came back too often to be chance.
-    pub(crate) fn recurs(&self) -> bool {
-        self.open() && self.check.is_some() && self.recurrences >= RECURRENCES
-    }
-
-    /// Fires what the clock, the orders and the evidence allow; at most one stage at a time.
-    pub(crate) fn advance(&mut self, now: Now) {
-        match self.at() {
-            MoveStage::Scheduled if now.wall >= self.declared.start => {
-                self.fire(MoveEvent::Start);
-                self.entered = now.mono;
-            }
-            MoveStage::Moving => self.climb(now),
-            MoveStage::Checking => self.end_check(now),
-            MoveStage::Watched if now.mono >= self.watch_ends => {
-                self.fire(MoveEvent::WatchOver);
-            }
-            _ => {}
-        }
-        self.late = self.misses_deadline(now);
-    }
-
-    /// Whether the deadline is missed, or cannot be met any more.
-    fn misses_deadline(&self, now: Now) -> bool {
-        if matches!(self.at(), MoveStage::Watched | MoveStage::Done | MoveStage::TakenBack) {
-            return false;
-        }
-        now.wall + ladder::shortest_rest(self.stage) > self.declared.deadline
-    }
-
-    /// The routes known here, by key.
-    pub(crate) fn route_name(&self, key: RouteKey) -> Option<&RouteName> {
-        self.routes.iter().find(|(_, memory)| memory.key == key).map(|(name, _)| name)
-    }
-
-    fn name_of(&self, finding: &Finding) -> Option<&RouteName> {
-        finding.route.and_then(|route| self.route_name(route))
-    }
-
     fn adopt_done(&mut self, now: Now, verdict: &MoveVerdict) {
         self.fire(MoveEvent::Start);
         self.stage = LAST_STAGE;
         if self.fire(MoveEvent::Arrived) {
             self.entered = now.mono;
+            self.arrived_once = true;
         }
         let end = verdict.at.max(self.declared.deadline) + self.declared.watch;
-        let rest = end.since(now.wall);
-        self.watch_ends = self.watch_ends.min(now.mono + rest);
-    }
-
-    fn obey(&mut self, now: Now, order: Option<OrderAction>) {
-        match order {
-            Some(OrderAction::Pause) => {
-                self.fire(MoveEvent::Pause);
-            }
-            Some(OrderAction::Resume | OrderAction::Hasten) => {
-                self.fire(MoveEvent::Resume);
-            }
-            Some(OrderAction::TakeBack) => {
-                let (id, by) = (self.key, self.me.instance.clone());
-                let reason = "an operator took it back".into();
-                self.convict(Conviction { id, at: now.wall, by, reason });
-            }
-            None => {}
-        }
-    }
-
-    fn climb(&mut self, now: Now) {
-        if self.stage == LAST_STAGE {
-            self.arrive(now);
-            return;
-        }
-        if now.mono.since(self.entered) < ladder::SHORTEST_DWELL || now.mono < self.next_climb {
-            return;
-        }
-        self.wait = Wait::Schedule;
-        let hasten = self.order == Some(OrderAction::Hasten);
-        if !hasten && now.wall < ladder::entry(&self.declared, self.stage + 1) {
-            return;
-        }
-        if self.carried_ppm <= ladder::rung(self.stage).share_ppm {
-            self.wait = Wait::Slots;
-            return;
-        }
-        let (seen, wanted) =
-            (self.evidence.new_calls_from(self.stage), ladder::rung(self.stage).calls);
-        if seen < wanted && !self.deadline_wins(now) {
-            self.wait = Wait::Calls { seen, wanted };
-            return;
-        }
-        if !findings::clean(&mut self.evidence) {
-            self.wait = Wait::Doubt;
-            self.next_climb = now.mono + DOUBT_PERIOD;
-            return;
-        }
-        self.stage += 1;
-        self.entered = now.mono;
-        self.arrive(now);
-    }
-
-    fn arrive(&mut self, now: Now) {
-        if self.stage < LAST_STAGE {
-            return;
-        }
-        if self.carried_ppm < ladder::WHOLE_PPM {
-            self.wait = Wait::Slots;
-            return;
-        }
-        if !self.fire(MoveEvent::Arrived) {
-            return;
-        }
-        if self.watch_ends == Mono::NEVER {
-            let until_deadline = self.declared.deadline.since(now.wall);
-            self.watch_ends = now.mono + until_deadline + self.declared.watch;
-        }
+        self.watch_ends = self.watch_ends.min(now.mono + end.since(now.wall));
     }
 
-    fn end_check(&mut self, now: Now) {
-        let Some(check) = &self.check else {
-            return;
-        };
-        if now.mono.since(self.entered) < check.shortest() {
-            return;
-        }
-        let Some(cleared) = check.cleared(&self.evidence) else {
-            return;
-        };
-        if cleared == Cleared::Unexplained && findings::lasting(&self.evidence, &check.finding) {
-            self.recurrences += 1;
-        }
-        if self.recurrences < RECURRENCES {
-            self.fire(MoveEvent::Cleared);
-            self.check = None;
-            self.arrive(now);
-        }
-    }
-
-    fn deadline_wins(&self, now: Now) -> bool {
-        let rest = ladder::shortest_rest(self.stage);
-        self.declared.clash == ClashRule::Deadline && now.wall + rest >= self.declared.deadline
-    }
-
-    fn stratum_stage(&self) -> u8 {
+    /// The stage number under which calls are counted. Each return to all traffic after a check
+    /// has a number of its own.
+    pub(crate) fn stratum_stage(&self) -> u8 {
         match &self.check {
             Some(check) => check.stage(),
             None if self.stage == LAST_STAGE => LAST_STAGE.saturating_add(self.checks),
@@ -461,28 +310,7 @@
         }
     }
 
-    fn route(&mut self, name: &RouteName) -> &mut RouteMemory {
-        if !self.routes.contains_key(name) {
-            let memory = RouteMemory { key: name.into(), reference: Reference::default() };
-            self.routes.insert(name.clone(), memory);
-        }
-        self.routes.get_mut(name).expect("inserted above")
-    }
-
-    fn server_key(&mut self, now: Now, name: &ServerName) -> ServerKey {
-        if !self.servers.contains_key(name) {
-            let memory = ServerMemory { key: name.into(), first: now.mono, calls: 0 };
-            self.servers.insert(name.clone(), memory);
-        }
-        let memory = self.servers.get_mut(name).expect("inserted above");
-        memory.calls = memory.calls.saturating_add(1);
-        memory.key
-    }
-
-    fn warm(&self, now: Now, name: &ServerName) -> bool {
-        let Some(memory) = self.servers.get(name) else {
-            return false;
-        };
-        memory.calls > WARM_UP_CALLS && now.mono.since(memory.first) >= WARM_UP
+    fn name_of(&self, finding: &Finding) -> Option<&RouteName> {
+        finding.route.and_then(|route| self.recorder.route_name(route))
     }
 }
--- a/crates/moves/src/evidence.rs
+++ b/crates/moves/src/evidence.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::keys::{DomainKey, ReporterKey, RouteKey, ServerKey};
+use crate::ladder::LAST_STAGE;
 use crate::sequential::{Class, Memo};
 
 /// Counts of finished calls.
@@ -237,6 +238,19 @@
         &self.reporters
     }
 
+    /// Whether all reporters with calls since a slot counted their latest ones at the last stage.
+    pub fn all_at_last_stage(&self, since: u16) -> bool {
+        for reporter in self.reporters.values() {
+            let Some((key, _)) = reporter.lines.last_key_value() else {
+                continue;
+            };
+            if key.stratum.slot >= since && key.stratum.stage < LAST_STAGE {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Sums by route.
     pub fn routes(&self) -> &BTreeMap<RouteKey, Strata> {
         &self.routes
--- a/crates/moves/src/findings.rs
+++ b/crates/moves/src/findings.rs
@@ -60,6 +60,16 @@
         )
     }
 
+    /// What the new version did alone, in one clause.
+    pub fn alone(&self, name: Option<&RouteName>) -> String {
+        let verb = match self.class {
+            Class::Failed => "failed",
+            Class::Slow => "was slow on",
+        };
+        let (bad, calls) = (self.class.bad(self.new), self.new.calls);
+        format!("it {verb} {bad} of {calls} calls {} with all traffic", self.place(name))
+    }
+
     /// Where it was found.
     pub fn place(&self, name: Option<&RouteName>) -> String {
         match (self.route, name) {
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -5,7 +5,10 @@
 //! [`Moves::splits`], and what other daemons have to know leaves as opaque payloads.
 
 mod active;
+mod appends;
+mod budget;
 mod check;
+mod course;
 mod evidence;
 mod findings;
 mod keys;
@@ -13,11 +16,14 @@
 mod move_chart;
 mod moves;
 mod payload;
+mod recorder;
 mod reference;
 mod sentences;
 mod sequential;
 mod status;
+mod types;
 
 pub use move_chart::MOVE_CHART;
-pub use moves::{CallSample, Capacity, Moves, MovesEffect, MovesSettings, Side, Split};
+pub use moves::Moves;
 pub use status::{EvidenceLine, MoveStage, MoveStatus};
+pub use types::{CallSample, Capacity, MovesEffect, MovesSettings, Side, Split};
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamen_ledger::{Config, MoveId, MoveVerdict, VerdictKind};
-use cyclamen_types::{
-    FailureDomain, FastMap, Incarnation, InstanceName, Mono, MoveName, Now, RouteName, ServerName,
-    ServiceName, VersionName,
-};
+use cyclamen_ledger::Config;
+use cyclamen_types::{FastMap, Mono, MoveName, Now, ServiceName};
 
-use crate::active::{ActiveMove, Identity};
+use crate::active::{ActiveMove, AnnouncedSlots, Identity};
+use crate::appends::{self, Append};
+use crate::budget::Budget;
 use crate::evidence::LineKey;
 use crate::keys::{DomainKey, MoveKey, ReporterKey, RouteKey, ServerKey};
 use crate::ladder;
@@ -18,6 +17,7 @@
 use crate::payload::{Conviction, Packet, Payload, packets};
 use crate::sentences;
 use crate::status::{MoveStage, MoveStatus};
+use crate::types::{CallSample, Capacity, MovesEffect, MovesSettings, Split};
 
 /// Time between two ticks while a move is open.
 const TICK: Duration = Duration::from_millis(250);
@@ -25,92 +25,11 @@
 /// Longest time from merged trouble to its judgement.
 const JUDGE_DELAY: Duration = Duration::from_millis(50);
 
-/// Bound on the evidence that one daemon sends, in bytes per second.
-const EVIDENCE_BYTES_PER_SECOND: i64 = 400;
-
-/// Bytes of evidence that may be sent at once.
-const EVIDENCE_BURST_BYTES: i64 = 2_000;
-
 /// Convictions kept for moves that this daemon has not heard of.
 const MOST_EARLY_CONVICTIONS: usize = 64;
 
-/// Time over which daemons that report evidence spread their appends of one verdict.
-const APPEND_SPREAD: Duration = Duration::from_secs(10);
-
-/// Time over which all other daemons spread theirs, after those.
-const IDLE_APPEND_SPREAD: Duration = Duration::from_secs(600);
-
-/// Settings of the moves at one daemon.
-#[derive(Clone, Debug)]
-pub struct MovesSettings {
-    /// This daemon, as reporter of evidence.
-    pub instance: InstanceName,
-    /// Which life of it.
-    pub incarnation: Incarnation,
-    /// Its failure domain.
-    pub domain: FailureDomain,
-    /// Longest time between two payloads of evidence.
-    pub evidence_period: Duration,
-}
-
-/// The two versions of a move.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Side {
-    /// The version that has the traffic.
-    Old,
-    /// The version that gets it.
-    New,
-}
-
-/// One finished call, as the daemon that the caller reached saw it.
-#[derive(Clone, Debug)]
-pub struct CallSample<'a> {
-    /// The route.
-    pub route: &'a RouteName,
-    /// The service.
-    pub service: &'a ServiceName,
-    /// The version that ran it.
-    pub version: &'a VersionName,
-    /// The backend server that ran it.
-    pub server: &'a ServerName,
-    /// Whether the backend server failed it (5xx, reset, timeout); a caller's own fault is none.
-    pub failed: bool,
-    /// From the choice of the server to the head of the answer.
-    pub latency: Duration,
-    /// Whether the server was in slow start or had just opened a connection.
-    pub cold: bool,
-}
-
-/// What backend servers announced, by service and version, in this daemon's failure domain.
-pub type Capacity<'a> = &'a dyn Fn(&ServiceName, &VersionName) -> u32;
-
-/// How a service's calls divide between the versions of a move.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Split {
-    /// The move.
-    pub id: MoveId,
-    /// The service.
-    pub service: ServiceName,
-    /// The version that has the traffic.
-    pub from: VersionName,
-    /// The version that gets it.
-    pub to: VersionName,
-    /// Share of `to`, in parts per million.
-    pub share_ppm: u32,
-}
-
-/// What a move wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum MovesEffect {
-    /// Tell all daemons at once.
-    Convict(Arc<[u8]>),
-    /// Tell other daemons as bytes allow.
-    Evidence(Arc<[u8]>),
-    /// Append to the log, until the fold shows it.
-    Append(MoveId, MoveVerdict),
-    /// A share changed: the splits have to be read anew.
-    SplitsChanged,
-}
+/// Shortest time between two reminders of a conviction to daemons that do not know it.
+const REMINDER_PERIOD: Duration = Duration::from_secs(5);
 
 /// All moves at one daemon.
 #[derive(Debug)]
@@ -121,8 +40,7 @@
     active: BTreeMap<MoveName, ActiveMove>,
     by_service: FastMap<ServiceName, Vec<MoveName>>,
     early: BTreeMap<MoveKey, Conviction>,
-    credit_bytes: i64,
-    credited: Mono,
+    budget: Budget,
     next: Mono,
 }
 
@@ -145,8 +63,7 @@
             active: BTreeMap::new(),
             by_service: FastMap::default(),
             early: BTreeMap::new(),
-            credit_bytes: EVIDENCE_BURST_BYTES,
-            credited: now.mono,
+            budget: Budget::new(now.mono),
             next: now.mono,
         }
     }
@@ -165,9 +82,7 @@
             if let Some(conviction) = self.early.remove(&active.key) {
                 active.convict(conviction);
             }
-            if active.conviction.is_some() && !active.verdict_shown() {
-                active.append_due = active.append_due.min(now.mono + self.settings.evidence_period);
-            }
+            owe_append(now, &self.me, active);
         }
         self.index_services();
         self.next = now.mono;
@@ -205,7 +120,7 @@
     /// Merges a payload of another daemon; a conviction or evidence.
     pub fn merge(&mut self, now: Now, payload: &[u8], out: &mut Vec<MovesEffect>) {
         match Payload::decode(payload) {
-            Some(Payload::Evidence(packet)) => self.merge_packet(now, &packet),
+            Some(Payload::Evidence(packet)) => self.merge_packet(now, &packet, out),
             Some(Payload::Conviction(conviction)) => self.merge_conviction(now, conviction, out),
             None => {}
         }
@@ -219,8 +134,7 @@
             let declared = &active.declared;
             let old = slots(&declared.service, &declared.from);
             let new = slots(&declared.service, &declared.to);
-            active.carried_ppm = ladder::carried_ppm(old, new);
-            active.advance(now);
+            active.advance(now, AnnouncedSlots { old, new });
             changed |= active.share_ppm() != share;
         }
         if changed {
@@ -232,9 +146,8 @@
         self.append(now, out);
         self.report(now, out);
         let open = self.active.values().any(ActiveMove::open);
-        let due = self.active.values().map(|active| active.append_due).min();
-        let due = due.unwrap_or(Mono::NEVER).max(now.mono + TICK);
-        self.next = if open { now.mono + TICK } else { due };
+        let due = self.active.values().map(|active| active.append.due()).min();
+        self.next = if open { now.mono + TICK } else { due.unwrap_or(Mono::NEVER) };
     }
 
     /// When [`Moves::tick`] is due.
@@ -319,18 +232,18 @@
             }
             return;
         };
-        let conviction =
-            Conviction { id: active.key, at: now.wall, by: self.settings.instance.clone(), reason };
+        let by = self.settings.instance.clone();
+        let conviction = Conviction { id: active.key, at: now.wall, by, reason, repeat: 0 };
         if !active.convict(conviction.clone()) {
             return;
         }
+        active.append = Append::Due(now.mono);
         out.push(MovesEffect::Convict(Payload::Conviction(conviction).encode()));
         out.push(MovesEffect::SplitsChanged);
-        active.append_due = now.mono;
         self.append(now, out);
     }
 
-    fn merge_packet(&mut self, now: Now, packet: &Packet) {
+    fn merge_packet(&mut self, now: Now, packet: &Packet, out: &mut Vec<MovesEffect>) {
         if packet.reporter == self.me.reporter {
             return;
         }
@@ -338,13 +251,21 @@
             return;
         };
         let mut routes = BTreeSet::new();
+        let mut new_calls = 0;
         for entry in &packet.entries {
             let key = LineKey { stratum: packet.stratum, route: entry.route, server: entry.server };
             let growth = active.evidence.raise(packet.reporter, packet.domain, key, entry.counts);
-            if entry.server != ServerKey::OLD && growth.failed + growth.slow > 0 {
+            if entry.server == ServerKey::OLD {
+                continue;
+            }
+            new_calls += growth.calls;
+            if growth.failed + growth.slow > 0 {
                 routes.insert(entry.route);
             }
         }
+        if active.at() == MoveStage::TakenBack && new_calls > 0 {
+            remind(now, active, out);
+        }
         if !routes.is_empty() {
             active.unjudged.append(&mut routes);
             self.next = self.next.min(now.mono + JUDGE_DELAY);
@@ -362,55 +283,44 @@
         if !active.convict(conviction) {
             return;
         }
+        active.append = Append::Nothing;
+        owe_append(now, &self.me, active);
+        self.next = self.next.min(active.append.due());
         out.push(MovesEffect::SplitsChanged);
-        if !active.verdict_shown() {
-            active.append_due = now.mono + append_delay(&self.me, active);
-            self.next = self.next.min(active.append_due);
-        }
     }
 
     fn append(&mut self, now: Now, out: &mut Vec<MovesEffect>) {
         for active in self.active.values_mut() {
-            if active.arrived() && active.verdict.is_none() && active.append_due == Mono::NEVER {
-                active.append_due = now.mono + append_delay(&self.me, active);
+            owe_append(now, &self.me, active);
+            if active.append.due() > now.mono {
+                continue;
             }
-            if active.append_due > now.mono {
+            if active.conviction.is_none() && active.at() == MoveStage::Checking {
                 continue;
             }
-            active.append_due = Mono(u64::MAX - 1);
-            let verdict = match &active.conviction {
-                Some(conviction) => MoveVerdict {
-                    kind: VerdictKind::TakenBack,
-                    reason: Arc::clone(&conviction.reason),
-                    by: conviction.by.clone(),
-                    at: conviction.at,
-                },
-                None => MoveVerdict {
-                    kind: VerdictKind::Done,
-                    reason: sentences::done(active).into(),
-                    by: self.settings.instance.clone(),
-                    at: now.wall,
-                },
-            };
+            active.append = Append::HandedOver;
+            let verdict = appends::verdict(active, &self.me, now);
             out.push(MovesEffect::Append(active.id.clone(), verdict));
         }
     }
 
     fn report(&mut self, now: Now, out: &mut Vec<MovesEffect>) {
-        self.earn(now);
-        for active in self.active.values_mut() {
+        self.budget.earn(now.mono);
+        let mut waiting: Vec<&mut ActiveMove> = self.active.values_mut().collect();
+        waiting.sort_by_key(|active| active.next_report);
+        for active in waiting {
             if active.changed.is_empty() || active.at() == MoveStage::Scheduled {
                 continue;
             }
-            let routine = active.next_report <= now.mono && self.credit_bytes > 0;
-            let urgent = !active.urgent.is_empty() && self.credit_bytes > -EVIDENCE_BURST_BYTES;
+            let routine = active.next_report <= now.mono && self.budget.allows_routine();
+            let urgent = !active.urgent.is_empty() && self.budget.allows_urgent();
             if !routine && !urgent {
                 continue;
             }
             let lines = active.changed_lines(routine);
             for packet in packets(active.key, self.me.reporter, self.me.domain, &lines) {
                 let bytes = Payload::Evidence(packet).encode();
-                self.credit_bytes -= bytes.len() as i64;
+                self.budget.spend(bytes.len());
                 out.push(MovesEffect::Evidence(bytes));
             }
             if routine {
@@ -418,24 +328,36 @@
             }
         }
     }
+}
 
-    fn earn(&mut self, now: Now) {
-        let passed = now.mono.since(self.credited).as_millis() as i64;
-        let earned = passed * EVIDENCE_BYTES_PER_SECOND / 1_000;
-        if earned == 0 {
-            return;
-        }
-        self.credited = now.mono;
-        self.credit_bytes = (self.credit_bytes + earned).min(EVIDENCE_BURST_BYTES);
+/// Sets the time to append what this daemon decided, when the log does not show it.
+fn owe_append(now: Now, me: &Identity, active: &mut ActiveMove) {
+    if active.append != Append::Nothing || active.verdict_shown() {
+        return;
+    }
+    let all_done = || {
+        let since = ladder::slot(&active.declared, now.wall).saturating_sub(1);
+        active.at() == MoveStage::Watched && active.evidence.all_at_last_stage(since)
+    };
+    if active.conviction.is_none() && !all_done() {
+        return;
     }
+    let delay = appends::delay(me, active.recorder.has_calls());
+    active.append = Append::Due(now.mono + delay);
 }
 
-/// How long a daemon waits for another one's append: those that report evidence go first.
-fn append_delay(me: &Identity, active: &ActiveMove) -> Duration {
-    let hash = u64::from_le_bytes(me.reporter.0);
-    let spread = if active.own_calls { APPEND_SPREAD } else { IDLE_APPEND_SPREAD };
-    let wait = Duration::from_millis(hash % spread.as_millis() as u64);
-    if active.own_calls { wait } else { APPEND_SPREAD + wait }
+/// Tells a conviction again, to daemons whose evidence shows that they do not know it.
+fn remind(now: Now, active: &mut ActiveMove, out: &mut Vec<MovesEffect>) {
+    let Some(conviction) = &active.conviction else {
+        return;
+    };
+    if now.mono < active.next_reminder {
+        return;
+    }
+    active.next_reminder = now.mono + REMINDER_PERIOD;
+    let repeat = now.wall.0 / REMINDER_PERIOD.as_millis() as u64;
+    let again = Conviction { repeat, ..conviction.clone() };
+    out.push(MovesEffect::Convict(Payload::Conviction(again).encode()));
 }
 
 fn status(active: &ActiveMove) -> MoveStatus {
--- a/crates/moves/src/payload.rs
+++ b/crates/moves/src/payload.rs
@@ -63,6 +63,8 @@
     pub by: InstanceName,
     /// Why, in one sentence.
     pub reason: Arc<str>,
+    /// Grows when the conviction is told again, so that it is not taken for the same payload.
+    pub repeat: u64,
 }
 
 impl Conviction {
--- a/crates/moves/src/sentences.rs
+++ b/crates/moves/src/sentences.rs
@@ -11,39 +11,39 @@
 
 /// The reason an operator reads.
 pub(crate) fn reason(active: &ActiveMove) -> Arc<str> {
-    if let Some(conviction) =
-        active.conviction.as_ref().filter(|_| at(active, MoveStage::TakenBack))
-    {
-        return Arc::clone(&conviction.reason);
-    }
     let percent = active.share_ppm() / PPM_PER_PERCENT;
-    let text = match active.at() {
-        MoveStage::Scheduled => "the start is not reached".to_owned(),
-        MoveStage::Moving => moving(active, percent),
-        MoveStage::Checking => {
-            format!("{percent}% of calls go to the new version while a suspicion is checked")
-        }
-        MoveStage::Paused => format!("an operator paused it at {percent}% of calls"),
-        MoveStage::Watched | MoveStage::Done => done(active),
-        MoveStage::TakenBack => "it was taken back".to_owned(),
+    let text = match (active.at(), &active.conviction) {
+        (MoveStage::TakenBack, Some(conviction)) => return Arc::clone(&conviction.reason),
+        (MoveStage::TakenBack, None) => "it was taken back".to_owned(),
+        (MoveStage::Scheduled, _) => "the start is not reached".to_owned(),
+        (MoveStage::Moving, _) => moving(active, percent),
+        (MoveStage::Checking, _) => checking(active, percent),
+        (MoveStage::Paused, _) => format!("an operator paused it at {percent}% of calls"),
+        (MoveStage::Watched, _) => format!("{}{}", done(active), flag(active)),
+        (MoveStage::Done, _) => done(active),
     };
-    if active.late { format!("late: {text}").into() } else { text.into() }
+    let told = matches!(active.at(), MoveStage::Watched | MoveStage::Done);
+    if active.late && !told { format!("late: {text}").into() } else { text.into() }
 }
 
 /// The sentence of a verdict that says done.
 pub(crate) fn done(active: &ActiveMove) -> String {
     let (old, new) = sums(active);
-    format!(
+    let figures = format!(
         "all calls go to the new version, which failed {} of {} calls; the old one failed {} of {}",
         new.failed, new.calls, old.failed, old.calls,
-    )
+    );
+    match active.late_because {
+        Some(wait) if active.late => format!("late: {}; {figures}", waited(wait)),
+        _ => figures,
+    }
 }
 
 /// The figures behind a verdict, by route, for the routes that this daemon knows by name.
 pub(crate) fn lines(active: &ActiveMove) -> Vec<EvidenceLine> {
     let mut lines = Vec::new();
     for (key, strata) in active.evidence.routes() {
-        let Some(route) = active.route_name(*key) else {
+        let Some(route) = active.recorder.route_name(*key) else {
             continue;
         };
         let (mut old, mut new) = (Counts::default(), Counts::default());
@@ -65,25 +65,47 @@
     lines
 }
 
-fn at(active: &ActiveMove, stage: MoveStage) -> bool {
-    active.at() == stage
+fn moving(active: &ActiveMove, percent: u32) -> String {
+    let what = match active.wait {
+        Wait::Schedule => "as scheduled".to_owned(),
+        wait => waited(wait),
+    };
+    format!("{percent}% of calls go to the new version, {what}")
 }
 
-fn moving(active: &ActiveMove, percent: u32) -> String {
-    match active.wait {
-        Wait::Schedule => format!("{percent}% of calls go to the new version, as scheduled"),
+fn waited(wait: Wait) -> String {
+    match wait {
+        Wait::Schedule => "the schedule left too little time".to_owned(),
         Wait::Calls { seen, wanted } => format!(
-            "{percent}% of calls go to the new version, and {seen} calls of the {wanted} that the \
-             next stage takes were seen: too little traffic"
-        ),
-        Wait::Doubt => format!(
-            "{percent}% of calls go to the new version, and what it did wrong so far is too much \
-             to go on and too little to take it back"
-        ),
-        Wait::Slots => format!(
-            "{percent}% of calls go to the new version, and its announced slots carry no more: \
-             start more of its backend servers"
+            "and of the {wanted} calls that the next stage takes {seen} were seen: too little \
+             traffic"
         ),
+        Wait::Doubt => "and what it did wrong so far is too much to go on and too little to take \
+                        it back"
+            .to_owned(),
+        Wait::Slots => {
+            "and its announced slots carry no more: start more of its backend servers".to_owned()
+        }
+    }
+}
+
+fn checking(active: &ActiveMove, percent: u32) -> String {
+    let suspected = active.check.as_ref().map(|check| {
+        let name = check.finding.route.and_then(|route| active.recorder.route_name(route));
+        check.finding.alone(name)
+    });
+    format!(
+        "{percent}% of calls go to the new version while it is compared with the old one, since {}",
+        suspected.unwrap_or_default(),
+    )
+}
+
+fn flag(active: &ActiveMove) -> &'static str {
+    if active.slots.is_some_and(|slots| slots.old == 0) {
+        "; no old backend server is left here, so nothing can be taken back to: keep them until \
+         the watch ends"
+    } else {
+        ""
     }
 }
 
--- /dev/null
+++ b/crates/moves/tests/charts.rs
@@ -0,0 +1,41 @@
+//! The renderings in docs/charts agree with the charts that the code interprets.
+
+use std::path::{Path, PathBuf};
+
+use cyclamen_charts::{Chart, MEMBER_CHART, SERVER_CHART};
+use cyclamen_moves::MOVE_CHART;
+
+/// Set to write the renderings instead of comparing them.
+const WRITE: &str = "CYCLAMEN_WRITE_CHARTS";
+
+fn page(chart: &Chart, source: &str) -> String {
+    format!(
+        "# State chart: {}\n\nRendered from `{source}`; the code interprets that file.\n\n\
+         ```mermaid\n{}```\n",
+        chart.name,
+        chart.mermaid(),
+    )
+}
+
+fn path(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/charts").join(format!("{name}.md"))
+}
+
+#[test]
+fn charts_rendered_freshly() {
+    let charts = [
+        (MOVE_CHART, "crates/moves/charts/move.yaml"),
+        (SERVER_CHART, "crates/charts/charts/server.yaml"),
+        (MEMBER_CHART, "crates/charts/charts/member.yaml"),
+    ];
+    for (yaml, source) in charts {
+        let chart = Chart::load(yaml).expect("a shipped chart has no fault");
+        let rendered = page(&chart, source);
+        let path = path(&chart.name);
+        if std::env::var_os(WRITE).is_some() {
+            std::fs::write(&path, &rendered).expect("docs/charts can be written");
+        }
+        let held = std::fs::read_to_string(&path).unwrap_or_default();
+        assert_eq!(held, rendered, "{source} was changed: run the test with {WRITE}=1");
+    }
+}
--- a/crates/moves/tests/common/mod.rs
+++ b/crates/moves/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! One service, one move, several daemons: what the tests of this crate share.
+#![allow(dead_code)]
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -32,6 +33,12 @@
     Now { mono: Mono(micros), wall: Wall(START_MS + seconds * 1_000) }
 }
 
+/// A moment by a wall clock that runs ahead.
+pub fn shifted(seconds: u64, ahead_ms: u64) -> Now {
+    let now = at(seconds);
+    Now { mono: now.mono, wall: Wall(now.wall.0 + ahead_ms) }
+}
+
 /// The declaration of the move.
 pub fn declared() -> Move {
     Move {
--- /dev/null
+++ b/crates/moves/tests/merge.rs
@@ -0,0 +1,164 @@
+//! Merged evidence: any order, any repetition, the same decision.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{CallNames, at, config, daemon, even_slots, move_name};
+use cyclamen_moves::{MoveStage, MoveStatus, Moves, MovesEffect};
+use proptest::prelude::*;
+
+/// Time between two calls of a reporter, in milliseconds.
+const STEP_MS: u64 = 250;
+
+/// Largest payload that a datagram carries beside its headers, in bytes.
+const MOST_BYTES: usize = 1_050;
+
+/// A call of a reporter: route, server, version, failure.
+type Drawn = (u8, u8, bool, bool);
+
+fn drawn() -> impl Strategy<Value = Vec<Drawn>> {
+    let rate = prop_oneof![Just(0.0), Just(0.02), Just(0.5)];
+    rate.prop_flat_map(|rate| {
+        let call = (0..3_u8, 1..3_u8, any::<bool>(), prop::bool::weighted(rate));
+        let bad = call.prop_map(|(route, server, new, failed)| (route, server, new, new && failed));
+        prop::collection::vec(bad, 1..120)
+    })
+}
+
+/// The payloads of a reporter that made these calls.
+fn payloads(index: u64, calls: &[Drawn]) -> Vec<Arc<[u8]>> {
+    let mut moves = daemon(index, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    moves.tick(at(0), &even_slots, &mut out);
+    for (serial, (route, server, new, failed)) in calls.iter().enumerate() {
+        let now = at(1 + serial as u64 * STEP_MS / 1_000);
+        let names = CallNames::new(&format!("route-{route}"), u64::from(*server));
+        moves.record(now, &names.sample(*new, *failed), &mut out);
+        moves.tick(now, &even_slots, &mut out);
+    }
+    moves.tick(at(200), &even_slots, &mut out);
+    let mut payloads = Vec::new();
+    for effect in out {
+        if let MovesEffect::Evidence(bytes) = effect {
+            payloads.push(bytes);
+        }
+    }
+    payloads
+}
+
+/// What a daemon without calls of its own decides on these payloads.
+fn decide(payloads: &[Arc<[u8]>]) -> MoveStatus {
+    let mut moves = daemon(9, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    for bytes in payloads {
+        moves.merge(at(200), bytes, &mut out);
+    }
+    moves.tick(at(200), &even_slots, &mut out);
+    for second in 201..240 {
+        moves.tick(at(second), &even_slots, &mut out);
+    }
+    moves.status(&move_name()).expect("adopted")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn merge_any_order(
+        reporters in prop::collection::vec(drawn(), 1..4),
+        seed in any::<u64>(),
+    ) {
+        let mut all = Vec::new();
+        for (index, calls) in reporters.iter().enumerate() {
+            all.extend(payloads(index as u64, calls));
+        }
+        let in_order = decide(&all);
+        let mut shuffled = all.clone();
+        shuffled.extend(all.iter().step_by(2).cloned());
+        let length = shuffled.len();
+        for place in 0..length {
+            let other = (seed.wrapping_mul(place as u64 + 1) >> 7) as usize % length;
+            shuffled.swap(place, other);
+        }
+        prop_assert_eq!(in_order, decide(&shuffled));
+    }
+
+    #[test]
+    fn merge_latest_alone(calls in drawn()) {
+        let all = payloads(1, &calls);
+        let mut doubled = all.clone();
+        doubled.reverse();
+        doubled.extend(all.iter().cloned());
+        prop_assert_eq!(decide(&all), decide(&doubled));
+    }
+
+    #[test]
+    fn merge_garbage(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut moves = daemon(1, 1, at(0));
+        let mut out = Vec::new();
+        moves.adopt(at(0), &config(None, None), &mut out);
+        moves.merge(at(1), &bytes, &mut out);
+        prop_assert_eq!(moves.stage(&move_name()), Some(MoveStage::Scheduled));
+    }
+}
+
+#[test]
+fn payload_fits_datagram() {
+    let mut moves = daemon(1, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    moves.tick(at(0), &even_slots, &mut out);
+    for call in 0..3_000_u64 {
+        let names = CallNames::new(&format!("route-{}", call % 90), call % 6);
+        moves.record(at(1), &names.sample(true, false), &mut out);
+    }
+    moves.tick(at(2), &even_slots, &mut out);
+    let mut sizes = Vec::new();
+    for effect in &out {
+        if let MovesEffect::Evidence(bytes) = effect {
+            sizes.push(bytes.len());
+        }
+    }
+    assert!(sizes.len() > 1, "{sizes:?}");
+    assert!(sizes.iter().all(|size| *size <= MOST_BYTES), "{sizes:?}");
+}
+
+#[test]
+fn restart_adds_to_evidence() {
+    let calls = vec![(0, 1, true, true); 2];
+    let first = payloads(1, &calls);
+    let mut moves = daemon(9, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    for bytes in &first {
+        moves.merge(at(200), bytes, &mut out);
+    }
+    let mut again = daemon(1, 2, at(0));
+    again.adopt(at(0), &config(None, None), &mut out);
+    out.clear();
+    again.tick(at(0), &even_slots, &mut out);
+    let names = CallNames::new("route-0", 1);
+    for _ in 0..100 {
+        again.record(at(1), &names.sample(false, false), &mut out);
+    }
+    for _ in 0..3 {
+        again.record(at(1), &names.sample(true, true), &mut out);
+    }
+    let known = moves.stage(&move_name());
+    assert_ne!(known, Some(MoveStage::TakenBack));
+    assert_eq!(again.stage(&move_name()), Some(MoveStage::TakenBack));
+    restarted_evidence_convicts(&mut moves, &out);
+}
+
+fn restarted_evidence_convicts(moves: &mut Moves, effects: &[MovesEffect]) {
+    let mut out = Vec::new();
+    for effect in effects {
+        if let MovesEffect::Convict(bytes) | MovesEffect::Evidence(bytes) = effect {
+            moves.merge(at(201), bytes, &mut out);
+        }
+    }
+    assert_eq!(moves.stage(&move_name()), Some(MoveStage::TakenBack));
+}
--- /dev/null
+++ b/crates/moves/tests/orders.rs
@@ -0,0 +1,211 @@
+//! Orders of operators, verdicts of the log, deadlines and capacity.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{CallNames, at, config, daemon, even_slots, move_name};
+use cyclamen_declarations::{ClashRule, OrderAction};
+use cyclamen_ledger::{Config, HeldMove, MoveVerdict, VerdictKind};
+use cyclamen_moves::{Capacity, MoveStage, Moves, MovesEffect};
+use cyclamen_types::{ServiceName, VersionName, Wall};
+
+fn adopted(config: &Config) -> Moves {
+    let mut moves = daemon(1, 1, at(0));
+    moves.adopt(at(0), config, &mut Vec::new());
+    moves
+}
+
+/// Runs with twenty calls a second, shared as the move says.
+fn run(moves: &mut Moves, from: u64, to: u64, slots: Capacity<'_>) {
+    let names = CallNames::new("lookup", 1);
+    let mut out = Vec::new();
+    for second in from..to {
+        moves.tick(at(second), slots, &mut out);
+        let share = moves.splits()[0].share_ppm;
+        for call in 0..20_u64 {
+            let new = (call * 50_021 + second * 7_919) % 1_000 * 1_000 < u64::from(share);
+            moves.record(at(second), &names.sample(new, false), &mut out);
+        }
+    }
+}
+
+fn stage(moves: &Moves) -> MoveStage {
+    moves.stage(&move_name()).expect("adopted")
+}
+
+fn verdict(kind: VerdictKind) -> MoveVerdict {
+    let by = "i5".try_into().expect("a name");
+    MoveVerdict { kind, reason: "somebody said so".into(), by, at: Wall(common::START_MS) }
+}
+
+fn edited(edit: impl Fn(&mut HeldMove)) -> Config {
+    let mut config = config(None, None);
+    for held in config.moves.values_mut() {
+        edit(held);
+    }
+    config
+}
+
+#[test]
+fn order_pause_and_resume() {
+    let mut moves = adopted(&config(None, None));
+    run(&mut moves, 0, 150, &even_slots);
+    moves.adopt(at(150), &config(Some(OrderAction::Pause), None), &mut Vec::new());
+    run(&mut moves, 150, 152, &even_slots);
+    let share = moves.splits()[0].share_ppm;
+    assert_eq!(stage(&moves), MoveStage::Paused);
+    run(&mut moves, 152, 700, &even_slots);
+    assert_eq!(moves.splits()[0].share_ppm, share);
+    moves.adopt(at(700), &config(Some(OrderAction::Resume), None), &mut Vec::new());
+    run(&mut moves, 700, 800, &even_slots);
+    assert_eq!(stage(&moves), MoveStage::Watched);
+    let status = moves.status(&move_name()).expect("adopted");
+    assert!(status.late && status.reason.starts_with("late: "), "{status:?}");
+}
+
+#[test]
+fn order_pause_before_start() {
+    let mut moves = adopted(&config(Some(OrderAction::Pause), None));
+    run(&mut moves, 0, 100, &even_slots);
+    assert_eq!(stage(&moves), MoveStage::Scheduled);
+    assert_eq!(moves.splits()[0].share_ppm, 0);
+}
+
+#[test]
+fn order_hasten() {
+    let mut moves = adopted(&config(Some(OrderAction::Hasten), None));
+    run(&mut moves, 0, 120, &even_slots);
+    assert_eq!(stage(&moves), MoveStage::Watched);
+}
+
+#[test]
+fn order_take_back() {
+    let mut moves = adopted(&config(None, None));
+    run(&mut moves, 0, 100, &even_slots);
+    let mut out = Vec::new();
+    moves.adopt(at(100), &config(Some(OrderAction::TakeBack), None), &mut out);
+    assert!(out.contains(&MovesEffect::SplitsChanged));
+    assert_eq!(moves.splits()[0].share_ppm, 0);
+    run(&mut moves, 100, 900, &even_slots);
+    assert_eq!(stage(&moves), MoveStage::TakenBack);
+}
+
+#[test]
+fn verdict_done_after_conviction() {
+    let mut moves = adopted(&config(None, Some(verdict(VerdictKind::TakenBack))));
+    moves.adopt(at(1), &config(None, Some(verdict(VerdictKind::Done))), &mut Vec::new());
+    run(&mut moves, 1, 60, &even_slots);
+    assert_eq!(stage(&moves), MoveStage::TakenBack);
+    assert_eq!(moves.status(&move_name()).expect("adopted").reason.as_ref(), "somebody said so");
+}
+
+#[test]
+fn verdict_done_at_fresh_daemon() {
+    let mut moves = adopted(&config(None, Some(verdict(VerdictKind::Done))));
+    run(&mut moves, 0, 5, &even_slots);
+    assert_eq!(moves.splits()[0].share_ppm, 1_000_000);
+    assert_eq!(stage(&moves), MoveStage::Watched);
+}
+
+#[test]
+fn verdict_back_after_done() {
+    let mut moves = adopted(&config(None, None));
+    run(&mut moves, 0, 1_000, &even_slots);
+    assert_eq!(stage(&moves), MoveStage::Done);
+    let back = config(None, Some(verdict(VerdictKind::TakenBack)));
+    moves.adopt(at(1_000), &back, &mut Vec::new());
+    assert_eq!(stage(&moves), MoveStage::TakenBack);
+}
+
+#[test]
+fn publication_anew_is_another_move() {
+    let mut moves = adopted(&config(Some(OrderAction::TakeBack), None));
+    assert_eq!(stage(&moves), MoveStage::TakenBack);
+    let anew = edited(|held| held.held.offset.0 += 1);
+    moves.adopt(at(10), &anew, &mut Vec::new());
+    run(&mut moves, 10, 60, &even_slots);
+    assert_eq!(stage(&moves), MoveStage::Moving);
+}
+
+#[test]
+fn conviction_before_declaration() {
+    let mut convicting = adopted(&config(None, None));
+    run(&mut convicting, 0, 60, &even_slots);
+    let names = CallNames::new("lookup", 1);
+    let mut out = Vec::new();
+    for _ in 0..5 {
+        convicting.record(at(60), &names.sample(true, true), &mut out);
+    }
+    assert_eq!(stage(&convicting), MoveStage::TakenBack);
+    let mut fresh = daemon(2, 1, at(0));
+    for effect in &out {
+        if let MovesEffect::Convict(bytes) = effect {
+            fresh.merge(at(61), bytes, &mut Vec::new());
+        }
+    }
+    fresh.adopt(at(62), &config(None, None), &mut Vec::new());
+    assert_eq!(stage(&fresh), MoveStage::TakenBack);
+}
+
+#[test]
+fn conviction_told_to_whom_reports() {
+    let mut back = adopted(&config(Some(OrderAction::TakeBack), None));
+    let mut unaware = daemon(2, 2, at(0));
+    unaware.adopt(at(0), &config(None, None), &mut Vec::new());
+    let names = CallNames::new("lookup", 1);
+    let mut told = Vec::new();
+    unaware.tick(at(0), &even_slots, &mut told);
+    unaware.record(at(1), &names.sample(true, false), &mut told);
+    unaware.tick(at(2), &even_slots, &mut told);
+    let mut answers = Vec::new();
+    for effect in told {
+        if let MovesEffect::Evidence(bytes) = effect {
+            back.merge(at(3), &bytes, &mut answers);
+        }
+    }
+    let answer = answers.into_iter().find_map(|effect| match effect {
+        MovesEffect::Convict(bytes) => Some(bytes),
+        _ => None,
+    });
+    let answer: Arc<[u8]> = answer.expect("a reminder");
+    unaware.merge(at(4), &answer, &mut Vec::new());
+    assert_eq!(stage(&unaware), MoveStage::TakenBack);
+}
+
+#[test]
+fn late_for_lack_of_calls() {
+    let mut moves = adopted(&config(None, None));
+    let mut out = Vec::new();
+    for second in 0..700 {
+        moves.tick(at(second), &even_slots, &mut out);
+    }
+    let status = moves.status(&move_name()).expect("adopted");
+    assert_eq!(status.share_ppm, 10_000);
+    assert!(status.late);
+    insta::assert_snapshot!(status.reason);
+}
+
+#[test]
+fn late_unless_deadline_wins() {
+    let mut moves = adopted(&edited(|held| {
+        Arc::make_mut(&mut held.held.body).clash = ClashRule::Deadline;
+    }));
+    let mut out = Vec::new();
+    for second in 0..600 {
+        moves.tick(at(second), &even_slots, &mut out);
+    }
+    assert_eq!(stage(&moves), MoveStage::Watched);
+    assert!(!moves.status(&move_name()).expect("adopted").late);
+}
+
+#[test]
+fn capacity_bounds_share() {
+    let few =
+        |_: &ServiceName, version: &VersionName| if version.as_str() == "v2" { 10 } else { 40 };
+    let mut moves = adopted(&config(None, None));
+    run(&mut moves, 0, 590, &few);
+    assert_eq!(moves.splits()[0].share_ppm, 250_000);
+    assert_eq!(stage(&moves), MoveStage::Moving);
+    insta::assert_snapshot!(moves.status(&move_name()).expect("adopted").reason);
+}
