--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -11,14 +11,17 @@
 use cyclamen_membership::{Held, Membership, Outgoing, Rider, RiderKind};
 use cyclamen_moves::{Moves, MovesEffect, MovesSettings};
 use cyclamen_routing::{RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
-use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, ServerName};
+use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, Offset, ServerName};
 
 use crate::appends::Appends;
-use crate::event::{Effect, Effects, Event};
+use crate::event::{AppendError, Effect, Effects, Event, Ticket};
 use crate::servers::Beside;
 use crate::settings::InstanceSettings;
 use crate::sync;
 
+/// Largest part of a snapshot in the log, in bytes.
+const SNAPSHOT_PART_BYTES: usize = 32 * 1024;
+
 /// One instance of the system.
 #[derive(Debug)]
 pub struct Instance {
@@ -84,7 +87,7 @@
             Event::Datagram { from, bytes } => self.on_datagram(now, from, &bytes),
             Event::LogRead(answer) => self.on_log(now, answer),
             Event::PeerAnswer { from, response } => self.on_peer(now, from, response),
-            Event::Appended { ticket, result } => self.appends.answered(now, ticket, &result),
+            Event::Appended { ticket, result } => self.on_appended(now, ticket, &result),
             Event::Stop => self.stop(now, out),
         }
         self.settle(now, out);
@@ -130,6 +133,11 @@
         &self.membership
     }
 
+    /// Who fetches what from whom.
+    pub fn distribution(&self) -> &Distribution {
+        &self.distribution
+    }
+
     /// The moves.
     pub fn moves(&self) -> &Moves {
         &self.moves
@@ -150,7 +158,8 @@
             self.membership.tick(now, &mut self.outgoing);
         }
         if now.mono >= self.distribution.next_tick() {
-            self.distribution.tick(now, &self.ledger, &self.membership, &mut self.fetches);
+            self.distribution.tick(now, &self.ledger, &mut self.membership, &mut self.fetches);
+            self.append_snapshot_if_due(now, out);
         }
         if now.mono >= self.moves.next_tick() {
             self.tick_moves(now);
@@ -175,32 +184,49 @@
                 RiderKind::Conviction | RiderKind::Evidence => {
                     self.moves.merge(now, &rider.payload, &mut self.moves_out);
                 }
-                RiderKind::Records => self.fold_rider(&rider),
+                RiderKind::Records => self.fold_rider(now, &rider),
             }
         }
+        self.distribution.heard(now, &self.ledger, &self.membership);
     }
 
-    fn fold_rider(&mut self, rider: &Rider) {
+    fn fold_rider(&mut self, now: Now, rider: &Rider) {
         let Ok(records) = postcard::from_bytes::<Vec<LogRecord>>(&rider.payload) else {
             return;
         };
-        for record in &records {
-            self.ledger.fold(record);
-        }
+        self.distribution.on_records(now, &records, &mut self.ledger);
     }
 
     fn on_log(&mut self, now: Now, answer: Result<LogBatch, LogReadError>) {
         let fresh = self.distribution.on_log(now, answer, &mut self.ledger);
+        self.state_held();
         self.spread_records(now, &fresh);
     }
 
+    fn on_appended(&mut self, now: Now, ticket: Ticket, result: &Result<Offset, AppendError>) {
+        if let Ok(offset) = result {
+            self.distribution.expect(now, offset.version_after());
+        }
+        self.appends.answered(now, ticket, result);
+    }
+
     fn on_peer(&mut self, now: Now, from: SocketAddr, response: Option<PeerResponse>) {
         self.distribution.on_peer(now, from, response, &mut self.ledger);
     }
 
+    fn append_snapshot_if_due(&mut self, now: Now, out: &mut Effects) {
+        if !self.distribution.snapshot_due(now) {
+            return;
+        }
+        for payload in self.ledger.snapshot_payloads(SNAPSHOT_PART_BYTES) {
+            self.appends.once(payload.into(), out);
+        }
+    }
+
     fn spread_records(&mut self, now: Now, records: &[LogRecord]) {
         for record in records {
-            let Ok(bytes) = postcard::to_stdvec(std::slice::from_ref(record)) else {
+            let record = record.for_peers();
+            let Ok(bytes) = postcard::to_stdvec(std::slice::from_ref(&record)) else {
                 continue;
             };
             let rider = Rider { kind: RiderKind::Records, payload: bytes.into() };
@@ -228,12 +254,12 @@
             return;
         }
         self.adopted = self.ledger.version();
-        let hash = self.ledger.hash().0;
-        self.membership.set_held(Held { version: self.adopted, hash });
+        self.state_held();
         let config = Arc::clone(self.ledger.config());
         match RouteTable::build(&config, &self.labels) {
             Ok(table) => {
                 self.router.install(Arc::new(table));
+                self.adopt_limits();
             }
             Err(_) => self.table_faults += 1,
         }
@@ -243,6 +269,11 @@
         out.push(Effect::Changed);
     }
 
+    fn state_held(&mut self) {
+        let held = Held { version: self.ledger.version(), hash: self.ledger.hash().0 };
+        self.membership.set_held(held);
+    }
+
     fn adopt_splits(&mut self) {
         let splits: Vec<VersionSplit> =
             self.moves.splits().into_iter().map(sync::version_split).collect();
