Begin no call that cannot be done by its deadline

Cause: a download waited up to its whole deadline and was then begun, so that its work was thrown away (41 of 650 at 1 times the capacity). Change: a call waits only as long as it could still be done in, by the hold time of its class; the hint and the refusal at once use the same averages.

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -10,7 +10,7 @@
 use cyclamen_ledger::{Config, Ledger, LogRecord};
 use cyclamen_membership::{Held, Membership, Outgoing, Rider, RiderKind};
 use cyclamen_moves::{Moves, MovesEffect, MovesSettings};
-use cyclamen_routing::{RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
+use cyclamen_routing::{QueueOrder, RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
 use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, Offset, ServerName};
 
 use crate::appends::Appends;
@@ -30,6 +30,7 @@
     pub(crate) moves: Moves,
     pub(crate) router: Router,
     pub(crate) beside: FastMap<ServerName, Beside>,
+    pub(crate) queue_order: QueueOrder,
     pub(crate) appends: Appends,
     pub(crate) sequence: u64,
     pub(crate) stopping: bool,
@@ -64,6 +65,7 @@
             moves: Moves::new(moves, now),
             router: Router::new(router, seed),
             beside: FastMap::default(),
+            queue_order: QueueOrder::default(),
             appends: Appends::default(),
             sequence: 0,
             stopping: false,
--- a/crates/cyclamenmoor/src/servers.rs
+++ b/crates/cyclamenmoor/src/servers.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Changes which of two waiting calls of one class goes first; for measurements.
+    pub fn set_queue_order(&mut self, order: QueueOrder) {
+        self.queue_order = order;
+        self.adopt_limits();
+    }
+
     /// Where a backend server beside this daemon listens; `None` when it is gone.
     pub fn server_beside(&self, server: &ServerName) -> Option<&ServerRecord> {
         let record = self.membership.own_server(server)?;
@@ -203,7 +209,7 @@
             slots,
             queue: limits.queue.unwrap_or(self.settings.queue),
             queue_wait: limits.queue_wait.unwrap_or(self.settings.queue_wait),
-            order: QueueOrder::default(),
+            order: self.queue_order,
         }
     }
 
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -7,7 +7,7 @@
 use cyclamen_daemon::{LimitSettings, Running, Settings, Shared, start};
 use cyclamen_declarations::{Labels, parse_change};
 use cyclamen_membership::{Addresses, MeshKey};
-use cyclamen_routing::{RouterCounters, RouterMode};
+use cyclamen_routing::{QueueOrder, RouterCounters, RouterMode};
 use cyclamen_standins::{BackendOptions, BackendServer, LogOptions, LogService, RunRecord};
 use cyclamen_types::Wall;
 use cyclamenmoor::Announcement;
@@ -46,9 +46,13 @@
 /// What a mesh is built from.
 pub(super) struct MeshOptions {
     pub(super) daemons: usize,
+    /// Slots that each server announces.
     pub(super) slots: u32,
+    /// Slots that each server has beyond those, for the direct path.
+    pub(super) spare_slots: u32,
     pub(super) service_time: Duration,
     pub(super) mode: RouterMode,
+    pub(super) order: QueueOrder,
     pub(super) seed: u64,
 }
 
@@ -106,7 +110,7 @@
         let calls = started.addresses.calls;
         let backend = backend(index, options, calls)?;
         let server = BackendServer::start(loopback(), backend, self.record.clone()).await?;
-        let announcement = announcement(&server);
+        let announcement = announcement(&server, options.slots);
         let member = Member {
             calls,
             peer: started.addresses.peer,
@@ -116,7 +120,10 @@
             end: Some(end),
             announcement,
         };
-        member.shared.with(|instance, _, _| instance.set_router_mode(options.mode));
+        member.shared.with(|instance, _, _| {
+            instance.set_router_mode(options.mode);
+            instance.set_queue_order(options.order);
+        });
         member.announce(false);
         Ok(member)
     }
@@ -232,7 +239,7 @@
         name: format!("dvere-{index}").try_into()?,
         service: "dvere".try_into()?,
         version: "v1".try_into()?,
-        slots: options.slots,
+        slots: options.slots + options.spare_slots,
         connections: CONNECTIONS,
         service_time: options.service_time,
         cold_start: Duration::ZERO,
@@ -267,14 +274,14 @@
     })
 }
 
-fn announcement(server: &BackendServer) -> Announcement {
+fn announcement(server: &BackendServer, slots: u32) -> Announcement {
     let options = server.options();
     Announcement {
         name: options.name.clone(),
         service: options.service.clone(),
         version: options.version.clone(),
         labels: Labels::default(),
-        slots: options.slots,
+        slots,
         connections: options.connections,
         address: server.address(),
         draining: false,
--- a/crates/measure/src/calls/mod.rs
+++ b/crates/measure/src/calls/mod.rs
@@ -12,7 +12,7 @@
 use std::str::FromStr;
 
 use argh::FromArgs;
-use cyclamen_routing::RouterMode;
+use cyclamen_routing::{QueueOrder, RouterMode};
 
 use crate::report;
 
@@ -35,6 +35,9 @@
     /// random choice, no limits, three retries of whatever failed
     #[argh(switch)]
     baseline: bool,
+    /// of waiting calls the newest goes first
+    #[argh(switch)]
+    newest_first: bool,
 }
 
 /// What happens during the load.
@@ -71,6 +74,10 @@
 }
 
 impl Args {
+    fn order(&self) -> QueueOrder {
+        if self.newest_first { QueueOrder::NewestFirst } else { QueueOrder::OldestFirst }
+    }
+
     fn mode(&self) -> RouterMode {
         if self.baseline { RouterMode::Baseline } else { RouterMode::Full }
     }
--- /dev/null
+++ b/crates/routing/src/slots/holds.rs
@@ -0,0 +1,51 @@
+//! How long calls hold their slots.
+
+use std::time::Duration;
+
+use cyclamen_declarations::Criticality;
+
+use crate::slots::queue::{CLASSES, rank};
+
+/// Weight of a new hold time in the moving averages.
+const GAIN: f64 = 0.1;
+
+/// Moving averages of hold times, by class and over all.
+#[derive(Debug, Default)]
+pub(super) struct HoldTimes {
+    classes: [Average; CLASSES.len()],
+    all: Average,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Average {
+    seconds: Option<f64>,
+}
+
+impl HoldTimes {
+    pub(super) fn learn(&mut self, criticality: Criticality, held: Duration) {
+        self.classes[rank(criticality)].learn(held);
+        self.all.learn(held);
+    }
+
+    /// That of a class; zero while none is known.
+    pub(super) fn of(&self, criticality: Criticality) -> Duration {
+        self.classes[rank(criticality)].get()
+    }
+
+    /// That of all calls; zero while none is known.
+    pub(super) fn of_all(&self) -> Duration {
+        self.all.get()
+    }
+}
+
+impl Average {
+    fn learn(&mut self, held: Duration) {
+        let sample = held.as_secs_f64();
+        let before = self.seconds.unwrap_or(sample);
+        self.seconds = Some(before + GAIN * (sample - before));
+    }
+
+    fn get(self) -> Duration {
+        Duration::from_secs_f64(self.seconds.unwrap_or(0.0))
+    }
+}
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -3,6 +3,7 @@
 //! [`Slots::admit`] runs, queues or refuses a call; [`Slots::finish`] ends it and names those
 //! whose turn it is. A refused or expired call has not been run.
 
+mod holds;
 mod limit;
 mod queue;
 
@@ -15,13 +16,11 @@
 
 use crate::call::{Refusal, RefusalKind};
 use crate::router::ServerLoad;
+use crate::slots::holds::HoldTimes;
 use crate::slots::limit::AdaptiveLimit;
 pub use crate::slots::queue::QueueOrder;
 use crate::slots::queue::{CLASSES, Queue, Waiting};
 
-/// Weight of a new hold time in the moving average.
-const HOLD_GAIN: f64 = 0.1;
-
 /// Shortest hint of when to come back.
 const SHORTEST_HINT: Duration = Duration::from_millis(5);
 
@@ -95,7 +94,7 @@
     running: FastMap<CallId, Running>,
     bulk: u32,
     queue: Queue,
-    hold: f64,
+    holds: HoldTimes,
     draining: bool,
     counters: SlotsCounters,
 }
@@ -109,7 +108,7 @@
             running: FastMap::default(),
             bulk: 0,
             queue: Queue::default(),
-            hold: 0.0,
+            holds: HoldTimes::default(),
             draining: false,
             counters: SlotsCounters::default(),
         }
@@ -148,7 +147,7 @@
             self.counters.refused += 1;
             evicted.push(out);
         }
-        let until = deadline.min(now + self.settings.queue_wait);
+        let until = now + self.patience(now, criticality, deadline);
         self.queue.push(criticality, Waiting { call, until });
         Admission::Queued
     }
@@ -229,11 +228,17 @@
         if self.queue.ahead_of(criticality) == 0 && self.fits(criticality) {
             return None;
         }
-        let patience = deadline.since(now).min(self.settings.queue_wait);
+        let patience = self.patience(now, criticality, deadline);
         let ahead = self.queue.ahead_of(criticality);
         (self.wait_behind(ahead) > patience).then(|| self.overloaded())
     }
 
+    /// How long a call may wait and still be done by its deadline.
+    fn patience(&self, now: Mono, criticality: Criticality, deadline: Mono) -> Duration {
+        let left = deadline.since(now).saturating_sub(self.holds.of(criticality));
+        left.min(self.settings.queue_wait)
+    }
+
     fn overloaded(&self) -> Refusal {
         let reason = "the backend server is full; the call was not run: come back later".into();
         let retry_after = Some(self.come_back());
@@ -243,7 +248,7 @@
     /// Expected wait behind this many calls.
     fn wait_behind(&self, ahead: usize) -> Duration {
         let turns = (ahead + 1) as f64 / f64::from(self.limit.get());
-        Duration::from_secs_f64((turns * self.hold).min(LONGEST_HINT.as_secs_f64()))
+        self.holds.of_all().mul_f64(turns).min(LONGEST_HINT)
     }
 
     fn fits(&self, criticality: Criticality) -> bool {
@@ -284,11 +289,7 @@
     }
 
     fn learn(&mut self, now: Mono, running: Running, ran: Ran) {
-        let held = now.since(running.since).as_secs_f64();
-        self.hold = match self.hold > 0.0 {
-            true => self.hold + HOLD_GAIN * (held - self.hold),
-            false => held,
-        };
+        self.holds.learn(running.criticality, now.since(running.since));
         if running.criticality == Criticality::Bulk {
             return;
         }
--- a/crates/routing/src/slots/queue.rs
+++ b/crates/routing/src/slots/queue.rs
@@ -35,7 +35,8 @@
     classes: [VecDeque<Waiting>; CLASSES.len()],
 }
 
-fn rank(criticality: Criticality) -> usize {
+/// The place of a class in [`CLASSES`].
+pub(super) fn rank(criticality: Criticality) -> usize {
     match criticality {
         Criticality::Critical => 0,
         Criticality::Normal => 1,
