Take no publication before the daemon has caught up

A daemon that had just started checked a change against an empty configuration and refused a route to a service that the mesh had long declared; the operator was told of a fault that was none. Publications now wait until the daemon is ready, within the request's own wait, and are else answered 503, so that the command line tries the next daemon. The instance tells waiters when it becomes ready, and the log line follows at once. A fresh relay no longer begins with a long poll, which on an empty log kept the whole mesh from being ready for 10 s.

Log lines read a few fields rather than a whole dump each second; the dump is taken for metrics only where these are on.

--- a/crates/cyclamenmoor/src/event.rs
+++ b/crates/cyclamenmoor/src/event.rs
@@ -108,7 +108,8 @@
     Run(Vec<CallId>),
     /// Queued calls that waited too long: refuse them as not run.
     Expire(Vec<CallId>),
-    /// The configuration version grew, or a move changed: wake whoever waits for either.
+    /// The configuration version grew, a move changed, or the daemon became ready or no longer is:
+    /// wake whoever waits for any of it.
     Changed,
 }
 
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -33,6 +33,7 @@
     pub(crate) appends: Appends,
     pub(crate) sequence: u64,
     pub(crate) stopping: bool,
+    told_ready: bool,
     pub(crate) table_faults: u64,
     topology: u64,
     adopted: ConfigVersion,
@@ -67,6 +68,7 @@
             appends: Appends::default(),
             sequence: 0,
             stopping: false,
+            told_ready: false,
             table_faults: 0,
             topology: 0,
             adopted: ConfigVersion::NONE,
@@ -228,10 +230,18 @@
         self.adopt_config(now, out);
         self.carry_out_moves(now, out);
         self.adopt_topology(now);
+        self.tell_ready(out);
         out.extend(self.outgoing.drain(..).map(Effect::Send));
         out.extend(self.fetches.drain(..).map(Effect::Fetch));
     }
 
+    fn tell_ready(&mut self, out: &mut Effects) {
+        if self.told_ready != self.ready() {
+            self.told_ready = self.ready();
+            out.push(Effect::Changed);
+        }
+    }
+
     fn adopt_config(&mut self, now: Now, out: &mut Effects) {
         if self.ledger.version() == self.adopted {
             return;
--- a/crates/daemon/src/admin/changes.rs
+++ b/crates/daemon/src/admin/changes.rs
@@ -6,6 +6,7 @@
 use cyclamen_ledger::ChangeOutcome;
 use cyclamen_types::ChangeId;
 use dropshot::{HttpResponseOk, Path, Query, UntypedBody, endpoint};
+use tokio::time::Instant;
 
 use super::api::{ChangeAnswer, ChangePath, OutcomeKind, PublishQuery, WaitQuery};
 use super::border;
@@ -57,7 +58,9 @@
 ) -> Result<HttpResponseOk<ChangeAnswer>, ApiError> {
     let id = checked_id(&path.into_inner().id)?;
     let wait = Duration::from_millis(query.into_inner().wait_ms.unwrap_or(0));
-    let outcome = cx.context().wait_for(wait, |instance| instance.outcome(&id).cloned()).await?;
+    let deadline = Instant::now() + wait;
+    let outcome =
+        cx.context().wait_for(deadline, |instance| instance.outcome(&id).cloned()).await?;
     let Some(outcome) = outcome else {
         let message = format!(
             "this daemon has not seen change `{id}`: wait, ask another daemon, or publish it \
@@ -76,6 +79,8 @@
     wait: Duration,
 ) -> Result<ChangeAnswer, ApiError> {
     let shared = cx.shared()?;
+    let deadline = Instant::now() + wait;
+    cx.wait_for(deadline, |instance| instance.ready().then_some(())).await?.ok_or_else(fresh)?;
     if let Some(outcome) = shared.read(|instance| instance.outcome(&change.id).cloned()) {
         return settled(&change.id, &outcome, Vec::new());
     }
@@ -87,7 +92,7 @@
         return Ok(unsettled(&change.id, OutcomeKind::Checked, findings.warnings));
     }
     shared.with(|instance, now, out| instance.publish(now, change, out));
-    let outcome = cx.wait_for(wait, |instance| instance.outcome(&change.id).cloned()).await?;
+    let outcome = cx.wait_for(deadline, |instance| instance.outcome(&change.id).cloned()).await?;
     match outcome {
         Some(outcome) => settled(&change.id, &outcome, findings.warnings),
         None => Ok(unsettled(&change.id, OutcomeKind::Pending, findings.warnings)),
@@ -129,6 +134,13 @@
     ApiError::new(ErrorCode::ChangeRefused, message).with_faults(faults)
 }
 
+/// A daemon that has not caught up would refuse changes that are in order.
+fn fresh() -> ApiError {
+    let message = "this daemon has not caught up with the configuration, or it stops; nothing was \
+                   published: use another daemon, or try again";
+    ApiError::new(ErrorCode::NotReady, message)
+}
+
 fn unsettled(id: &ChangeId, outcome: OutcomeKind, warnings: Vec<String>) -> ChangeAnswer {
     let id = id.to_string();
     ChangeAnswer { id, outcome, offset: None, stale_base: false, faults: Vec::new(), warnings }
--- a/crates/daemon/src/admin/context.rs
+++ b/crates/daemon/src/admin/context.rs
@@ -56,14 +56,14 @@
         self.stopping.send_replace(true);
     }
 
-    /// Waits until `look` finds something; `None` once `wait` is over or the daemon stops.
+    /// Waits until `look` finds something; `None` at the deadline or once the daemon stops.
     pub(super) async fn wait_for<T>(
         &self,
-        wait: Duration,
+        deadline: Instant,
         look: impl Fn(&cyclamenmoor::Instance) -> Option<T>,
     ) -> Result<Option<T>, ApiError> {
         let shared = self.shared()?;
-        let deadline = Instant::now() + wait.min(LONGEST_WAIT);
+        let deadline = deadline.min(Instant::now() + LONGEST_WAIT);
         let mut changed = shared.changed();
         let mut stopping = self.stopping.subscribe();
         loop {
--- a/crates/daemon/src/admin/moves.rs
+++ b/crates/daemon/src/admin/moves.rs
@@ -6,6 +6,7 @@
 use cyclamen_moves::{EvidenceLine, MoveStage, MoveStatus};
 use cyclamen_types::MoveName;
 use dropshot::{HttpResponseOk, Path, Query, TypedBody, endpoint};
+use tokio::time::Instant;
 
 use super::api::{
     ChangeAnswer, EvidenceAnswer, MoveAnswer, MoveList, MoveState, NamePath, OrderBody, OrderKind,
@@ -38,8 +39,10 @@
     let decided = |status: &MoveStatus| {
         matches!(status.stage, MoveStage::Watched | MoveStage::Done | MoveStage::TakenBack)
     };
-    let found =
-        cx.context().wait_for(wait, |instance| instance.move_status(&name).filter(decided)).await?;
+    let found = cx
+        .context()
+        .wait_for(Instant::now() + wait, |instance| instance.move_status(&name).filter(decided))
+        .await?;
     let found = match found {
         Some(status) => Some(status),
         None => cx.context().shared()?.read(|instance| instance.move_status(&name)),
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -3,8 +3,9 @@
 use std::future::Future;
 use std::time::Duration;
 
+use cyclamen_moves::MoveStatus;
 use cyclamen_types::{ConfigVersion, FastMap, MoveName};
-use cyclamenmoor::{Dump, Instance};
+use cyclamenmoor::Instance;
 use log::info;
 use tokio::time::MissedTickBehavior;
 
@@ -52,10 +53,30 @@
             _ = ticks.tick() => true,
             _ = changed.changed() => false,
         };
-        let dump = shared.read(Instance::dump);
-        seen.log_changes(&dump);
-        if sample {
-            metrics.send(&dump);
+        seen.log_changes(&shared.read(Glance::of));
+        if sample && metrics.on() {
+            metrics.send(&shared.read(Instance::dump));
+        }
+    }
+}
+
+/// What log lines tell of.
+struct Glance {
+    ready: bool,
+    relay: bool,
+    version: ConfigVersion,
+    moves: Vec<MoveStatus>,
+}
+
+impl Glance {
+    fn of(instance: &Instance) -> Self {
+        let membership = instance.membership();
+        let me = membership.me();
+        Self {
+            ready: instance.ready(),
+            relay: membership.relays(&me.domain).contains(&me.instance),
+            version: instance.table().version(),
+            moves: instance.moves().statuses(),
         }
     }
 }
@@ -70,21 +91,21 @@
 }
 
 impl Seen {
-    fn log_changes(&mut self, dump: &Dump) {
-        if self.ready != dump.ready {
-            self.ready = dump.ready;
-            info!("{}", if dump.ready { "ready for callers" } else { "not ready for callers" });
+    fn log_changes(&mut self, glance: &Glance) {
+        if self.ready != glance.ready {
+            self.ready = glance.ready;
+            info!("{}", if glance.ready { "ready for callers" } else { "not ready for callers" });
         }
-        if self.relay != dump.relay {
-            self.relay = dump.relay;
-            let role = if dump.relay { "reads" } else { "no longer reads" };
+        if self.relay != glance.relay {
+            self.relay = glance.relay;
+            let role = if glance.relay { "reads" } else { "no longer reads" };
             info!("this daemon {role} the log for its failure domain");
         }
-        if self.version != dump.table_version {
-            self.version = dump.table_version;
-            info!("configuration version {} is in force", dump.table_version);
+        if self.version != glance.version {
+            self.version = glance.version;
+            info!("configuration version {} is in force", glance.version);
         }
-        for status in &dump.moves {
+        for status in &glance.moves {
             let stage = status.stage.to_string();
             if self.moves.get(&status.id.name) == Some(&stage) {
                 continue;
@@ -92,6 +113,6 @@
             info!("move {}: {stage}: {}", status.id.name, status.reason);
             self.moves.insert(status.id.name.clone(), stage);
         }
-        self.moves.retain(|name, _| dump.moves.iter().any(|status| status.id.name == *name));
+        self.moves.retain(|name, _| glance.moves.iter().any(|status| status.id.name == *name));
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -64,6 +64,11 @@
         Self { client, last: Totals::default() }
     }
 
+    /// Whether the settings name a receiver.
+    pub fn on(&self) -> bool {
+        self.client.is_some()
+    }
+
     /// Sends one sample.
     pub fn send(&mut self, dump: &Dump) {
         let Some(client) = &self.client else {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -87,7 +87,7 @@
         self.lock().waiting.remove(&call);
     }
 
-    /// Changes whenever the configuration version or a move does.
+    /// Changes whenever the configuration version, a move or the readiness does.
     pub fn changed(&self) -> watch::Receiver<u64> {
         self.0.changed.subscribe()
     }
--- a/crates/daemon/tests/admin/bench.rs
+++ b/crates/daemon/tests/admin/bench.rs
@@ -7,6 +7,7 @@
 use cyclamen_daemon::{LimitSettings, OperatorToken, Running, Settings, TokenHash, start};
 use cyclamen_membership::{Addresses, MeshKey};
 use cyclamen_standins::{LogOptions, LogService};
+use cyclamenmoor::Instance;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -93,11 +94,21 @@
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let log = LogService::start(free, options).await.expect("a free port");
         let running = start(settings(log.address())).await.expect("free ports");
-        let http = Client::builder(TokioExecutor::new()).build_http();
-        let api = Api { http, admin: running.addresses.admin };
+        let api = Api::of(&running).await;
         Self { running, log, api }
     }
 
+    /// Starts a second daemon over the same log.
+    pub async fn start_second(&self) -> (Running, Api) {
+        let mut settings = settings(self.log.address());
+        settings.instance = "praha-b-1".parse().expect("a name");
+        settings.domain = "praha-b".parse().expect("a name");
+        settings.peers = vec![self.running.addresses.peer];
+        let running = start(settings).await.expect("free ports");
+        let api = Api::of(&running).await;
+        (running, api)
+    }
+
     /// Stops both.
     pub async fn stop(self) {
         self.running.stop().await;
@@ -106,6 +117,20 @@
 }
 
 impl Api {
+    /// A client of a daemon, once that is ready.
+    async fn of(running: &Running) -> Self {
+        let mut changed = running.shared.changed();
+        while !running.shared.read(Instance::ready) {
+            changed.changed().await.expect("a daemon that runs");
+        }
+        Self::at(running.addresses.admin)
+    }
+
+    /// A client of the daemon whose administration API is at `admin`.
+    pub fn at(admin: SocketAddr) -> Self {
+        Self { http: Client::builder(TokioExecutor::new()).build_http(), admin }
+    }
+
     /// Sends a request with a token, if one is given.
     pub async fn send(
         &self,
--- a/crates/daemon/tests/admin/errors.rs
+++ b/crates/daemon/tests/admin/errors.rs
@@ -1,6 +1,6 @@
 //! What the administration API says to requests that do not fit.
 
-use crate::bench::{Bench, TOKEN};
+use crate::bench::{self, Bench, TOKEN};
 use http::Method;
 
 const ROUTE: &str = "declarations: [{name: lost, route: {service: nowhere}}]";
@@ -34,6 +34,19 @@
     bench.stop().await;
 }
 
+/// A daemon that does not know the configuration cannot say that a change is wrong.
+#[tokio::test]
+async fn publish_before_ready() {
+    let log = "127.0.0.1:9".parse().expect("an address");
+    let running = cyclamen_daemon::start(bench::settings(log)).await.expect("free ports");
+    let api = bench::Api::at(running.addresses.admin);
+    let path = "/v1/changes?change_id=early&wait_ms=0";
+    let reply = api.send(Method::POST, path, Some(TOKEN), ROUTE).await;
+    insta::assert_json_snapshot!(reply.stable());
+    assert_eq!(api.get("/v1/ready").await.status, 503);
+    running.stop().await;
+}
+
 #[tokio::test]
 async fn publish_malformed_text() {
     let bench = Bench::start().await;
--- a/crates/daemon/tests/admin/publish.rs
+++ b/crates/daemon/tests/admin/publish.rs
@@ -91,6 +91,44 @@
     bench.stop().await;
 }
 
+/// Two operators start from the same record, each at another daemon: one wins, the other hears it.
+#[tokio::test]
+async fn publish_race_of_two_operators() {
+    let bench = Bench::start().await;
+    let (second, api) = bench.start_second().await;
+    bench.publish("one", WAIT, SERVICE).await;
+    let edit = |tier| {
+        format!(
+            "declarations: [{{name: dvere/v1, base: 0, version: {{labels: {{tier: {tier}}}}}}}]"
+        )
+    };
+    let (edit_a, edit_b) = (edit("a"), edit("b"));
+    let (a, b) = tokio::join!(bench.publish("a", WAIT, &edit_a), api.publish("b", WAIT, &edit_b));
+    let mut statuses = [a.status.as_u16(), b.status.as_u16()];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409], "{a:?} {b:?}");
+    let winner = if a.status == 200 { "a" } else { "b" };
+    for api in [&bench.api, &api] {
+        let read = api.get("/v1/declarations/version/dvere%2Fv1").await;
+        assert_eq!(read.body["body"]["version"]["labels"]["tier"], winner);
+    }
+    second.stop().await;
+    bench.stop().await;
+}
+
+/// The log takes the append and loses its answer.
+#[tokio::test]
+async fn publish_answer_of_log_lost() {
+    let bench = Bench::start().await;
+    bench.log.set_faults(LogFaults { lose_answers: 1, ..Default::default() });
+    let reply = bench.publish("one", WAIT, SERVICE).await;
+    assert_eq!((&reply.body["outcome"], &reply.body["offset"]), (&"accepted".into(), &0.into()));
+    bench.publish("after", WAIT, SERVICE).await;
+    let state = bench.get("/v1/state").await;
+    assert_eq!(state.body["ledger"]["accepted"], 2, "each change counts once");
+    bench.stop().await;
+}
+
 #[tokio::test]
 async fn publish_other_teams_declaration() {
     let bench = Bench::start().await;
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -289,7 +289,8 @@
             return;
         };
         let wait = match cause {
-            Cause::Relay => self.settings.long_poll,
+            Cause::Relay if self.fresh.ready() => self.settings.long_poll,
+            Cause::Relay => Duration::ZERO,
             Cause::Expected => EXPECTED_WAIT,
             Cause::Silence => Duration::ZERO,
         };
