--- a/crates/daemon/src/fetch.rs
+++ b/crates/daemon/src/fetch.rs
@@ -7,6 +7,7 @@
 use cyclamenmoor::{Effect, Event};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 use crate::log_client::LogClient;
 use crate::peers;
@@ -21,20 +22,22 @@
     pub(crate) key: MeshKey,
 }
 
-/// Carries out effects until the instance is dropped.
+/// Carries out effects until the instance is dropped; what is under way then ends with it.
 pub(crate) async fn carry(carrier: Carrier, mut effects: mpsc::UnboundedReceiver<Effect>) {
+    let mut under_way = JoinSet::new();
     while let Some(effect) = effects.recv().await {
+        while under_way.try_join_next().is_some() {}
         match effect {
             Effect::Send(datagram) => {
                 // A datagram that cannot be sent is as good as one lost on the way.
                 let _ = carrier.socket.send_to(&datagram.bytes, datagram.to).await;
             }
             Effect::Fetch(fetch) => {
-                tokio::spawn(run_fetch(carrier.clone(), fetch));
+                under_way.spawn(run_fetch(carrier.clone(), fetch));
             }
             Effect::Append { ticket, payload } => {
                 let carrier = carrier.clone();
-                tokio::spawn(async move {
+                under_way.spawn(async move {
                     let result = carrier.log.append(&payload).await;
                     carrier.tell(Event::Appended { ticket, result });
                 });
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -15,6 +15,8 @@
 use crate::gaps::Gaps;
 use crate::log_reader::{Cause, LogReader};
 use crate::messages::{PeerRequest, PeerResponse};
+use crate::restore::Restore;
+use crate::snapshots::Snapshots;
 
 /// Pause between two looks at what may be due.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
@@ -42,6 +44,8 @@
     pub snapshot_transfers: u32,
     /// Peers whose answers a fresh daemon waits for.
     pub fresh_peers: u32,
+    /// Makes every daemon read the log this often, and none push or pull.
+    pub poll_log: Option<Duration>,
 }
 
 /// Something to fetch; the answer comes back with the same value.
@@ -99,6 +103,10 @@
     pub snapshots_served: u64,
     /// Requests refused with a hint.
     pub refused_busy: u64,
+    /// Bytes of records and snapshots sent to peers.
+    pub bytes_sent: u64,
+    /// Bytes of records and snapshots received from peers and the log.
+    pub bytes_received: u64,
 }
 
 /// Distribution at one daemon.
@@ -110,6 +118,8 @@
     log: LogReader,
     gaps: Gaps,
     fresh: Fresh,
+    restore: Option<Restore>,
+    snapshots: Snapshots,
     transfers: u32,
     relay: bool,
     relay_topology: Option<u64>,
@@ -121,8 +131,11 @@
 impl Distribution {
     /// A daemon that holds nothing.
     pub fn new(settings: DistributionSettings, seed: u64, now: Now) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed.rotate_left(17));
         Self {
-            rng: SmallRng::seed_from_u64(seed.rotate_left(17)),
+            snapshots: Snapshots::new(now, &mut rng),
+            restore: None,
+            rng,
             counters: DistributionCounters::default(),
             log: LogReader::new(),
             gaps: Gaps::default(),
@@ -142,6 +155,10 @@
         if std::mem::take(&mut self.log_answered) {
             m.log_answered(now);
         }
+        if let Some(pause) = self.settings.poll_log {
+            self.poll_log(now, ledger, pause, out);
+            return;
+        }
         self.peers_hold = m.best_version();
         self.find_role(now, m);
         self.read_log(now, ledger, m, out);
@@ -155,6 +172,16 @@
         }
     }
 
+    fn poll_log(&mut self, now: Now, ledger: &Ledger, pause: Duration, out: &mut Vec<Fetch>) {
+        self.next = now.mono + pause;
+        if self.log.cause(now, true, ledger.version()).is_none() {
+            return;
+        }
+        self.log.begin();
+        self.counters.log_reads += 1;
+        out.push(Fetch::Log { from: ledger.version().next_offset(), wait: Duration::ZERO });
+    }
+
     /// When [`Distribution::tick`] is due.
     pub fn next_tick(&self) -> Mono {
         self.next
@@ -162,7 +189,7 @@
 
     /// Notes what peers are known to hold; a gap is closed soon unless the records come first.
     pub fn heard(&mut self, now: Now, ledger: &Ledger, m: &Membership) {
-        if m.best_version() <= ledger.version() {
+        if m.best_version() <= ledger.version() || self.settings.poll_log.is_some() {
             return;
         }
         self.gaps.notice(now, &mut self.rng);
@@ -182,23 +209,81 @@
         answer: Result<LogBatch, LogReadError>,
         ledger: &mut Ledger,
     ) -> Vec<LogRecord> {
-        self.next = now.mono;
-        let Ok(batch) = answer else {
-            self.log.fail(now, &mut self.rng);
-            return Vec::new();
-        };
+        if self.settings.poll_log.is_none() {
+            self.next = now.mono;
+        }
+        match answer {
+            Err(LogReadError::Down) => {
+                self.log.fail(now, &mut self.rng);
+                Vec::new()
+            }
+            Err(LogReadError::Trimmed { first }) => {
+                self.restore_from(now, first);
+                Vec::new()
+            }
+            Ok(batch) => self.take_batch(now, batch, ledger),
+        }
+    }
+
+    /// Folds records that other daemons pushed.
+    pub fn on_records(&mut self, now: Now, records: &[LogRecord], ledger: &mut Ledger) {
+        for record in records {
+            if record.is_snapshot() {
+                self.snapshots.seen(now, record.offset, &mut self.rng);
+            }
+            ledger.fold(record);
+        }
+    }
+
+    /// Whether this daemon has to append a snapshot to the log now, as a relay does well before
+    /// the last one may be trimmed.
+    pub fn snapshot_due(&mut self, now: Now) -> bool {
+        self.relay && self.fresh.ready() && self.snapshots.take_due(now, &mut self.rng)
+    }
+
+    fn take_batch(&mut self, now: Now, batch: LogBatch, ledger: &mut Ledger) -> Vec<LogRecord> {
         self.log.succeed(now, Duration::ZERO);
         self.log.forget_expected(batch.next);
         self.log_answered = true;
-        for record in &batch.records {
-            ledger.fold(record);
+        self.counters.bytes_received += bytes_of(&batch.records);
+        self.snapshots.log_keeps(now, batch.first, batch.next, &mut self.rng);
+        if self.restore.is_some() {
+            self.take_restored(now, batch, ledger);
+            return Vec::new();
         }
+        let wanted = ledger.version().next_offset();
+        if batch.first > wanted {
+            self.restore_from(now, batch.first);
+            return Vec::new();
+        }
+        self.on_records(now, &batch.records, ledger);
         if ledger.version().next_offset() >= batch.next {
             self.fresh.log_read();
         }
         self.unknown_to_peers(batch.records)
     }
 
+    fn restore_from(&mut self, now: Now, first: Offset) {
+        self.log.succeed(now, Duration::ZERO);
+        self.restore = Some(Restore::new(first));
+    }
+
+    fn take_restored(&mut self, now: Now, batch: LogBatch, ledger: &mut Ledger) {
+        let Some(restore) = &mut self.restore else {
+            return;
+        };
+        restore.gather(batch.records);
+        let Some(records) = restore.whole(batch.next) else {
+            return;
+        };
+        if ledger.restore_from_records(records) {
+            self.fresh.log_read();
+        } else {
+            self.log.fail(now, &mut self.rng);
+        }
+        self.restore = None;
+    }
+
     /// Takes the answer of a peer; folds or installs what it brings. `None` when it failed.
     pub fn on_peer(
         &mut self,
@@ -218,12 +303,12 @@
                 self.fresh.forget(from);
             }
             Some(PeerResponse::Records { records, held, ready }) => {
-                for record in &records {
-                    ledger.fold(record);
-                }
+                self.counters.bytes_received += bytes_of(&records);
+                self.on_records(now, &records, ledger);
                 self.take_word(now, from, held, ready);
             }
             Some(PeerResponse::Snapshot { text, held, ready }) => {
+                self.counters.bytes_received += text.len() as u64;
                 ledger.install_snapshot(&text);
                 self.take_word(now, from, held, ready);
             }
@@ -241,6 +326,7 @@
             return PeerResponse::Records { records: Vec::new(), held: mine, ready };
         }
         if let Some(records) = ledger.records_from(held, RECORDS_BYTES) {
+            self.counters.bytes_sent += bytes_of(&records);
             return PeerResponse::Records { records, held: mine, ready };
         }
         if self.transfers >= self.settings.snapshot_transfers {
@@ -250,7 +336,9 @@
         }
         self.transfers += 1;
         self.counters.snapshots_served += 1;
-        PeerResponse::Snapshot { text: ledger.snapshot(), held: mine, ready }
+        let text = ledger.snapshot();
+        self.counters.bytes_sent += text.len() as u64;
+        PeerResponse::Snapshot { text, held: mine, ready }
     }
 
     /// A snapshot was sent, or its connection broke.
@@ -294,9 +382,13 @@
             Cause::Expected => EXPECTED_WAIT,
             Cause::Silence => Duration::ZERO,
         };
+        self.restore.take_if(|restore| restore.is_needless(ledger.version()));
+        let restoring = self.restore.as_ref().map(Restore::next);
+        let from = restoring.unwrap_or(ledger.version().next_offset());
+        let wait = if restoring.is_some() { Duration::ZERO } else { wait };
         self.log.begin();
         self.counters.log_reads += 1;
-        out.push(Fetch::Log { from: ledger.version().next_offset(), wait });
+        out.push(Fetch::Log { from, wait });
     }
 
     /// How long nobody may be known to have reached the log before this daemon tries.
@@ -362,7 +454,7 @@
     }
 
     fn unknown_to_peers(&self, records: Vec<LogRecord>) -> Vec<LogRecord> {
-        if records.len() > PUSHED_RECORDS {
+        if records.len() > PUSHED_RECORDS || self.settings.poll_log.is_some() {
             return Vec::new();
         }
         let known = self.peers_hold.next_offset();
@@ -371,3 +463,7 @@
         unknown
     }
 }
+
+fn bytes_of(records: &[LogRecord]) -> u64 {
+    records.iter().map(|record| record.payload.len() as u64).sum()
+}
