--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -94,7 +94,7 @@
     let mesh_key = read_mesh_key(raw, root.section("mesh_key"));
     let mut tokens = Vec::new();
     for (place, item) in root.items("tokens") {
-        tokens.extend(read_token(Section::new(place, Some(item), faults)));
+        tokens.extend(read_token(Section::new(place, Some(item), faults), &tokens));
     }
     let limits = read_limits(root.section("limits"));
     let metrics = root.section_if_present("metrics").and_then(read_metrics);
@@ -119,9 +119,9 @@
 }
 
 fn read_listen(mut section: Section<'_>) -> Option<Addresses> {
-    let calls = section.required("calls", ADDRESS_REMEDY, values::address);
-    let peer = section.required("peer", ADDRESS_REMEDY, values::address);
-    let admin = section.required("admin", ADDRESS_REMEDY, values::address);
+    let calls = section.required("calls", ADDRESS_REMEDY, values::own_address);
+    let peer = section.required("peer", ADDRESS_REMEDY, values::own_address);
+    let admin = section.required("admin", ADDRESS_REMEDY, values::own_address);
     section.end();
     Some(Addresses { calls: calls?, peer: peer?, admin: admin? })
 }
@@ -163,11 +163,16 @@
     }
 }
 
-fn read_token(mut section: Section<'_>) -> Option<OperatorToken> {
+fn read_token(mut section: Section<'_>, known: &[OperatorToken]) -> Option<OperatorToken> {
     let team = section.required("team", NAME_REMEDY, values::name);
     let hash = section.required("hash", "run `cyclamen token`", values::token_hash);
+    let token = team.zip(hash).map(|(team, hash)| OperatorToken { team, hash });
+    if token.as_ref().is_some_and(|token| known.iter().any(|other| other.hash == token.hash)) {
+        section
+            .fault("hash", Misfit::new("listed before", "make a token of its own for each team"));
+    }
     section.end();
-    Some(OperatorToken { team: team?, hash: hash? })
+    token
 }
 
 fn read_limits(mut section: Section<'_>) -> LimitSettings {
--- a/crates/daemon/src/settings/values.rs
+++ b/crates/daemon/src/settings/values.rs
@@ -51,6 +51,16 @@
     text.parse().map_err(|_| Misfit::new(format!("`{text}` is no address"), ADDRESS_REMEDY))
 }
 
+/// An IP address to listen on, which other daemons are told.
+pub(super) fn own_address(value: &Value) -> Result<SocketAddr, Misfit> {
+    let address = address(value)?;
+    if address.ip().is_unspecified() {
+        let problem = format!("other daemons cannot reach `{}`", address.ip());
+        return Err(Misfit::new(problem, "write the IP number that they reach this instance by"));
+    }
+    Ok(address)
+}
+
 /// An IP address with a port that can be sent to.
 pub(super) fn destination(value: &Value) -> Result<SocketAddr, Misfit> {
     let address = address(value)?;
