--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -9,7 +9,7 @@
 use cyclamen_types::{InstanceName, Mono, Now, RouteName};
 
 use crate::appends::Append;
-use crate::check::{Check, RECURRENCES, recurred};
+use crate::check::{Check, RECURRENCES, recurred, went_on};
 use crate::evidence::{Counts, Evidence, LineKey, Stratum};
 use crate::findings::{self, Finding};
 use crate::keys::{DomainKey, MoveKey, ReporterKey, RouteKey};
@@ -257,10 +257,15 @@
         if let Some(finding) = findings::conviction(&mut self.evidence, routes) {
             return Some(finding.sentence(self.name_of(&finding)).into());
         }
+        let check = self.check.as_ref()?;
+        let finding = &check.finding;
+        if check.confirmed(&self.evidence, findings::limits(&self.evidence).1) {
+            let alone = finding.alone(self.name_of(finding));
+            return Some(went_on(&alone).into());
+        }
         if !self.recurs() {
             return None;
         }
-        let finding = &self.check.as_ref()?.finding;
         Some(recurred(finding, &finding.place(self.name_of(finding))).into())
     }
 
--- a/crates/moves/src/course.rs
+++ b/crates/moves/src/course.rs
@@ -119,6 +119,7 @@
         }
         self.fire(MoveEvent::Cleared);
         self.check = None;
+        self.watch_ends = self.watch_ends + now.mono.since(self.entered);
         self.arrive(now);
     }
 
--- a/crates/moves/src/findings.rs
+++ b/crates/moves/src/findings.rs
@@ -25,7 +25,7 @@
 const CLEAN: f64 = 100.0;
 
 /// Evidence above which a version that runs alone is checked against the old one.
-const SUSPICION: f64 = 1_000.0;
+const SUSPICION: f64 = 300.0;
 
 /// Calls per backend server that count as having seen it.
 const SEEN_CALLS: u64 = 5;
@@ -148,7 +148,7 @@
 }
 
 /// The limits of the tests over all routes and on one route, in logarithms.
-fn limits(evidence: &Evidence) -> (f64, f64) {
+pub fn limits(evidence: &Evidence) -> (f64, f64) {
     let overall = (OVERALL_TESTS / FALSE_ALARM).ln();
     (overall, overall + (evidence.routes().len().max(1) as f64).ln())
 }
--- a/crates/moves/src/sequential.rs
+++ b/crates/moves/src/sequential.rs
@@ -63,6 +63,9 @@
 /// Latest slots that evidence may still come for without looking back further.
 const OPEN_SLOTS: u16 = 2;
 
+/// Fewest calls of the old version that tell its recent rate.
+const FEWEST_RECENT_CALLS: u64 = 20;
+
 /// Old and new over one stratum, by class.
 #[derive(Clone, Copy, Debug)]
 struct Table {
@@ -229,7 +232,7 @@
 /// strata in which it runs alone. Trouble common to both looks the same here, so this raises a
 /// suspicion and convicts nobody.
 pub fn absolute(strata: &Strata, class: Class, lone: Lone) -> f64 {
-    let rate = rate_before(strata, class);
+    let rate = rate_before(strata, class).max(recent_rate(strata, class));
     let excesses = excesses(strata.tolerated());
     let mut bets = [0.0_f64; EXCESSES.len()];
     for ((stratum, _), pair) in strata.pairs() {
@@ -257,6 +260,25 @@
     history.rate()
 }
 
+/// The rate of the old version over the latest slots, if it had enough calls there: trouble common
+/// to both that was on a moment ago.
+fn recent_rate(strata: &Strata, class: Class) -> f64 {
+    let Some(((last, _), _)) = strata.pairs().last_key_value() else {
+        return 0.0;
+    };
+    let mut old = Counts::default();
+    for ((stratum, _), pair) in strata.pairs().iter().rev() {
+        if stratum.slot + OPEN_SLOTS < last.slot {
+            break;
+        }
+        old += pair.old;
+    }
+    if old.calls < FEWEST_RECENT_CALLS {
+        return 0.0;
+    }
+    class.bad(old) as f64 / old.calls as f64
+}
+
 /// The share of wealth that is staked on a fault that begins in a slot; the shares sum to one.
 fn onset_weight(slot: u16) -> f64 {
     if slot == 0 {
