--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -19,6 +19,9 @@
 use crate::settings::InstanceSettings;
 use crate::sync;
 
+/// Largest part of a snapshot in the log, in bytes.
+const SNAPSHOT_PART_BYTES: usize = 32 * 1024;
+
 /// One instance of the system.
 #[derive(Debug)]
 pub struct Instance {
@@ -34,6 +37,7 @@
     pub(crate) appends: Appends,
     pub(crate) sequence: u64,
     pub(crate) stopping: bool,
+    told_ready: bool,
     pub(crate) table_faults: u64,
     topology: u64,
     adopted: ConfigVersion,
@@ -69,6 +73,7 @@
             appends: Appends::default(),
             sequence: 0,
             stopping: false,
+            told_ready: false,
             table_faults: 0,
             topology: 0,
             adopted: ConfigVersion::NONE,
@@ -132,6 +137,11 @@
         &self.membership
     }
 
+    /// Who fetches what from whom.
+    pub fn distribution(&self) -> &Distribution {
+        &self.distribution
+    }
+
     /// The moves.
     pub fn moves(&self) -> &Moves {
         &self.moves
@@ -153,6 +163,7 @@
         }
         if now.mono >= self.distribution.next_tick() {
             self.distribution.tick(now, &self.ledger, &mut self.membership, &mut self.fetches);
+            self.append_snapshot_if_due(now, out);
         }
         if now.mono >= self.moves.next_tick() {
             self.tick_moves(now);
@@ -177,19 +188,17 @@
                 RiderKind::Conviction | RiderKind::Evidence => {
                     self.moves.merge(now, &rider.payload, &mut self.moves_out);
                 }
-                RiderKind::Records => self.fold_rider(&rider),
+                RiderKind::Records => self.fold_rider(now, &rider),
             }
         }
         self.distribution.heard(now, &self.ledger, &self.membership);
     }
 
-    fn fold_rider(&mut self, rider: &Rider) {
+    fn fold_rider(&mut self, now: Now, rider: &Rider) {
         let Ok(records) = postcard::from_bytes::<Vec<LogRecord>>(&rider.payload) else {
             return;
         };
-        for record in &records {
-            self.ledger.fold(record);
-        }
+        self.distribution.on_records(now, &records, &mut self.ledger);
     }
 
     fn on_log(&mut self, now: Now, answer: Result<LogBatch, LogReadError>) {
@@ -209,9 +218,19 @@
         self.distribution.on_peer(now, from, response, &mut self.ledger);
     }
 
+    fn append_snapshot_if_due(&mut self, now: Now, out: &mut Effects) {
+        if !self.distribution.snapshot_due(now) {
+            return;
+        }
+        for payload in self.ledger.snapshot_payloads(SNAPSHOT_PART_BYTES) {
+            self.appends.once(payload.into(), out);
+        }
+    }
+
     fn spread_records(&mut self, now: Now, records: &[LogRecord]) {
         for record in records {
-            let Ok(bytes) = postcard::to_stdvec(std::slice::from_ref(record)) else {
+            let record = record.for_peers();
+            let Ok(bytes) = postcard::to_stdvec(std::slice::from_ref(&record)) else {
                 continue;
             };
             let rider = Rider { kind: RiderKind::Records, payload: bytes.into() };
@@ -230,10 +249,18 @@
         self.adopt_config(now, out);
         self.carry_out_moves(now, out);
         self.adopt_topology(now);
+        self.tell_ready(out);
         out.extend(self.outgoing.drain(..).map(Effect::Send));
         out.extend(self.fetches.drain(..).map(Effect::Fetch));
     }
 
+    fn tell_ready(&mut self, out: &mut Effects) {
+        if self.told_ready != self.ready() {
+            self.told_ready = self.ready();
+            out.push(Effect::Changed);
+        }
+    }
+
     fn adopt_config(&mut self, now: Now, out: &mut Effects) {
         if self.ledger.version() == self.adopted {
             return;
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cyclamen_declarations::generated::RecordHead;
 use cyclamen_types::Offset;
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +22,12 @@
 const PART_WITHOUT_TEXT: &str = r#"{"format":1,"kind":"snapshot"}"#;
 
 impl LogRecord {
+    /// Whether this is a part of a snapshot.
+    pub fn is_snapshot(&self) -> bool {
+        let head: Option<RecordHead> = serde_json::from_str(&self.payload).ok();
+        head.and_then(|head| head.kind).is_some_and(|kind| kind == "snapshot")
+    }
+
     /// The record as peers need it: a part of a snapshot changes no state, so its text stays out.
     pub fn for_peers(&self) -> Self {
         match payload::parse(&self.payload) {
--- a/crates/membership/src/budget.rs
+++ b/crates/membership/src/budget.rs
@@ -5,24 +5,43 @@
 use cyclamen_types::{Mono, Now};
 
 /// Seconds of the rate that may be sent at once after a quiet time.
-const BURST_SECONDS: u64 = 16;
+const BURST_SECONDS: u64 = 32;
 
 /// Microseconds in a second.
 const SECOND_US: u64 = 1_000_000;
 
-/// What bytes are spent on; each may empty the bucket down to its own floor only.
+/// What bytes are spent on, the most important first: each may empty the bucket down to its own
+/// floor only, so that the later ones never starve the earlier ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Spend {
     /// Probes and their answers.
     Probe,
-    /// Changes of members and backend servers, and urgent riders.
-    News,
-    /// Repair of what was missed.
+    /// Convictions and backend servers that leave.
+    Urgent,
+    /// Repair of what was missed. It paces itself, and news could flow for ever.
     Repair,
+    /// Other news of members and backend servers.
+    News,
+    /// Records, which peers can pull as well.
+    Records,
     /// Riders that can wait.
     Bulk,
 }
 
+impl Spend {
+    /// Bytes left in the bucket, in quarters of what it gets in a second.
+    fn floor_quarters(self) -> u64 {
+        match self {
+            Self::Probe => 0,
+            Self::Urgent => 1,
+            Self::Repair => 2,
+            Self::News => 8,
+            Self::Records => 12,
+            Self::Bulk => 64,
+        }
+    }
+}
+
 /// A token bucket over bytes.
 #[derive(Debug)]
 pub(crate) struct Budget {
@@ -50,12 +69,7 @@
 
     /// Bytes that may be spent on `spend` now.
     pub(crate) fn left(&self, spend: Spend) -> usize {
-        let floor = match spend {
-            Spend::Probe => 0,
-            Spend::News => self.rate / 2,
-            Spend::Repair => self.burst / 4,
-            Spend::Bulk => self.burst / 2,
-        };
+        let floor = self.rate * spend.floor_quarters() / 4;
         let left = (self.tokens_us / SECOND_US).saturating_sub(floor);
         usize::try_from(left).unwrap_or(usize::MAX)
     }
--- a/crates/moves/src/findings.rs
+++ b/crates/moves/src/findings.rs
@@ -22,7 +22,7 @@
 const DOUBT_CORROBORATION: f64 = 5.0;
 
 /// Evidence above which a stage does not grow.
-const CLEAN: f64 = 20.0;
+const CLEAN: f64 = 100.0;
 
 /// Evidence above which a version that runs alone is checked against the old one.
 const SUSPICION: f64 = 1_000.0;
@@ -60,6 +60,16 @@
         )
     }
 
+    /// What the new version did alone, in one clause.
+    pub fn alone(&self, name: Option<&RouteName>) -> String {
+        let verb = match self.class {
+            Class::Failed => "failed",
+            Class::Slow => "was slow on",
+        };
+        let (bad, calls) = (self.class.bad(self.new), self.new.calls);
+        format!("it {verb} {bad} of {calls} calls {} with all traffic", self.place(name))
+    }
+
     /// Where it was found.
     pub fn place(&self, name: Option<&RouteName>) -> String {
         match (self.route, name) {
