Bound held bodies; blame servers only for what is theirs

Cause: 2,000 callers could hold 64 KiB each, 128 MB; a call that ran out of time while a connection was opened, or found all connections in use, counted as a failed connection and could eject a healthy server; slots of servers that had gone stayed for ever. Change: 32 MiB of held bodies over all calls, then bodies are streamed; calls unsent for want of time or of a connection are refused as not run without blame; slots are forgotten once a gone server is idle. Ruled out: a lower bound for each body, since it would leave ordinary notices without a second attempt even when there is room. Test: callers that go away free their slot, their server and their attempt.

--- a/crates/cyclamenmoor/src/servers.rs
+++ b/crates/cyclamenmoor/src/servers.rs
@@ -76,6 +76,7 @@
             return Err(AnnounceError::Unknown(name.clone()));
         }
         self.set_state(now, name, ServerState::Gone);
+        self.forget_if_gone(name);
         self.settle(now, out);
         Ok(())
     }
@@ -120,6 +121,7 @@
         if !run.is_empty() {
             out.push(Effect::Run(run));
         }
+        self.forget_if_gone(server);
     }
 
     /// Changes which of two waiting calls of one class goes first; for measurements.
@@ -181,6 +183,16 @@
         lapsed.sort();
         for name in lapsed {
             self.set_state(now, &name, ServerState::Gone);
+            self.forget_if_gone(&name);
+        }
+    }
+
+    /// Forgets the slots of a server that is gone, once no call holds or awaits one.
+    fn forget_if_gone(&mut self, name: &ServerName) {
+        let gone = self.membership.own_server(name).is_none_or(|s| s.state == ServerState::Gone);
+        let idle = self.beside.get(name).is_some_and(|beside| beside.slots.idle());
+        if gone && idle {
+            self.beside.remove(name);
         }
     }
 
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a call: over the backend server beside this daemon, or over another daemon.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cyclamen_routing::{Attempt, Hop, Next, Outcome, ServerLoad};
 use cyclamen_types::Mono;
@@ -100,6 +101,9 @@
         let exchange = match self.plane.daemons.send(address, req, until).await {
             Ok(exchange) => exchange,
             Err(SendFailure::NotConnected) => return Ended::without(Outcome::NotConnected),
+            Err(SendFailure::Unsent) => {
+                return Ended::without(Outcome::NotRun { retry_after: Duration::ZERO });
+            }
             Err(SendFailure::Reset) => return Ended::without(Outcome::Reset),
             Err(SendFailure::TimedOut) => return Ended::without(Outcome::TimedOut),
         };
--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -10,6 +10,7 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, Sleep};
 
 use crate::calls::answer::Rejection;
@@ -39,8 +40,8 @@
 
 /// The body of a call, for as many attempts as it can serve.
 pub(super) enum CallBody {
-    /// Held; serves any number of attempts.
-    Held(Bytes),
+    /// Held; serves any number of attempts. The permit is for its bytes.
+    Held { bytes: Bytes, _permit: Option<OwnedSemaphorePermit> },
     /// Streamed; serves attempts until a part of it was read.
     Streamed(Arc<Mutex<Stream>>),
 }
@@ -62,17 +63,27 @@
 }
 
 impl CallBody {
-    /// Takes the body of a call; a small one of known length is read by `until`.
-    pub(super) async fn take(incoming: Incoming, until: Instant) -> Result<Self, Rejection> {
+    /// Takes the body of a call; a small one of known length is read by `until` and held, while
+    /// `budget` has bytes left.
+    pub(super) async fn take(
+        incoming: Incoming,
+        budget: &Arc<Semaphore>,
+        until: Instant,
+    ) -> Result<Self, Rejection> {
         if incoming.is_end_stream() {
-            return Ok(Self::Held(Bytes::new()));
+            return Ok(Self::Held { bytes: Bytes::new(), _permit: None });
         }
-        if incoming.size_hint().upper().is_none_or(|bytes| bytes > HELD_BYTES) {
+        let bytes = incoming.size_hint().upper().filter(|bytes| *bytes <= HELD_BYTES);
+        let bytes = bytes.and_then(|bytes| u32::try_from(bytes).ok());
+        let permit = bytes.and_then(|n| Arc::clone(budget).try_acquire_many_owned(n).ok());
+        let Some(permit) = permit else {
             return Ok(Self::streamed(incoming));
-        }
+        };
         let limited = Limited::new(incoming, HELD_BYTES as usize);
         match tokio::time::timeout_at(until, limited.collect()).await {
-            Ok(Ok(collected)) => Ok(Self::Held(collected.to_bytes())),
+            Ok(Ok(collected)) => {
+                Ok(Self::Held { bytes: collected.to_bytes(), _permit: Some(permit) })
+            }
             Ok(Err(_)) | Err(_) => Err(Rejection::BodyLate),
         }
     }
@@ -86,7 +97,7 @@
     /// Limits its length; false when it is known to be longer.
     pub(super) fn limit(&self, bytes: u64) -> bool {
         match self {
-            Self::Held(held) => held.len() as u64 <= bytes,
+            Self::Held { bytes: held, .. } => held.len() as u64 <= bytes,
             Self::Streamed(stream) => {
                 let mut stream = lock(stream);
                 stream.limit = bytes;
@@ -98,7 +109,7 @@
     /// Whether more came than the limit allows.
     pub(super) fn too_large(&self) -> bool {
         match self {
-            Self::Held(_) => false,
+            Self::Held { .. } => false,
             Self::Streamed(stream) => lock(stream).over_limit(),
         }
     }
@@ -106,7 +117,7 @@
     /// Whether [`CallBody::for_attempt`] has one more.
     pub(super) fn repeatable(&self) -> bool {
         match self {
-            Self::Held(_) => true,
+            Self::Held { .. } => true,
             Self::Streamed(stream) => lock(stream).read == 0,
         }
     }
@@ -115,7 +126,7 @@
     /// it has gone.
     pub(super) fn for_attempt(&self) -> Option<OutBody> {
         match self {
-            Self::Held(bytes) => Some(OutBody::Held(Some(bytes.clone()))),
+            Self::Held { bytes, .. } => Some(OutBody::Held(Some(bytes.clone()))),
             Self::Streamed(shared) => {
                 let mut stream = lock(shared);
                 if stream.read > 0 {
--- a/crates/daemon/src/calls/edge.rs
+++ b/crates/daemon/src/calls/edge.rs
@@ -26,7 +26,8 @@
     }
     let arrived = plane.mono();
     let (mut parts, incoming) = req.into_parts();
-    let body = match CallBody::take(incoming, Instant::now() + BODY_TIMEOUT).await {
+    let until = Instant::now() + BODY_TIMEOUT;
+    let body = match CallBody::take(incoming, &plane.held_bytes, until).await {
         Ok(body) => body,
         Err(rejection) => return answer::rejected(rejection),
     };
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -20,6 +20,9 @@
 /// When to come back to a server that cannot be reached.
 const DOWN_RETRY: Duration = Duration::from_secs(1);
 
+/// When to come back after a call that had no time or no connection left.
+const SOON: Duration = Duration::from_millis(20);
+
 /// A call for a backend server beside this daemon.
 pub(super) struct HostCall {
     pub(super) server: ServerName,
@@ -108,7 +111,7 @@
         Err(end) => return end,
     };
     let Some(req) = for_server(plane, &call, req) else {
-        return HostEnd::Down;
+        return HostEnd::Full(SOON);
     };
     let started = plane.mono();
     let request_id = req.headers().get(headers::REQUEST_ID_HEADER).cloned();
@@ -118,6 +121,7 @@
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(SendFailure::NotConnected) => return HostEnd::Down,
+        Err(SendFailure::Unsent) => return HostEnd::Full(SOON),
         Err(SendFailure::Reset) => return HostEnd::Unknown,
         Err(SendFailure::TimedOut) => {
             slot.ran = Ran::Answered(latency);
@@ -175,7 +179,7 @@
     }
 }
 
-/// The call as the backend server gets it.
+/// The call as the backend server gets it; `None` when its time is over.
 fn for_server(plane: &Plane, call: &HostCall, req: Request<OutBody>) -> Option<Request<OutBody>> {
     let (mut parts, body) = req.into_parts();
     headers::strip_call(&mut parts.headers);
--- a/crates/daemon/src/calls/plane.rs
+++ b/crates/daemon/src/calls/plane.rs
@@ -7,6 +7,7 @@
 use cyclamen_routing::CallId;
 use cyclamen_types::{Mono, Wall};
 use derive_more::Deref;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::calls::hop::HopSeal;
@@ -17,6 +18,9 @@
 /// Connections that a daemon opens to another at most.
 const DAEMON_CONNECTIONS: usize = 512;
 
+/// Bytes of bodies of calls held at a time, over all calls.
+const HELD_BYTES: usize = 32 * 1024 * 1024;
+
 /// Shared by the calls of one daemon; cheap to clone.
 #[derive(Clone, Deref)]
 pub(super) struct Plane(Arc<Inner>);
@@ -29,6 +33,8 @@
     pub(super) servers: Pool,
     /// Connections to other daemons.
     pub(super) daemons: Pool,
+    /// One permit for each byte of a body that may be held.
+    pub(super) held_bytes: Arc<Semaphore>,
     last_call: AtomicU64,
     caller_connections: usize,
 }
@@ -41,6 +47,7 @@
             seal: HopSeal::new(&settings.mesh_key),
             servers: Pool::new(crate::calls::pool::SERVER_CONNECTIONS),
             daemons: Pool::new(DAEMON_CONNECTIONS),
+            held_bytes: Arc::new(Semaphore::new(HELD_BYTES)),
             last_call: AtomicU64::new(0),
             caller_connections: connections,
         }))
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -72,8 +72,10 @@
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SendFailure {
-    /// Not a byte was sent.
+    /// The other side takes no connection; not a byte was sent.
     NotConnected,
+    /// No time or no connection was left; not a byte was sent.
+    Unsent,
     /// The connection broke; the call may have run.
     Reset,
     /// The time is over; the call may have run.
@@ -97,7 +99,7 @@
         loop {
             let mut lease = match target.idle_lease() {
                 Some(lease) => lease,
-                None => target.connect(until).await.ok_or(SendFailure::NotConnected)?,
+                None => target.connect(until).await?,
             };
             let sent = tokio::time::timeout_at(until, lease.sender.try_send_request(req)).await;
             let mut failed = match sent {
@@ -123,7 +125,7 @@
         let target = self.target(to);
         let wanted = OPEN_AHEAD.saturating_sub(lock(&target.idle).len());
         for _ in 0..wanted {
-            let Some(lease) = target.connect(Instant::now() + CONNECT_TIMEOUT).await else {
+            let Ok(lease) = target.connect(Instant::now() + CONNECT_TIMEOUT).await else {
                 return;
             };
             lease.give_back();
@@ -157,16 +159,21 @@
         Some(Lease { target: Arc::clone(self), sender, cold: false })
     }
 
-    async fn connect(self: &Arc<Self>, until: Instant) -> Option<Lease> {
-        let permit = Arc::clone(&self.open).try_acquire_owned().ok()?;
-        let until = until.min(Instant::now() + CONNECT_TIMEOUT);
+    async fn connect(self: &Arc<Self>, until: Instant) -> Result<Lease, SendFailure> {
+        let permit = Arc::clone(&self.open).try_acquire_owned().map_err(|_| SendFailure::Unsent)?;
+        let patience = Instant::now() + CONNECT_TIMEOUT;
         let connecting = TcpStream::connect(self.address);
-        let stream = tokio::time::timeout_at(until, connecting).await.ok()?.ok()?;
+        let stream = match tokio::time::timeout_at(until.min(patience), connecting).await {
+            Ok(Ok(stream)) => stream,
+            Err(_) if until < patience => return Err(SendFailure::Unsent),
+            Ok(Err(_)) | Err(_) => return Err(SendFailure::NotConnected),
+        };
         // Without it, small calls wait for the other side's acknowledgement.
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|_| SendFailure::NotConnected)?;
         tokio::spawn(drive(connection, permit));
-        Some(Lease { target: Arc::clone(self), sender, cold: true })
+        Ok(Lease { target: Arc::clone(self), sender, cold: true })
     }
 }
 
--- a/crates/daemon/tests/calls_path.rs
+++ b/crates/daemon/tests/calls_path.rs
@@ -148,3 +148,27 @@
     assert!(refused > 0);
     assert_eq!(mesh.members[0].server.peak(), 1);
 }
+
+#[tokio::test]
+async fn call_cancelled_by_caller() {
+    let mesh = Mesh::start(2, 4, DOORS).await;
+    mesh.members[0].announce(true);
+    mesh.until(|mesh| mesh.members.iter().all(|member| member.servers_ready() == 1)).await;
+    let (server, there) = (&mesh.members[1].server, mesh.members[0].calls);
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..3 {
+        let client = mesh.client.clone();
+        calls.spawn(async move {
+            let key = format!("call-{number}");
+            client.call(there, &plan(Method::POST, "/once?ms=600000", &key)).await
+        });
+    }
+    mesh.until(|_| server.in_flight() == 3).await;
+    calls.shutdown().await;
+    mesh.until(|_| server.in_flight() == 0).await;
+    let load =
+        |mesh: &Mesh| mesh.members[1].daemon().shared.read(|i| i.load(&server.options().name));
+    mesh.until(|mesh| load(mesh).running == 0).await;
+    let left = |mesh: &Mesh| mesh.members[0].daemon().shared.read(|i| i.router().in_flight());
+    mesh.until(|mesh| left(mesh) == 0).await;
+}
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -184,6 +184,11 @@
         u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
     }
 
+    /// Whether no call runs or waits.
+    pub fn idle(&self) -> bool {
+        self.running.is_empty() && self.waiting() == 0
+    }
+
     /// What the server carries now.
     pub fn load(&self) -> ServerLoad {
         ServerLoad { running: self.running(), waiting: self.waiting(), limit: self.limit.get() }
