Count evidence beside the backend server, and let reports replace each other

Every daemon that callers reach reported every server it called, so reports grew with daemons times servers and filled the bound of gossip (2471 B/s a daemon, reports waiting behind older ones). Change: the daemon beside a backend server counts what it did, as it counts its slots; the sealed hop header names the route. Reporters are then the servers of the service, whatever the size of the fleet. The old version's limits for slow calls travel with its counts, since a new version's daemon sees no old calls. Gossip tells a report twice and keeps 32 at most.

--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -4,7 +4,7 @@
 
 use cyclamen_moves::{CallSample, MoveStatus};
 use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal, RouterMode, ServerLoad};
-use cyclamen_types::{MoveName, Now, ServerName};
+use cyclamen_types::{MoveName, Now, RouteName, ServerName};
 
 use crate::event::Effects;
 use crate::instance::Instance;
@@ -12,17 +12,29 @@
 /// Lowest status that is the backend server's own fault.
 const SERVER_FAULT: u16 = 500;
 
-/// How an attempt ended, with what the evidence needs.
+/// How a backend server beside this daemon served a call, for the evidence of moves.
 #[derive(Clone, Copy, Debug)]
-pub struct Finished {
-    /// How it ended.
-    pub outcome: Outcome,
-    /// From the choice of the server to the head of the answer, or to the failure.
+pub struct Served {
+    /// Whether it failed the call: status 500 or above, a broken connection, no answer in time.
+    pub failed: bool,
+    /// From the sending of the call to the head of the answer, or to the failure.
     pub latency: Duration,
     /// Whether a connection had to be opened for it.
     pub cold: bool,
 }
 
+impl Served {
+    /// A call answered with this status.
+    pub fn answered(status: u16, latency: Duration, cold: bool) -> Self {
+        Self { failed: status >= SERVER_FAULT, latency, cold }
+    }
+
+    /// A call that broke off or got no answer in time.
+    pub fn failed(latency: Duration) -> Self {
+        Self { failed: true, latency, cold: false }
+    }
+}
+
 /// How the body of an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -43,33 +55,39 @@
         self.router.begin(now, head)
     }
 
-    /// Ends an attempt: the router learns from it, and so does the evidence of a move.
-    pub fn finish(
-        &mut self,
-        now: Now,
-        attempt: &Attempt,
-        finished: Finished,
-        out: &mut Effects,
-    ) -> Next {
-        if let Some(failed) = convicts(finished.outcome) {
-            let sample = sample(attempt, failed, finished.latency, finished.cold);
-            self.moves.record(now, &sample, &mut self.moves_out);
-        }
-        let next = self.router.finish(now, attempt.id, finished.outcome);
-        if !self.moves_out.is_empty() {
-            self.settle(now, out);
-        }
-        next
+    /// Ends an attempt: the router learns from it.
+    pub fn finish(&mut self, now: Now, attempt: &Attempt, outcome: Outcome) -> Next {
+        self.router.finish(now, attempt.id, outcome)
     }
 
-    /// Ends the body of an answer that was passed on. A body that broke off at the server's side
-    /// counts as a failure of its version.
-    pub fn end_body(&mut self, now: Now, attempt: &Attempt, end: BodyEnd, out: &mut Effects) {
+    /// Ends the body of an answer that was passed on.
+    pub fn end_body(&mut self, now: Now, attempt: &Attempt, end: BodyEnd) {
         self.router.end_body(now, attempt.id, end != BodyEnd::Truncated);
-        if end != BodyEnd::Truncated {
+    }
+
+    /// Takes what a backend server beside this daemon did with a call as evidence for the moves
+    /// of its service. Only this daemon reports it, so reports grow with the servers of a
+    /// service and not with the fleet.
+    pub fn observe(
+        &mut self,
+        now: Now,
+        server: &ServerName,
+        route: &RouteName,
+        served: Served,
+        out: &mut Effects,
+    ) {
+        let Some(record) = self.membership.own_server(server) else {
             return;
-        }
-        let sample = sample(attempt, true, Duration::ZERO, false);
+        };
+        let sample = CallSample {
+            route,
+            service: &record.service,
+            version: &record.version,
+            server,
+            failed: served.failed,
+            latency: served.latency,
+            cold: served.cold,
+        };
         self.moves.record(now, &sample, &mut self.moves_out);
         if !self.moves_out.is_empty() {
             self.settle(now, out);
@@ -91,25 +109,3 @@
         self.moves.status(name)
     }
 }
-
-/// What the evidence reads of an attempt.
-fn sample(attempt: &Attempt, failed: bool, latency: Duration, cold: bool) -> CallSample<'_> {
-    CallSample {
-        route: &attempt.route,
-        service: &attempt.service,
-        version: &attempt.version,
-        server: &attempt.server,
-        failed,
-        latency,
-        cold,
-    }
-}
-
-/// Whether an outcome says something about a version: `Some(true)` for a failure.
-fn convicts(outcome: Outcome) -> Option<bool> {
-    match outcome {
-        Outcome::Answered { status } => Some(status >= SERVER_FAULT),
-        Outcome::Reset | Outcome::TimedOut | Outcome::Truncated => Some(true),
-        Outcome::NotRun { .. } | Outcome::NotConnected | Outcome::Cancelled => None,
-    }
-}
--- a/crates/cyclamenmoor/src/lib.rs
+++ b/crates/cyclamenmoor/src/lib.rs
@@ -14,7 +14,7 @@
 mod settings;
 mod sync;
 
-pub use calls::{BodyEnd, Finished};
+pub use calls::{BodyEnd, Served};
 pub use dump::{Dump, MemberDump, ServerDump, SlotsDump};
 pub use event::{AnnounceError, Announcement, AppendError, Effect, Effects, Event, Ticket};
 pub use instance::Instance;
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use cyclamen_routing::{Attempt, Hop, Next, Outcome, ServerLoad};
-use cyclamen_types::Mono;
-use cyclamenmoor::{BodyEnd, Finished};
+use cyclamenmoor::BodyEnd;
 use http::header::HeaderName;
 use http::request::Parts;
 use http::uri::{PathAndQuery, Uri};
@@ -15,7 +14,7 @@
 use crate::calls::body::{AnswerBody, OutBody};
 use crate::calls::headers;
 use crate::calls::hop::{CALL_HEADER, HopAnswer, HopCall, HopNumber, HopOutcome};
-use crate::calls::host::{self, Connection, HostCall, HostEnd};
+use crate::calls::host::{self, HostCall, HostEnd};
 use crate::calls::plane::Plane;
 use crate::calls::pool::{Exchange, SendFailure};
 
@@ -23,14 +22,12 @@
 pub(super) struct Try {
     plane: Plane,
     attempt: Attempt,
-    started: Mono,
     finished: bool,
 }
 
 /// How an attempt ended.
 pub(super) struct Ended {
     pub(super) outcome: Outcome,
-    connection: Connection,
     load: Option<ServerLoad>,
     response: Option<Response<AnswerBody>>,
 }
@@ -45,7 +42,7 @@
 impl Try {
     /// An attempt that the instance has just chosen.
     pub(super) fn start(plane: &Plane, attempt: Attempt) -> Self {
-        Self { plane: plane.clone(), attempt, started: plane.mono(), finished: false }
+        Self { plane: plane.clone(), attempt, finished: false }
     }
 
     /// Makes the attempt.
@@ -59,7 +56,7 @@
 
     /// Ends the attempt. After [`Next::Deliver`] there is an [`AttemptEnd`] for the body.
     pub(super) fn finish(mut self, ended: &Ended) -> (Next, Option<AttemptEnd>) {
-        let next = self.tell(ended.outcome, ended.connection, ended.load);
+        let next = self.tell(ended.outcome, ended.load);
         let end = (next == Next::Deliver).then(|| AttemptEnd {
             plane: self.plane.clone(),
             attempt: self.attempt.clone(),
@@ -68,21 +65,20 @@
         (next, end)
     }
 
-    fn tell(&mut self, outcome: Outcome, connection: Connection, load: Option<ServerLoad>) -> Next {
+    fn tell(&mut self, outcome: Outcome, load: Option<ServerLoad>) -> Next {
         self.finished = true;
-        let latency = self.plane.mono().since(self.started);
-        let finished = Finished { outcome, latency, cold: connection == Connection::Opened };
-        self.plane.shared.with(|instance, now, out| {
+        self.plane.shared.with(|instance, now, _| {
             if let Some(load) = load {
                 instance.observe_load(now, &self.attempt.server, load);
             }
-            instance.finish(now, &self.attempt, finished, out)
+            instance.finish(now, &self.attempt, outcome)
         })
     }
 
     async fn make_here(&self, address: SocketAddr, req: Request<OutBody>) -> Ended {
         let call = HostCall {
             server: self.attempt.server.clone(),
+            route: self.attempt.route.clone(),
             address,
             criticality: self.attempt.criticality,
             deadline: self.attempt.deadline,
@@ -120,7 +116,8 @@
     fn sign(&self, number: HopNumber, req: &mut Request<OutBody>) -> Option<()> {
         let left = self.plane.left(self.attempt.deadline);
         let server = self.attempt.server.clone();
-        let call = HopCall { server, number, left, criticality: self.attempt.criticality };
+        let route = self.attempt.route.clone();
+        let call = HopCall { server, route, number, left, criticality: self.attempt.criticality };
         let header = self.plane.seal.seal_call(self.plane.wall(), &call, req)?;
         req.headers_mut().insert(HeaderName::from_static(CALL_HEADER), header);
         Some(())
@@ -130,28 +127,27 @@
 impl Drop for Try {
     fn drop(&mut self) {
         if !self.finished {
-            self.tell(Outcome::Cancelled, Connection::Opened, None);
+            self.tell(Outcome::Cancelled, None);
         }
     }
 }
 
 impl Ended {
     fn without(outcome: Outcome) -> Self {
-        Self { outcome, connection: Connection::Opened, load: None, response: None }
+        Self { outcome, load: None, response: None }
     }
 
     /// The end of an attempt over the backend server beside this daemon.
     fn here(end: HostEnd, load: ServerLoad) -> Self {
         let outcome = match &end {
-            HostEnd::Answered(response, _) => answered(response),
+            HostEnd::Answered(response) => answered(response),
             HostEnd::Full(retry_after) => Outcome::NotRun { retry_after: *retry_after },
             HostEnd::Down => Outcome::NotConnected,
             HostEnd::Unknown => Outcome::Reset,
             HostEnd::Late => Outcome::TimedOut,
         };
         let mut ended = Self { load: Some(load), ..Self::without(outcome) };
-        if let HostEnd::Answered(response, connection) = end {
-            ended.connection = connection;
+        if let HostEnd::Answered(response) = end {
             ended.response = Some(*response);
         }
         ended
@@ -159,7 +155,7 @@
 
     /// The end of an attempt over another daemon.
     fn there(answer: &HopAnswer, exchange: Exchange, until: Instant) -> Self {
-        let Exchange { response, lease, cold } = exchange;
+        let Exchange { response, lease, .. } = exchange;
         let (mut parts, incoming) = response.into_parts();
         headers::strip(&mut parts.headers);
         parts.version = Version::HTTP_11;
@@ -174,7 +170,6 @@
         };
         Self {
             outcome,
-            connection: if cold { Connection::Opened } else { Connection::Reused },
             load: Some(answer.load),
             response: (answer.outcome == HopOutcome::Ran).then_some(response),
         }
@@ -196,9 +191,7 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
-        self.plane
-            .shared
-            .with(|instance, now, out| instance.end_body(now, &self.attempt, end, out));
+        self.plane.shared.with(|instance, now, _| instance.end_body(now, &self.attempt, end));
     }
 }
 
--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -260,7 +260,11 @@
 
     fn end(&mut self, end: BodyEnd) {
         self.incoming = None;
-        self.slot = None;
+        if let Some(slot) = self.slot.take()
+            && end == BodyEnd::Truncated
+        {
+            slot.broke_off();
+        }
         if let Some(mut attempt) = self.attempt.take() {
             attempt.end(end);
         }
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -1,7 +1,7 @@
 //! The sealed headers between daemons: only a holder of the mesh key can make them.
 //!
-//! A call carries [`CALL_HEADER`]: backend server, number of the hop, time left, criticality,
-//! wall clock, and a keyed hash over these, the method and the target. An answer carries
+//! A call carries [`CALL_HEADER`]: backend server, route, number of the hop, time left,
+//! criticality, wall clock, and a keyed hash over these, the method and the target. An answer carries
 //! [`ANSWER_HEADER`]: the same number, how the call ended, load, and a keyed hash over these and
 //! the status.
 
@@ -12,7 +12,7 @@
 use cyclamen_declarations::Criticality;
 use cyclamen_membership::MeshKey;
 use cyclamen_routing::ServerLoad;
-use cyclamen_types::{FastSet, ServerName, Wall};
+use cyclamen_types::{FastSet, RouteName, ServerName, Wall};
 use derive_more::Display;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 
@@ -39,6 +39,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct HopCall {
     pub(super) server: ServerName,
+    pub(super) route: RouteName,
     pub(super) number: HopNumber,
     pub(super) left: Duration,
     pub(super) criticality: Criticality,
@@ -118,9 +119,9 @@
         call: &HopCall,
         req: &Request<B>,
     ) -> Option<HeaderValue> {
-        let HopCall { server, number, left, criticality } = call;
+        let HopCall { server, route, number, left, criticality } = call;
         let left = left.as_millis();
-        let claim = format!("v1 {server} {number} {left} {criticality} {now}");
+        let claim = format!("v1 {server} {route} {number} {left} {criticality} {now}");
         let hash = self.hash(&[b"call", claim.as_bytes(), &target(req)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
     }
@@ -214,11 +215,12 @@
         return None;
     }
     let server = ServerName::try_from(fields.next()?).ok()?;
+    let route = RouteName::try_from(fields.next()?).ok()?;
     let number = HopNumber(fields.next()?.parse().ok()?);
     let left = Duration::from_millis(fields.next()?.parse().ok()?);
     let criticality = parse_criticality(fields.next()?)?;
     let at = Wall(fields.next()?.parse().ok()?);
-    Some((HopCall { server, number, left, criticality }, at))
+    Some((HopCall { server, route, number, left, criticality }, at))
 }
 
 fn parse_answer(claim: &str) -> Option<HopAnswer> {
--- a/crates/daemon/src/calls/hop/tests.rs
+++ b/crates/daemon/src/calls/hop/tests.rs
@@ -19,6 +19,7 @@
 fn call(seal: &HopSeal) -> HopCall {
     HopCall {
         server: "dvere-1".try_into().expect("a name"),
+        route: "dvere-records".try_into().expect("a name"),
         number: seal.number(),
         left: Duration::from_millis(250),
         criticality: Criticality::Critical,
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use cyclamen_declarations::Criticality;
 use cyclamen_routing::{Admission, CallId, Ran, Refusal, RefusalKind};
-use cyclamen_types::{Mono, ServerName};
+use cyclamen_types::{Mono, RouteName, ServerName};
+use cyclamenmoor::Served;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 
@@ -26,6 +27,7 @@
 /// A call for a backend server beside this daemon.
 pub(super) struct HostCall {
     pub(super) server: ServerName,
+    pub(super) route: RouteName,
     pub(super) address: SocketAddr,
     pub(super) criticality: Criticality,
     pub(super) deadline: Mono,
@@ -34,7 +36,7 @@
 /// How such a call ended.
 pub(super) enum HostEnd {
     /// The server answered.
-    Answered(Box<Response<AnswerBody>>, Connection),
+    Answered(Box<Response<AnswerBody>>),
     /// No slot: not run.
     Full(Duration),
     /// No connection, or it leaves: not run.
@@ -45,23 +47,28 @@
     Late,
 }
 
-/// Whether a connection had to be opened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Connection {
-    /// It was opened for this call.
-    Opened,
-    /// It was open already.
-    Reused,
-}
-
 /// Holds a slot, or a place in the queue, until dropped.
 pub(super) struct SlotGuard {
     plane: Plane,
     server: ServerName,
+    route: RouteName,
     call: CallId,
     ran: Ran,
 }
 
+impl SlotGuard {
+    /// The answer broke off after its head.
+    pub(super) fn broke_off(&self) {
+        self.observe(Served::failed(Duration::ZERO));
+    }
+
+    fn observe(&self, served: Served) {
+        self.plane.shared.with(|instance, now, out| {
+            instance.observe(now, &self.server, &self.route, served, out);
+        });
+    }
+}
+
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let (call, ran) = (self.call, self.ran);
@@ -86,6 +93,7 @@
     };
     let call = HostCall {
         server: claim.server.clone(),
+        route: claim.route.clone(),
         address,
         criticality: claim.criticality,
         deadline: plane.mono() + claim.left,
@@ -118,6 +126,9 @@
     let until = plane.until(call.deadline);
     let sent = plane.servers.send(call.address, req, until).await;
     let latency = plane.mono().since(started);
+    if let Some(served) = served(&sent, latency) {
+        slot.observe(served);
+    }
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(SendFailure::NotConnected) => return HostEnd::Down,
@@ -135,13 +146,12 @@
         StatusCode::SERVICE_UNAVAILABLE => Ran::Shed(latency),
         _ => Ran::Answered(latency),
     };
-    let Exchange { response, lease, cold } = exchange;
+    let Exchange { response, lease, .. } = exchange;
     let (mut parts, incoming) = response.into_parts();
     headers::strip(&mut parts.headers);
     parts.version = Version::HTTP_11;
     let body = AnswerBody::streamed(incoming, lease, until).with_slot(slot);
-    let connection = if cold { Connection::Opened } else { Connection::Reused };
-    HostEnd::Answered(Box::new(Response::from_parts(parts, body)), connection)
+    HostEnd::Answered(Box::new(Response::from_parts(parts, body)))
 }
 
 async fn take_slot(plane: &Plane, call: &HostCall) -> Result<SlotGuard, HostEnd> {
@@ -154,8 +164,13 @@
         plane.shared.forget_wait(id);
         return Err(refused(&refusal));
     }
-    let server = call.server.clone();
-    let slot = SlotGuard { plane: plane.clone(), server, call: id, ran: Ran::Unmeasured };
+    let slot = SlotGuard {
+        plane: plane.clone(),
+        server: call.server.clone(),
+        route: call.route.clone(),
+        call: id,
+        ran: Ran::Unmeasured,
+    };
     if admission == Admission::Run {
         return Ok(slot);
     }
@@ -168,6 +183,19 @@
     }
 }
 
+/// What the end of an exchange says about the version that served it; a call that never reached
+/// the backend server says nothing.
+fn served(sent: &Result<Exchange, SendFailure>, latency: Duration) -> Option<Served> {
+    match sent {
+        Ok(exchange) => {
+            let status = exchange.response.status().as_u16();
+            Some(Served::answered(status, latency, exchange.cold))
+        }
+        Err(SendFailure::Reset | SendFailure::TimedOut) => Some(Served::failed(latency)),
+        Err(SendFailure::NotConnected | SendFailure::Unsent) => None,
+    }
+}
+
 fn refused(refusal: &Refusal) -> HostEnd {
     match refusal.kind {
         RefusalKind::Overloaded | RefusalKind::Expired => {
@@ -200,14 +228,14 @@
 /// Tells the daemon that sent a call how it ended.
 fn reply(plane: &Plane, claim: &HopCall, end: HostEnd) -> Response<AnswerBody> {
     let (outcome, retry_after) = match &end {
-        HostEnd::Answered(..) => (HopOutcome::Ran, Duration::ZERO),
+        HostEnd::Answered(_) => (HopOutcome::Ran, Duration::ZERO),
         HostEnd::Full(retry_after) => (HopOutcome::Full, *retry_after),
         HostEnd::Down => (HopOutcome::Down, DOWN_RETRY),
         HostEnd::Unknown => (HopOutcome::Unknown, Duration::ZERO),
         HostEnd::Late => (HopOutcome::Late, Duration::ZERO),
     };
     let mut response = match end {
-        HostEnd::Answered(response, _) => *response,
+        HostEnd::Answered(response) => *response,
         HostEnd::Full(_) | HostEnd::Down => empty(StatusCode::SERVICE_UNAVAILABLE),
         HostEnd::Unknown | HostEnd::Late => empty(StatusCode::BAD_GATEWAY),
     };
--- a/crates/measure/src/moves/cores.rs
+++ b/crates/measure/src/moves/cores.rs
@@ -64,26 +64,28 @@
 }
 
 impl Cores {
-    /// Cores that have adopted `moves` moves of the scenario's shape, one per service.
+    /// One core beside each backend server of the old version, then one beside each of the new.
+    /// They have adopted `moves` moves of the scenario's shape, one per service.
     pub fn new(scenario: &Scenario, moves: usize) -> Self {
+        let daemons = scenario.size.servers * 2;
         let mut rng = SmallRng::seed_from_u64(scenario.seed ^ 1);
         let config = config(scenario, moves);
         let names: Vec<MoveName> = config.moves.keys().cloned().collect();
         let mut this = Self {
             cores: Vec::new(),
             skews_ms: Vec::new(),
-            shares_ppm: vec![0; scenario.size.servers],
+            shares_ppm: vec![0; daemons],
             deliveries: BinaryHeap::new(),
             serial: 0,
             config,
             names,
             cut: cut(scenario),
             out: Vec::new(),
-            evidence_bytes: vec![0; scenario.size.servers],
+            evidence_bytes: vec![0; daemons],
             slots: scenario.size.slots,
             rng: SmallRng::seed_from_u64(scenario.seed ^ 2),
         };
-        for index in 0..scenario.size.servers {
+        for index in 0..daemons {
             this.skews_ms.push(rng.random_range(0..SKEW_MS));
             let settings = MovesSettings {
                 instance: format!("i{index}").try_into().expect("a name"),
--- a/crates/measure/src/moves/world.rs
+++ b/crates/measure/src/moves/world.rs
@@ -219,7 +219,8 @@
             latency: flight.ended.latency,
             cold: flight.cold,
         };
-        self.cores.record(flight.daemon, at, &sample);
+        let beside = side * self.scenario.size.servers + flight.call.server;
+        self.cores.record(beside, at, &sample);
         let back = self.first_hit.is_some() && self.cores.share_ppm(flight.daemon) == 0;
         if back && self.outcome.detected.is_none() && self.taken_back(flight.daemon) {
             self.outcome.detected = self.first_hit.map(|first| at.since(first));
--- a/crates/membership/src/hot.rs
+++ b/crates/membership/src/hot.rs
@@ -13,6 +13,9 @@
 /// Records kept at most; peers pull what they missed.
 const RECORDS_LIMIT: usize = 16;
 
+/// Reports of evidence kept at most; later ones hold all that earlier ones of a reporter did.
+const EVIDENCE_LIMIT: usize = 32;
+
 /// How soon a piece of news should be told; lower ones go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Urgency {
@@ -106,6 +109,9 @@
         if urgency == Urgency::Records {
             self.shed(RECORDS_LIMIT, |news| news.urgency == Urgency::Records);
         }
+        if urgency == Urgency::Bulk {
+            self.shed(EVIDENCE_LIMIT, |news| news.urgency == Urgency::Bulk);
+        }
         self.shed(NEWS_LIMIT, |_| true);
     }
 
--- a/crates/membership/src/riders.rs
+++ b/crates/membership/src/riders.rs
@@ -10,6 +10,9 @@
 /// Riders remembered, so that each counts once.
 const SEEN_LIMIT: usize = 8_192;
 
+/// Tellings of a report of evidence by each member; the next report makes up for what it misses.
+const EVIDENCE_TELLINGS: u32 = 2;
+
 /// Bytes of a datagram kept for its head.
 const HEAD_BYTES: usize = 128;
 
@@ -68,7 +71,8 @@
         }
         let times = match rider.kind {
             RiderKind::Records => self.fanout(),
-            RiderKind::Conviction | RiderKind::Evidence => self.retransmits(),
+            RiderKind::Conviction => self.retransmits(),
+            RiderKind::Evidence => EVIDENCE_TELLINGS,
         };
         self.hot.add_rider(id, rider, times);
         true
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -250,6 +250,9 @@
         let Some(active) = self.active.values_mut().find(|active| active.key == packet.id) else {
             return;
         };
+        for limit in &packet.limits {
+            active.recorder.hear_limit(packet.reporter, limit);
+        }
         let mut routes = BTreeSet::new();
         let mut new_calls = 0;
         for entry in &packet.entries {
@@ -318,7 +321,9 @@
                 continue;
             }
             let lines = active.changed_lines(routine);
-            for packet in packets(active.key, self.me.reporter, self.me.domain, &lines) {
+            let limit_of = |route| active.recorder.limit(route);
+            let packets = packets(active.key, self.me.reporter, self.me.domain, &lines, limit_of);
+            for packet in packets {
                 let bytes = Payload::Evidence(packet).encode();
                 self.budget.spend(bytes.len());
                 out.push(MovesEffect::Evidence(bytes));
--- a/crates/moves/src/payload.rs
+++ b/crates/moves/src/payload.rs
@@ -1,6 +1,7 @@
 //! What daemons tell each other about moves, in postcard.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_types::{InstanceName, Wall};
 use serde::{Deserialize, Serialize};
@@ -11,8 +12,8 @@
 /// Largest payload, in bytes: what a datagram holds beside its headers.
 pub const PAYLOAD_BYTES: usize = 1_000;
 
-/// Bytes that an entry of a packet takes at most.
-const ENTRY_BYTES: usize = 28;
+/// Bytes that an entry of a packet takes at most, with the limit of its route.
+const ENTRY_BYTES: usize = 38;
 
 /// Bytes that a packet takes before its entries, at most.
 const PACKET_HEADER_BYTES: usize = 26;
@@ -39,6 +40,17 @@
     pub stratum: Stratum,
     /// The counters.
     pub entries: Vec<Entry>,
+    /// Latencies above which the old version's calls are slow, as the reporter sees them.
+    pub limits: Vec<RouteLimit>,
+}
+
+/// The latency above which a call of a route is slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteLimit {
+    /// The route.
+    pub route: RouteKey,
+    /// The latency, in microseconds.
+    pub limit_us: u32,
 }
 
 /// One counter of a packet.
@@ -92,6 +104,7 @@
     reporter: ReporterKey,
     domain: DomainKey,
     lines: &[(LineKey, Counts)],
+    limit_of: impl Fn(RouteKey) -> Option<Duration>,
 ) -> Vec<Packet> {
     let room = (PAYLOAD_BYTES - PACKET_HEADER_BYTES) / ENTRY_BYTES;
     let mut packets: Vec<Packet> = Vec::new();
@@ -103,8 +116,27 @@
             packet.entries.push(entry);
             continue;
         }
-        let entries = vec![entry];
-        packets.push(Packet { id, reporter, domain, stratum: key.stratum, entries });
+        let (stratum, entries) = (key.stratum, vec![entry]);
+        packets.push(Packet { id, reporter, domain, stratum, entries, limits: Vec::new() });
+    }
+    for packet in &mut packets {
+        packet.limits = limits(&packet.entries, &limit_of);
     }
     packets
 }
+
+/// The limits of the old version's routes among some entries.
+fn limits(entries: &[Entry], limit_of: &impl Fn(RouteKey) -> Option<Duration>) -> Vec<RouteLimit> {
+    let mut limits = Vec::new();
+    for entry in entries {
+        if entry.server != ServerKey::OLD {
+            continue;
+        }
+        let Some(limit) = limit_of(entry.route) else {
+            continue;
+        };
+        let limit_us = u32::try_from(limit.as_micros()).unwrap_or(u32::MAX);
+        limits.push(RouteLimit { route: entry.route, limit_us });
+    }
+    limits
+}
--- a/crates/moves/src/recorder.rs
+++ b/crates/moves/src/recorder.rs
@@ -1,11 +1,13 @@
 //! Turns finished calls into counts: which line, failed or not, slow or not.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cyclamen_types::{FastMap, Mono, Now, RouteName, ServerName};
 
 use crate::evidence::{Counts, LineKey, Stratum};
-use crate::keys::{RouteKey, ServerKey};
+use crate::keys::{ReporterKey, RouteKey, ServerKey};
+use crate::payload::RouteLimit;
 use crate::reference::Reference;
 use crate::types::{CallSample, Side};
 
@@ -43,6 +45,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Recorder {
     routes: FastMap<RouteName, RouteMemory>,
+    /// Limits that other reporters saw, by route.
+    heard: FastMap<RouteKey, BTreeMap<ReporterKey, Duration>>,
     servers: FastMap<ServerName, ServerMemory>,
 }
 
@@ -59,18 +63,37 @@
             Side::Old => (ServerKey::OLD, true),
             Side::New => self.server(now, sample.server),
         };
+        let limit = self.limit(sample.route.into());
         let route = self.route(sample.route);
         let mut slow = false;
         if !sample.failed && !sample.cold {
-            slow = warm && route.reference.slow(sample.latency) == Some(true);
             if side == Side::Old {
                 route.reference.add(sample.latency);
             }
+            slow = warm && limit.is_some_and(|limit| sample.latency > limit);
         }
         let counts = Counts { calls: 1, failed: sample.failed.into(), slow: slow.into() };
         Counted { key: LineKey { stratum, route: route.key, server }, counts }
     }
 
+    /// The latency above which a call of a route is slow: by the old version's calls here, else
+    /// by the median of what other reporters saw; `None` while nobody knows.
+    pub(crate) fn limit(&self, key: RouteKey) -> Option<Duration> {
+        let here = self.routes.values().find(|memory| memory.key == key);
+        if let Some(limit) = here.and_then(|memory| memory.reference.limit()) {
+            return Some(limit);
+        }
+        let mut limits: Vec<Duration> = self.heard.get(&key)?.values().copied().collect();
+        limits.sort_unstable();
+        limits.get(limits.len() / 2).copied()
+    }
+
+    /// Takes the limit that another reporter saw.
+    pub(crate) fn hear_limit(&mut self, reporter: ReporterKey, limit: &RouteLimit) {
+        let span = Duration::from_micros(u64::from(limit.limit_us));
+        self.heard.entry(limit.route).or_default().insert(reporter, span);
+    }
+
     /// The name of a route that this daemon had calls of.
     pub(crate) fn route_name(&self, key: RouteKey) -> Option<&RouteName> {
         self.routes.iter().find(|(_, memory)| memory.key == key).map(|(name, _)| name)
--- a/crates/moves/src/reference.rs
+++ b/crates/moves/src/reference.rs
@@ -53,9 +53,10 @@
         self.recount = (self.calls + self.calls / 4).min(HALVING_CALLS - 1);
     }
 
-    /// Whether a call is slow; `None` while too few calls of the old version are known.
-    pub fn slow(&self, latency: Duration) -> Option<bool> {
-        self.limit.map(|limit| latency > limit)
+    /// The latency above which a call is slow; `None` while too few calls of the old version are
+    /// known.
+    pub fn limit(&self) -> Option<Duration> {
+        self.limit
     }
 
     fn quantile(&self) -> Duration {
