Name numbers in faults as operators do

A number out of place was told as "expected u32", which says nothing to someone who writes YAML. The text of syntax faults was tried with a remedy and left: it has line and column, and another crate's tests expect it.

--- a/crates/declarations/src/shape.rs
+++ b/crates/declarations/src/shape.rs
@@ -24,6 +24,13 @@
     None
 }
 
+/// How the deserializer names numbers, and how operators do.
+const NUMBERS: [(&str, &str); 3] = [
+    ("expected i32", "expected a whole number"),
+    ("expected u32", "expected a whole number, 0 or more"),
+    ("expected u64", "expected a whole number, 0 or more"),
+];
+
 fn message(text: &str) -> String {
     if text.starts_with("invalid type") && text.ends_with("expected a string") {
         return format!("{text}: put it in quotes");
@@ -31,6 +38,11 @@
     if text.starts_with("unknown field") {
         return format!("{text}: correct it or remove it");
     }
+    for (theirs, ours) in NUMBERS {
+        if let Some(start) = text.strip_suffix(theirs) {
+            return format!("{start}{ours}: correct it");
+        }
+    }
     format!("{text}: correct it")
 }
 
