--- a/crates/ledger/src/apply.rs
+++ b/crates/ledger/src/apply.rs
@@ -12,6 +12,10 @@
 use crate::hash;
 use crate::ledger::StateHash;
 
+/// Moves with a verdict that a service keeps beside the one that is declared; older ones go when a
+/// new one is declared.
+pub const ENDED_MOVES_KEPT: usize = 4;
+
 /// Carries out a verified change; returns whether anything differs.
 pub(crate) fn apply_change(
     config: &mut Config,
@@ -25,16 +29,38 @@
             continue;
         }
         let key = entry.action.key();
+        let moved = match &entry.action {
+            EntryAction::Put(Declaration::Move(mv)) => Some(mv.service.clone()),
+            _ => None,
+        };
         edit(config, hash, &key, |config| match entry.action {
             EntryAction::Put(declaration) => put(config, declaration, &change.team, offset),
             EntryAction::Delete(key) => delete(config, &key),
             EntryAction::Order(order) => give_order(config, &order),
         });
+        if let Some(service) = moved {
+            forget_ended(config, hash, &service);
+        }
         changed = true;
     }
     changed
 }
 
+/// Drops the oldest moves of a service that have their verdict, when there are too many.
+fn forget_ended(config: &mut Config, hash: &mut StateHash, service: &ServiceName) {
+    let mut ended = Vec::new();
+    for held in config.moves.values() {
+        if held.verdict.is_some() && held.held.body.service == *service {
+            ended.push(held.id());
+        }
+    }
+    ended.sort_by(|a, b| b.declared.cmp(&a.declared).then_with(|| a.name.cmp(&b.name)));
+    for id in ended.into_iter().skip(ENDED_MOVES_KEPT) {
+        let key = DeclarationKey { kind: DeclarationKind::Move, name: id.name.as_str().into() };
+        edit(config, hash, &key, |config| delete(config, &key));
+    }
+}
+
 /// Carries out a verdict; returns whether it counts. A verdict of an older publication does not,
 /// nor one that the verdict held equals or outranks.
 pub(crate) fn apply_verdict(
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -18,6 +18,7 @@
 mod verify;
 mod window;
 
+pub use apply::ENDED_MOVES_KEPT;
 pub use config::{Config, Held, HeldMove, MoveId, MoveVerdict, VerdictKind};
 pub use conflict::{Caution, Conflict, Finding, Report};
 pub use ledger::{ChangeOutcome, FoldOutcome, Ledger, LedgerCounters, Refusal, StateHash};
--- a/crates/ledger/src/payload.rs
+++ b/crates/ledger/src/payload.rs
@@ -11,6 +11,9 @@
 /// The format that this release writes and reads.
 pub(crate) const FORMAT: u32 = 1;
 
+/// Longest reason of a verdict, in characters; the rest is cut off.
+const MAX_REASON_CHARS: usize = 1_000;
+
 /// A record as the fold sees it.
 #[derive(Debug)]
 pub(crate) enum Payload {
@@ -83,7 +86,8 @@
         _ => return None,
     };
     let by: InstanceName = item.by?.parse().ok()?;
-    Some(MoveVerdict { kind, reason: item.reason?.into(), by, at: Wall(item.at_ms?) })
+    let reason: String = item.reason?.chars().take(MAX_REASON_CHARS).collect();
+    Some(MoveVerdict { kind, reason: reason.into(), by, at: Wall(item.at_ms?) })
 }
 
 /// The border type of a verdict.
--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -7,7 +7,8 @@
 use common::{MESH, NOW, append, change, change_of, mesh, publish, verdict, verdict_of};
 use cyclamen_declarations::parse_change;
 use cyclamen_ledger::{
-    ChangeOutcome, FoldOutcome, Ledger, LogRecord, MoveId, OUTCOMES_KEPT, VerdictKind,
+    ChangeOutcome, ENDED_MOVES_KEPT, FoldOutcome, Ledger, LogRecord, MoveId, MoveVerdict,
+    OUTCOMES_KEPT, VerdictKind,
 };
 use cyclamen_types::{ConfigVersion, Offset};
 
@@ -206,6 +207,36 @@
     assert_eq!(version(&ledger), "v2");
 }
 
+#[test]
+fn verdict_reason_bounded() {
+    let mut ledger = moving();
+    let id = ledger.config().moves["to-v2"].id();
+    let long = MoveVerdict { reason: "ř".repeat(5_000).into(), ..verdict_of(VerdictKind::Done) };
+    append(&mut ledger, &Ledger::verdict_payload(&id, &long));
+    let held = ledger.config().moves["to-v2"].verdict.as_ref().expect("a verdict");
+    assert_eq!(held.reason.chars().count(), 1_000);
+}
+
+#[test]
+fn moves_ended_bounded() {
+    let mut ledger = mesh();
+    let count = ENDED_MOVES_KEPT + 3;
+    for i in 0..count {
+        let (from, to) = if i % 2 == 0 { ("v1", "v2") } else { ("v2", "v1") };
+        let yaml = format!(
+            "declarations: [{{name: m{i}, move: {{service: dvere, from: {from}, to: {to}, \
+             deadline: +10m}}}}]"
+        );
+        publish(&mut ledger, &format!("move-{i}"), &yaml);
+        verdict(&mut ledger, &format!("m{i}"), VerdictKind::Done);
+    }
+    let held: Vec<&str> = ledger.config().moves.keys().map(|name| name.as_str()).collect();
+    assert_eq!(held, ["m2", "m3", "m4", "m5", "m6"]);
+    let mut other = Ledger::default();
+    assert!(other.install_snapshot(&ledger.snapshot()));
+    assert_eq!(other.hash(), ledger.hash());
+}
+
 #[test]
 fn order_last_holds() {
     let mut ledger = moving();
