Say what a base and a border type are for

The comment on a base named two contrary meanings of leaving it out; the fold has one, the last writer wins. The page of the declarations crate names its ways in, and its re-exports stand in one list.

--- a/crates/declarations/src/checked.rs
+++ b/crates/declarations/src/checked.rs
@@ -25,8 +25,8 @@
 /// One declaration put or deleted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChangeEntry {
-    /// Offset of the record this edit started from; `None` demands that the declaration is new
-    /// or that the publisher does not care who wrote before.
+    /// Offset of the record that this edit started from; the change is refused if another one
+    /// wrote the declaration since. `None` where the last writer wins.
     pub base: Option<Offset>,
     /// What to do.
     pub action: EntryAction,
--- a/crates/declarations/src/lib.rs
+++ b/crates/declarations/src/lib.rs
@@ -1,8 +1,8 @@
 //! Declarations: border types, checked types, selectors and the verifier.
 //!
-//! Text from an operator (YAML) or from the log (JSON) becomes border types, which mirror the
-//! schema, and those become the checked types of this crate by `TryFrom`. Only checked types
-//! reach the other crates.
+//! Text from an operator (YAML, [`parse_change`]) or from the log (JSON, [`parse_json`]) becomes
+//! border types ([`generated`]), which mirror the schema, and those become the checked types of
+//! this crate by `TryFrom`. Only the fold and the snapshots handle border types outside of it.
 
 mod bodies;
 mod border;
@@ -20,11 +20,10 @@
 mod text;
 
 pub use change::{parse_change, parse_json};
-pub use fault::{Fault, Faults, Problem};
-
 pub use checked::{
     Change, ChangeEntry, ClashRule, Criticality, Declaration, DeclarationKey, DeclarationKind,
     EntryAction, HeaderMatch, HostPattern, Idempotence, Limits, Move, MoveOrder, OrderAction,
     Policy, Retries, Route, RouteMatch, Service, StickyKey, Version, VersionId, WeightedVersion,
 };
+pub use fault::{Fault, Faults, Problem};
 pub use labels::{LabelError, Labels, Requirement, Selector};
