Warn of routes that take each other's calls

Two routes with the same match on the same proxies are both accepted, and one of them, perhaps another team's, gets no call. Publishing now warns which goes first.

--- a/crates/ledger/src/conflict.rs
+++ b/crates/ledger/src/conflict.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cyclamen_declarations::DeclarationKey;
-use cyclamen_types::{ChangeId, MoveName, Offset, ServiceName, TeamName, VersionName};
+use cyclamen_types::{ChangeId, MoveName, Offset, RouteName, ServiceName, TeamName, VersionName};
 use thiserror::Error;
 
 /// Why a change cannot be accepted as it stands. The message says what to do.
@@ -112,6 +112,14 @@
         /// The version declared.
         to: VersionName,
     },
+    /// Two routes take the same calls on the same proxies.
+    #[error("route `{first}` takes all calls of route `{second}`, which matches alike: change one")]
+    Shadows {
+        /// The route that goes first.
+        first: RouteName,
+        /// The route that gets no calls.
+        second: RouteName,
+    },
     /// A move is deleted before its verdict.
     #[error("move `{0}` is running: its traffic goes back to the old version at once")]
     DeletesRunning(MoveName),
--- a/crates/ledger/src/draft.rs
+++ b/crates/ledger/src/draft.rs
@@ -108,6 +108,13 @@
         kept(&self.routes, &self.config.routes)
     }
 
+    /// All routes, in no order.
+    pub(crate) fn routes(&self) -> Vec<&'a Route> {
+        let mut routes = self.kept_routes();
+        routes.extend(self.routes.values().copied().flatten());
+        routes
+    }
+
     /// Moves that the change leaves alone.
     pub(crate) fn kept_moves(&self) -> Vec<&'a Move> {
         let mut moves = Vec::new();
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -16,7 +16,7 @@
 use crate::payload::{self, Payload};
 use crate::record::LogRecord;
 use crate::snapshot::{self, Restored};
-use crate::verify::verify;
+use crate::verify::verify_faults;
 use crate::window::Window;
 
 /// A hash over the canonical form of a configuration.
@@ -129,7 +129,7 @@
         if self.is_repeat(&id, print) {
             return false;
         }
-        let report = verify(&change, &self.config);
+        let report = verify_faults(&change, &self.config);
         if !report.accepts() {
             let faults = report.faults.iter().map(ToString::to_string);
             let refusal = Refusal::new(faults, report.stale_base());
--- a/crates/ledger/src/verify.rs
+++ b/crates/ledger/src/verify.rs
@@ -1,5 +1,6 @@
 //! The checks of a change against a configuration, alike for the fold and for a dry run.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 use cyclamen_declarations::{
@@ -15,8 +16,20 @@
 /// Checks a change against a configuration. The entries of the change see each other. The fold
 /// accepts a change exactly when this finds no fault.
 pub fn verify(change: &Change, config: &Config) -> Report {
+    let draft = Draft::new(config, change);
+    let routes = draft.routes();
+    run(change, draft, Some(routes))
+}
+
+/// The same without warnings, which cost more than the faults.
+pub(crate) fn verify_faults(change: &Change, config: &Config) -> Report {
+    run(change, Draft::new(config, change), None)
+}
+
+fn run<'a>(change: &'a Change, draft: Draft<'a>, routes: Option<Vec<&'a Route>>) -> Report {
     let mut cx = Verifier {
-        draft: Draft::new(config, change),
+        draft,
+        routes,
         team: &change.team,
         place: String::new(),
         report: Report::default(),
@@ -35,6 +48,8 @@
 
 struct Verifier<'a> {
     draft: Draft<'a>,
+    /// All routes, where warnings are wanted.
+    routes: Option<Vec<&'a Route>>,
     team: &'a TeamName,
     place: String,
     report: Report,
@@ -138,6 +153,7 @@
     }
 
     fn route(&mut self, route: &Route) {
+        self.warn_shadows(route);
         if !self.needs_service("route.service", &route.service) {
             return;
         }
@@ -147,7 +163,30 @@
         }
     }
 
+    fn warn_shadows(&mut self, route: &Route) {
+        let Some(routes) = &self.routes else {
+            return;
+        };
+        let order = |route: &Route| (Reverse(route.priority), route.name.clone());
+        let mut alike = Vec::new();
+        for other in routes {
+            let same = other.matches == route.matches && other.proxies == route.proxies;
+            if same && other.name != route.name {
+                alike.push(order(other));
+            }
+        }
+        alike.sort();
+        for other in alike {
+            let own = order(route);
+            let (first, second) = if own < other { (own.1, other.1) } else { (other.1, own.1) };
+            self.warn("route.match", Caution::Shadows { first, second });
+        }
+    }
+
     fn policy(&mut self, policy: &Policy) {
+        if self.routes.is_none() {
+            return;
+        }
         let services = self.draft.services();
         if services.iter().any(|service| selects(&policy.services, service)) {
             return;
--- a/crates/ledger/tests/verify.rs
+++ b/crates/ledger/tests/verify.rs
@@ -206,3 +206,15 @@
     let start = "declarations[0].move.from: version dvere/v1 is not declared";
     assert_fault(&ledger, &items, start);
 }
+
+#[test]
+fn verify_route_shadows() {
+    let ledger = mesh();
+    let alike = "match: {hosts: [dvere.example], path_prefix: /doors/}, service: dvere";
+    let shadowed = one(&format!("{{name: ever, route: {{{alike}}}}}"));
+    let first = one(&format!("{{name: ever, route: {{{alike}, priority: 1}}}}"));
+    let elsewhere = one(&format!("{{name: ever, route: {{{alike}, proxies: region=none}}}}"));
+    assert!(faults(&ledger, &shadowed).is_empty());
+    let found = [&shadowed, &first, &elsewhere].map(|change| warnings(&ledger, change));
+    insta::assert_yaml_snapshot!(found);
+}
