Back off appends while the log is down

Appends were tried again every 500 ms for as long as the log stayed away. In a long outage every daemon comes to owe the verdict of a running move, so that 910 daemons met the returning log with 1,820 appends a second, while it takes several hundred. Retries now double up to 2 s for a change and 30 s for a verdict, each jittered by half from the seed; the order of appends is that of their tickets, no longer that of a hash map. A daemon keeps 256 publications under way at most and refuses further ones with 503; a repeat of one under way is no new one.

--- a/crates/cyclamenmoor/src/appends.rs
+++ b/crates/cyclamenmoor/src/appends.rs
@@ -1,17 +1,29 @@
 //! Appends that have to reach the log: tried again under one id until the fold shows them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cyclamen_declarations::Change;
 use cyclamen_ledger::{ChangeOutcome, Ledger, MoveId, MoveVerdict};
-use cyclamen_types::{ChangeId, FastMap, Mono, Now, Offset};
+use cyclamen_types::{ChangeId, Mono, Now, Offset};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::event::{AppendError, Effect, Effects, Ticket};
 use crate::instance::Instance;
 
-/// Pause before an append without an answer is tried again.
-const APPEND_RETRY: Duration = Duration::from_millis(500);
+#[cfg(test)]
+mod tests;
+
+/// Longest pause before the first retry of an append without an answer; it doubles with each try.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause between two tries of a change: an operator waits for it.
+const CHANGE_PAUSE: Duration = Duration::from_secs(2);
+
+/// Longest pause between two tries of a verdict: after a long outage every daemon may have one.
+const VERDICT_PAUSE: Duration = Duration::from_secs(30);
 
 /// Longest wait for the fold to show a record that the log acknowledged.
 const FOLD_WAIT: Duration = Duration::from_secs(10);
@@ -30,21 +42,29 @@
     payload: Arc<str>,
     settles: Settles,
     retry_at: Mono,
+    failures: u32,
 }
 
 /// The appends under way.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Appends {
-    pending: FastMap<Ticket, Pending>,
+    pending: BTreeMap<Ticket, Pending>,
     tickets: u64,
+    rng: SmallRng,
 }
 
 impl Appends {
+    pub(crate) fn new(seed: u64) -> Self {
+        let rng = SmallRng::seed_from_u64(seed.rotate_left(29));
+        Self { pending: BTreeMap::new(), tickets: 0, rng }
+    }
+
     fn push(&mut self, payload: Arc<str>, settles: Settles, out: &mut Effects) {
         self.tickets += 1;
         let ticket = Ticket(self.tickets);
         out.push(Effect::Append { ticket, payload: Arc::clone(&payload) });
-        self.pending.insert(ticket, Pending { payload, settles, retry_at: Mono::NEVER });
+        let pending = Pending { payload, settles, retry_at: Mono::NEVER, failures: 0 };
+        self.pending.insert(ticket, pending);
     }
 
     /// Whether an append of this change is under way.
@@ -53,6 +73,12 @@
         self.pending.values().any(|pending| same(&pending.settles))
     }
 
+    /// Changes under way.
+    fn changes(&self) -> usize {
+        let is_change = |pending: &&Pending| matches!(pending.settles, Settles::Change(_));
+        self.pending.values().filter(is_change).count()
+    }
+
     pub(crate) fn verdict(&mut self, id: MoveId, verdict: MoveVerdict, out: &mut Effects) {
         let payload = Ledger::verdict_payload(&id, &verdict).into();
         self.push(payload, Settles::Verdict(id, verdict), out);
@@ -73,8 +99,13 @@
         let Some(pending) = self.pending.get_mut(&ticket) else {
             return;
         };
-        let pause = if result.is_ok() { FOLD_WAIT } else { APPEND_RETRY };
-        pending.retry_at = now.mono + pause;
+        if result.is_ok() {
+            pending.retry_at = now.mono + FOLD_WAIT;
+            return;
+        }
+        let full = pending.full_pause();
+        pending.failures += 1;
+        pending.retry_at = now.mono + full.mul_f64(self.rng.random_range(0.5..=1.0));
     }
 
     pub(crate) fn next_retry(&self) -> Mono {
@@ -97,6 +128,17 @@
     }
 }
 
+impl Pending {
+    /// The longest pause after the failures so far.
+    fn full_pause(&self) -> Duration {
+        let longest = match self.settles {
+            Settles::Change(_) => CHANGE_PAUSE,
+            Settles::Verdict(..) => VERDICT_PAUSE,
+        };
+        FIRST_PAUSE.saturating_mul(2_u32.saturating_pow(self.failures)).min(longest)
+    }
+}
+
 fn settled(settles: &Settles, ledger: &Ledger) -> bool {
     match settles {
         Settles::Change(id) => ledger.outcome(id).is_some(),
@@ -123,6 +165,16 @@
         self.settle(now, out);
     }
 
+    /// Whether a change is published here and the log has not shown it yet.
+    pub fn is_publishing(&self, id: &ChangeId) -> bool {
+        self.appends.has_change(id)
+    }
+
+    /// Publications that the log has not shown yet.
+    pub fn publications(&self) -> usize {
+        self.appends.changes()
+    }
+
     /// What became of a change; `None` while the log has not shown it.
     pub fn outcome(&self, id: &ChangeId) -> Option<&ChangeOutcome> {
         self.ledger.outcome(id)
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -70,7 +70,7 @@
             router: Router::new(router, seed),
             beside: FastMap::default(),
             queue_order: QueueOrder::default(),
-            appends: Appends::default(),
+            appends: Appends::new(seed),
             sequence: 0,
             stopping: false,
             told_ready: false,
--- a/crates/daemon/src/admin/changes.rs
+++ b/crates/daemon/src/admin/changes.rs
@@ -5,6 +5,7 @@
 use cyclamen_declarations::Change;
 use cyclamen_ledger::ChangeOutcome;
 use cyclamen_types::ChangeId;
+use cyclamenmoor::Instance;
 use dropshot::{HttpResponseOk, Path, Query, UntypedBody, endpoint};
 use tokio::time::Instant;
 
@@ -16,6 +17,9 @@
 /// Largest change file, in bytes.
 const CHANGE_BYTES: usize = 262_144;
 
+/// Publications that may wait for the log at a time.
+const MOST_PUBLICATIONS: usize = 256;
+
 /// Wait for the outcome of a publication that names none.
 const PUBLISH_WAIT: Duration = Duration::from_secs(5);
 
@@ -91,6 +95,9 @@
     if dry_run {
         return Ok(unsettled(&change.id, OutcomeKind::Checked, findings.warnings));
     }
+    if shared.read(|instance| is_crowded(instance, &change.id)) {
+        return Err(crowded());
+    }
     shared.with(|instance, now, out| instance.publish(now, change, out));
     let outcome = cx.wait_for(deadline, |instance| instance.outcome(&change.id).cloned()).await?;
     match outcome {
@@ -141,6 +148,18 @@
     ApiError::new(ErrorCode::NotReady, message)
 }
 
+fn is_crowded(instance: &Instance, id: &ChangeId) -> bool {
+    instance.publications() >= MOST_PUBLICATIONS && !instance.is_publishing(id)
+}
+
+fn crowded() -> ApiError {
+    let message = format!(
+        "{MOST_PUBLICATIONS} publications wait for the log; this one was not published: try again \
+         once the log answers"
+    );
+    ApiError::new(ErrorCode::NotReady, message)
+}
+
 fn unsettled(id: &ChangeId, outcome: OutcomeKind, warnings: Vec<String>) -> ChangeAnswer {
     let id = id.to_string();
     ChangeAnswer { id, outcome, offset: None, stale_base: false, faults: Vec::new(), warnings }
--- a/crates/daemon/tests/admin/publish.rs
+++ b/crates/daemon/tests/admin/publish.rs
@@ -167,6 +167,20 @@
     bench.stop().await;
 }
 
+#[tokio::test]
+async fn publish_many_while_log_takes_none() {
+    let bench = Bench::start_with(LogOptions { appends_per_second: 0, ..Default::default() }).await;
+    for i in 0..256 {
+        let reply = bench.publish(&format!("change-{i}"), "wait_ms=0", SERVICE).await;
+        assert_eq!(reply.body["outcome"], "pending", "{i}");
+    }
+    let reply = bench.publish("change-256", "wait_ms=0", SERVICE).await;
+    assert_eq!((reply.status.as_u16(), &reply.body["error_code"]), (503, &"not-ready".into()));
+    let repeat = bench.publish("change-0", "wait_ms=0", SERVICE).await;
+    assert_eq!(repeat.body["outcome"], "pending", "one under way is no new one");
+    bench.stop().await;
+}
+
 /// A request that waits is answered when the daemon stops, long before its own deadline.
 #[tokio::test]
 async fn stop_answers_those_that_wait() {
