--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -1,10 +1,13 @@
 //! The settings file as it was written, and its way to checked settings.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use cyclamen_declarations::Labels;
 use cyclamen_membership::{Addresses, MeshKey};
+use cyclamen_types::{FailureDomain, InstanceName, RegionName};
 use derive_more::Debug;
 use serde_yaml_ng::Value;
 
@@ -76,36 +79,23 @@
 /// Reads every section before any missing value ends the work, so that all faults are found.
 fn read(raw: &RawSettings, faults: &FaultList) -> Option<ProcessSettings> {
     let mut root = Section::new(String::new(), Some(&raw.tree), faults);
-    let mut me = root.section("instance");
-    let instance = me.required("name", NAME_REMEDY, values::name);
-    let domain = me.required("failure_domain", NAME_REMEDY, values::name);
-    let region = me.required("region", NAME_REMEDY, values::name);
-    let labels = me.optional("labels", values::labels);
-    me.end();
+    let place = read_place(root.section("instance"));
     let listen = read_listen(root.section("listen"));
-    let mut peers = Vec::new();
-    for (place, item) in root.items("peers") {
-        match values::destination(item) {
-            Ok(address) => peers.push(address),
-            Err(misfit) => faults.push(&place, misfit),
-        }
-    }
+    let peers = read_peers(root.items("peers"), faults);
     let log_service = root.required("log_service", ADDRESS_REMEDY, values::destination);
     let mesh_key = read_mesh_key(raw, root.section("mesh_key"));
-    let mut tokens = Vec::new();
-    for (place, item) in root.items("tokens") {
-        tokens.extend(read_token(Section::new(place, Some(item), faults), &tokens));
-    }
+    let tokens = read_tokens(root.items("tokens"), faults);
     let limits = read_limits(root.section("limits"));
     let metrics = root.section_if_present("metrics").and_then(read_metrics);
     let logging = root.section_if_present("logging").map(read_logging);
     let seed = root.optional("seed", values::seed);
     root.end();
+    let place = place?;
     let daemon = Settings {
-        instance: instance?,
-        domain: domain?,
-        region: region?,
-        labels: labels.unwrap_or_default(),
+        instance: place.instance,
+        domain: place.domain,
+        region: place.region,
+        labels: place.labels,
         listen: listen?,
         peers,
         log_service: log_service?,
@@ -118,6 +108,42 @@
     Some(ProcessSettings { daemon, logging: logging.unwrap_or_default() })
 }
 
+/// Which instance the settings are for.
+struct Place {
+    instance: InstanceName,
+    domain: FailureDomain,
+    region: RegionName,
+    labels: Labels,
+}
+
+fn read_place(mut section: Section<'_>) -> Option<Place> {
+    let instance = section.required("name", NAME_REMEDY, values::name);
+    let domain = section.required("failure_domain", NAME_REMEDY, values::name);
+    let region = section.required("region", NAME_REMEDY, values::name);
+    let labels = section.optional("labels", values::labels).unwrap_or_default();
+    section.end();
+    Some(Place { instance: instance?, domain: domain?, region: region?, labels })
+}
+
+fn read_peers(items: Vec<(String, &Value)>, faults: &FaultList) -> Vec<SocketAddr> {
+    let mut peers = Vec::new();
+    for (place, item) in items {
+        match values::destination(item) {
+            Ok(address) => peers.push(address),
+            Err(misfit) => faults.push(&place, misfit),
+        }
+    }
+    peers
+}
+
+fn read_tokens(items: Vec<(String, &Value)>, faults: &FaultList) -> Vec<OperatorToken> {
+    let mut tokens = Vec::new();
+    for (place, item) in items {
+        tokens.extend(read_token(Section::new(place, Some(item), faults), &tokens));
+    }
+    tokens
+}
+
 fn read_listen(mut section: Section<'_>) -> Option<Addresses> {
     let calls = section.required("calls", ADDRESS_REMEDY, values::own_address);
     let peer = section.required("peer", ADDRESS_REMEDY, values::own_address);
@@ -130,19 +156,8 @@
     let file = section.optional("file", values::path);
     let env = section.optional("env", |value| values::text(value).map(String::from));
     let key = match (file, env) {
-        (Some(path), None) => {
-            let text = (raw.read_file)(&path).map_err(|error| {
-                let problem = format!("`{}` cannot be read ({error})", path.display());
-                Misfit::new(problem, "name a file that this process may read")
-            });
-            report(&section, "file", text.and_then(|text| values::mesh_key(&text)))
-        }
-        (None, Some(name)) => {
-            let unset =
-                || Misfit::new(format!("`{name}` is not set"), "set it, or name another variable");
-            let text = (raw.read_env)(&name).ok_or_else(unset);
-            report(&section, "env", text.and_then(|text| values::mesh_key(&text)))
-        }
+        (Some(path), None) => report(&section, "file", key_of_file(raw, &path)),
+        (None, Some(name)) => report(&section, "env", key_of_env(raw, &name)),
         _ => {
             let remedy = "write one of `file: PATH` and `env: NAME`";
             section.own_fault(Misfit::new("no single source of the key", remedy));
@@ -153,6 +168,21 @@
     key.map(MeshKey)
 }
 
+fn key_of_file(raw: &RawSettings, path: &Path) -> Result<[u8; 32], Misfit> {
+    let text = (raw.read_file)(path).map_err(|error| {
+        let problem = format!("`{}` cannot be read ({error})", path.display());
+        Misfit::new(problem, "name a file that this process may read")
+    })?;
+    values::mesh_key(&text)
+}
+
+fn key_of_env(raw: &RawSettings, name: &str) -> Result<[u8; 32], Misfit> {
+    let text = (raw.read_env)(name).ok_or_else(|| {
+        Misfit::new(format!("`{name}` is not set"), "set it, or name another variable")
+    })?;
+    values::mesh_key(&text)
+}
+
 fn report<T>(section: &Section<'_>, key: &str, result: Result<T, Misfit>) -> Option<T> {
     match result {
         Ok(value) => Some(value),
@@ -203,7 +233,7 @@
     limits
 }
 
-fn read_metrics(mut section: Section<'_>) -> Option<std::net::SocketAddr> {
+fn read_metrics(mut section: Section<'_>) -> Option<SocketAddr> {
     let statsd = section.required("statsd", ADDRESS_REMEDY, values::destination);
     section.end();
     statsd
