--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -3,8 +3,9 @@
 use std::future::Future;
 use std::time::Duration;
 
-use cyclamen_moves::MoveStatus;
-use cyclamen_types::{ConfigVersion, FastMap, MoveName};
+use cyclamen_ledger::MoveId;
+use cyclamen_moves::{MoveStage, MoveStatus};
+use cyclamen_types::{ConfigVersion, FastMap};
 use cyclamenmoor::Instance;
 use log::info;
 use tokio::time::MissedTickBehavior;
@@ -14,6 +15,9 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 
+#[cfg(test)]
+mod tests;
+
 /// How often metrics are sampled, and the state looked at though nothing told of a change.
 const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
 
@@ -53,7 +57,9 @@
             _ = ticks.tick() => true,
             _ = changed.changed() => false,
         };
-        seen.log_changes(&shared.read(Glance::of));
+        for line in seen.changes(&shared.read(Glance::of)) {
+            info!("{line}");
+        }
         if sample && metrics.on() {
             metrics.send(&shared.read(Instance::dump));
         }
@@ -87,32 +93,42 @@
     ready: bool,
     relay: bool,
     version: ConfigVersion,
-    moves: FastMap<MoveName, String>,
+    moves: FastMap<MoveId, MoveStage>,
 }
 
 impl Seen {
-    fn log_changes(&mut self, glance: &Glance) {
+    /// One line for each thing that changed since the last look.
+    fn changes(&mut self, glance: &Glance) -> Vec<String> {
+        let mut lines = Vec::new();
         if self.ready != glance.ready {
             self.ready = glance.ready;
-            info!("{}", if glance.ready { "ready for callers" } else { "not ready for callers" });
+            let not = if glance.ready { "" } else { "not " };
+            lines.push(format!("{not}ready for callers"));
         }
         if self.relay != glance.relay {
             self.relay = glance.relay;
             let role = if glance.relay { "reads" } else { "no longer reads" };
-            info!("this daemon {role} the log for its failure domain");
+            lines.push(format!("this daemon {role} the log for its failure domain"));
         }
         if self.version != glance.version {
             self.version = glance.version;
-            info!("configuration version {} is in force", glance.version);
+            lines.push(format!("configuration version {} is in force", glance.version));
         }
-        for status in &glance.moves {
-            let stage = status.stage.to_string();
-            if self.moves.get(&status.id.name) == Some(&stage) {
+        lines.extend(self.move_changes(&glance.moves));
+        lines
+    }
+
+    fn move_changes(&mut self, moves: &[MoveStatus]) -> Vec<String> {
+        let mut lines = Vec::new();
+        for status in moves {
+            let id = &status.id;
+            if self.moves.get(id) == Some(&status.stage) {
                 continue;
             }
-            info!("move {}: {stage}: {}", status.id.name, status.reason);
-            self.moves.insert(status.id.name.clone(), stage);
+            lines.push(format!("move {}: {}: {}", id.name, status.stage, status.reason));
+            self.moves.insert(id.clone(), status.stage);
         }
-        self.moves.retain(|name, _| glance.moves.iter().any(|status| status.id.name == *name));
+        self.moves.retain(|id, _| moves.iter().any(|status| status.id == *id));
+        lines
     }
 }
