--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -170,7 +170,8 @@
         next.min(self.syncing.due())
     }
 
-    /// Takes one datagram; answers and pushes go to `out`.
+    /// Takes one datagram; answers go to `out`. Urgent news that it brought goes out with the next
+    /// tick, which is due at once, so that the version held is stated as it is by then.
     ///
     /// # Errors
     /// A datagram that is forged, replayed or malformed is counted and dropped.
@@ -198,7 +199,6 @@
         }
         self.hear(now, &head);
         self.answer(now, from, &head, out);
-        self.push_news(now, out);
         Ok(received)
     }
 
@@ -263,7 +263,7 @@
 
     /// States what configuration this daemon holds.
     pub fn set_held(&mut self, held: Held) {
-        if held.version > self.best {
+        if held.version > self.held.version {
             self.push_due = true;
         }
         self.best = self.best.max(held.version);
--- a/crates/membership/src/riders.rs
+++ b/crates/membership/src/riders.rs
@@ -10,6 +10,10 @@
 /// Riders remembered, so that each counts once.
 const SEEN_LIMIT: usize = 8_192;
 
+/// Tellings of a pushed record by each member; the others that it pushes to hear its version only
+/// and pull what did not reach them.
+const RECORD_TELLINGS: u32 = 2;
+
 /// Bytes of a datagram kept for its head.
 const HEAD_BYTES: usize = 128;
 
@@ -67,7 +71,7 @@
             return true;
         }
         let times = match rider.kind {
-            RiderKind::Records => self.fanout(),
+            RiderKind::Records => RECORD_TELLINGS,
             RiderKind::Conviction | RiderKind::Evidence => self.retransmits(),
         };
         self.hot.add_rider(id, rider, times);
--- a/crates/membership/src/sending.rs
+++ b/crates/membership/src/sending.rs
@@ -13,7 +13,7 @@
 use crate::records::MemberState;
 
 /// Members that hear urgent news from each member that hears it.
-const FANOUT: usize = 4;
+const FANOUT: usize = 6;
 
 /// Tellings of a piece of news beyond the logarithm of the number of members.
 const EXTRA_TELLINGS: u32 = 3;
@@ -102,11 +102,6 @@
         enough.min(share.max(FEWEST_TELLINGS))
     }
 
-    /// How many members a member pushes urgent news to.
-    pub(crate) fn fanout(&self) -> u32 {
-        FANOUT as u32
-    }
-
     /// Takes another daemon's word for when the log answered.
     pub(crate) fn hear_log_age(&mut self, now: Now, age: u16) {
         if age == u16::MAX {
--- a/crates/membership/src/syncing.rs
+++ b/crates/membership/src/syncing.rs
@@ -40,6 +40,8 @@
     peer: Option<ShortId>,
     quick: bool,
     agreed: bool,
+    /// Whether the member heard last knew the same.
+    latest_same: bool,
     topology: u64,
 }
 
@@ -51,6 +53,7 @@
             peer: None,
             quick: true,
             agreed: false,
+            latest_same: false,
             topology: 0,
         }
     }
@@ -61,8 +64,7 @@
 
     /// Notes that the other side knows the same.
     fn same(&mut self) {
-        self.peer = None;
-        self.due = Mono::NEVER;
+        self.latest_same = true;
         self.quick = false;
         self.agreed = true;
     }
@@ -74,6 +76,7 @@
 
     /// Notes that the other side knows something else: an exchange is due after `patience`.
     fn differs(&mut self, now: Now, id: ShortId, patience: Duration) {
+        self.latest_same = false;
         self.peer = Some(id);
         if self.due == Mono::NEVER {
             let eager = self.quick || !self.agreed;
@@ -113,6 +116,9 @@
             return;
         }
         self.syncing.due = Mono::NEVER;
+        if self.syncing.latest_same {
+            return;
+        }
         self.syncing.quick = false;
         self.syncing.allowed = now.mono + self.sync_pause();
         let Some(to) = self.syncing.peer.take().and_then(|id| self.address_of(id)) else {
