--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -103,6 +103,8 @@
     pub snapshots_served: u64,
     /// Requests refused with a hint.
     pub refused_busy: u64,
+    /// The offset that the next append to the log gets, as far as this daemon read.
+    pub log_next: u64,
     /// Bytes of records and snapshots sent to peers.
     pub bytes_sent: u64,
     /// Bytes of records and snapshots received from peers and the log.
@@ -245,6 +247,7 @@
         self.log.succeed(now, Duration::ZERO);
         self.log.forget_expected(batch.next);
         self.log_answered = true;
+        self.counters.log_next = batch.next.0;
         self.counters.bytes_received += bytes_of(&batch.records);
         self.snapshots.log_keeps(now, batch.first, batch.next, &mut self.rng);
         if self.restore.is_some() {
