--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -10,7 +10,7 @@
 use cyclamen_ledger::{Config, Ledger, LogRecord};
 use cyclamen_membership::{Held, Membership, Outgoing, Rider, RiderKind};
 use cyclamen_moves::{Moves, MovesEffect, MovesSettings};
-use cyclamen_routing::{RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
+use cyclamen_routing::{QueueOrder, RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
 use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, Offset, ServerName};
 
 use crate::appends::Appends;
@@ -33,9 +33,11 @@
     pub(crate) moves: Moves,
     pub(crate) router: Router,
     pub(crate) beside: FastMap<ServerName, Beside>,
+    pub(crate) queue_order: QueueOrder,
     pub(crate) appends: Appends,
     pub(crate) sequence: u64,
     pub(crate) stopping: bool,
+    told_ready: bool,
     pub(crate) table_faults: u64,
     topology: u64,
     adopted: ConfigVersion,
@@ -67,9 +69,11 @@
             moves: Moves::new(moves, now),
             router: Router::new(router, seed),
             beside: FastMap::default(),
+            queue_order: QueueOrder::default(),
             appends: Appends::default(),
             sequence: 0,
             stopping: false,
+            told_ready: false,
             table_faults: 0,
             topology: 0,
             adopted: ConfigVersion::NONE,
@@ -245,10 +249,18 @@
         self.adopt_config(now, out);
         self.carry_out_moves(now, out);
         self.adopt_topology(now);
+        self.tell_ready(out);
         out.extend(self.outgoing.drain(..).map(Effect::Send));
         out.extend(self.fetches.drain(..).map(Effect::Fetch));
     }
 
+    fn tell_ready(&mut self, out: &mut Effects) {
+        if self.told_ready != self.ready() {
+            self.told_ready = self.ready();
+            out.push(Effect::Changed);
+        }
+    }
+
     fn adopt_config(&mut self, now: Now, out: &mut Effects) {
         if self.ledger.version() == self.adopted {
             return;
--- a/crates/moves/src/findings.rs
+++ b/crates/moves/src/findings.rs
@@ -22,10 +22,10 @@
 const DOUBT_CORROBORATION: f64 = 5.0;
 
 /// Evidence above which a stage does not grow.
-const CLEAN: f64 = 20.0;
+const CLEAN: f64 = 100.0;
 
 /// Evidence above which a version that runs alone is checked against the old one.
-const SUSPICION: f64 = 1_000.0;
+const SUSPICION: f64 = 300.0;
 
 /// Calls per backend server that count as having seen it.
 const SEEN_CALLS: u64 = 5;
@@ -60,6 +60,16 @@
         )
     }
 
+    /// What the new version did alone, in one clause.
+    pub fn alone(&self, name: Option<&RouteName>) -> String {
+        let verb = match self.class {
+            Class::Failed => "failed",
+            Class::Slow => "was slow on",
+        };
+        let (bad, calls) = (self.class.bad(self.new), self.new.calls);
+        format!("it {verb} {bad} of {calls} calls {} with all traffic", self.place(name))
+    }
+
     /// Where it was found.
     pub fn place(&self, name: Option<&RouteName>) -> String {
         match (self.route, name) {
@@ -138,7 +148,7 @@
 }
 
 /// The limits of the tests over all routes and on one route, in logarithms.
-fn limits(evidence: &Evidence) -> (f64, f64) {
+pub fn limits(evidence: &Evidence) -> (f64, f64) {
     let overall = (OVERALL_TESTS / FALSE_ALARM).ln();
     (overall, overall + (evidence.routes().len().max(1) as f64).ln())
 }
