--- a/crates/membership/src/riders.rs
+++ b/crates/membership/src/riders.rs
@@ -13,6 +13,10 @@
 /// Tellings of a report of evidence by each member; the next report makes up for what it misses.
 const EVIDENCE_TELLINGS: u32 = 2;
 
+/// Tellings of a pushed record by each member; the others that it pushes to hear its version only
+/// and pull what did not reach them.
+const RECORD_TELLINGS: u32 = 2;
+
 /// Bytes of a datagram kept for its head.
 const HEAD_BYTES: usize = 128;
 
@@ -70,7 +74,7 @@
             return true;
         }
         let times = match rider.kind {
-            RiderKind::Records => self.fanout(),
+            RiderKind::Records => RECORD_TELLINGS,
             RiderKind::Conviction => self.retransmits(),
             RiderKind::Evidence => EVIDENCE_TELLINGS,
         };
