Report moves that go well less often, and trouble at once

A move without new trouble is now reported every fourth period; slow calls of the new version count as urgent like failures, since the margin on the reference made them rare.

--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -64,7 +64,7 @@
     pub(crate) recorder: Recorder,
     /// Own lines that other daemons have not been told.
     pub(crate) changed: BTreeSet<LineKey>,
-    /// Routes with failures of the new version that other daemons have not been told.
+    /// Routes with trouble of the new version that other daemons have not been told.
     pub(crate) urgent: BTreeSet<RouteKey>,
     /// Routes with merged trouble of the new version that was not judged.
     pub(crate) unjudged: BTreeSet<RouteKey>,
@@ -227,9 +227,7 @@
         if side == Side::Old || counts.failed + counts.slow == 0 {
             return None;
         }
-        if counts.failed > 0 {
-            self.urgent.insert(key.route);
-        }
+        self.urgent.insert(key.route);
         Some(key.route)
     }
 
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -22,6 +22,9 @@
 /// Time between two ticks while a move is open.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Periods of evidence between two reports of a move that goes well.
+const QUIET_PERIODS: u32 = 4;
+
 /// Longest time from merged trouble to its judgement.
 const JUDGE_DELAY: Duration = Duration::from_millis(50);
 
@@ -317,6 +320,7 @@
             if !routine && !urgent {
                 continue;
             }
+            let period = self.settings.evidence_period * if urgent { 1 } else { QUIET_PERIODS };
             let lines = active.changed_lines(routine);
             for packet in packets(active.key, self.me.reporter, self.me.domain, &lines) {
                 let bytes = Payload::Evidence(packet).encode();
@@ -324,7 +328,7 @@
                 out.push(MovesEffect::Evidence(bytes));
             }
             if routine {
-                active.next_report = now.mono + self.settings.evidence_period;
+                active.next_report = now.mono + period;
             }
         }
     }
