Count a call under the share at which it began

A burst starts a check, and calls of that burst which began with all traffic on the new version ended within the check, where they looked like failures at a fifth of the traffic. Change: a call that began before the present share is counted under the stage before. course_check_leaves_out_earlier_calls fails without it.

--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -79,6 +79,8 @@
     pub(crate) late_because: Option<Wait>,
     pub(crate) stage: u8,
     pub(crate) entered: Mono,
+    /// The stage number of calls that began before the present one was entered.
+    previous_stage: u8,
     pub(crate) next_climb: Mono,
     pub(crate) arrived_once: bool,
     pub(crate) watch_ends: Mono,
@@ -116,6 +118,7 @@
             late_because: None,
             stage: 0,
             entered: now.mono,
+            previous_stage: 0,
             next_climb: now.mono,
             arrived_once: false,
             watch_ends: Mono::NEVER,
@@ -219,7 +222,9 @@
         sample: &CallSample<'_>,
     ) -> Option<RouteKey> {
         let slot = ladder::slot(&self.declared, now.wall);
-        let stratum = Stratum { slot, stage: self.stratum_stage() };
+        let began_before = now.mono - sample.latency < self.entered;
+        let stage = if began_before { self.previous_stage } else { self.stratum_stage() };
+        let stratum = Stratum { slot, stage };
         let counted = self.recorder.count(now, stratum, side, sample);
         let (key, counts) = (counted.key, counted.counts);
         self.evidence.count(self.me.reporter, self.me.domain, key, counts);
@@ -285,18 +290,26 @@
         if !self.fire(MoveEvent::Suspect) {
             return false;
         }
+        self.enter(now);
         let from_slot = ladder::slot(&self.declared, now.wall);
         self.check = Some(Check { round: self.checks, from_slot, finding });
-        self.entered = now.mono;
         self.checks = self.checks.saturating_add(1);
         true
     }
 
+    /// Notes that another share begins now; call it before the stage or the check changes.
+    pub(crate) fn enter(&mut self, now: Now) {
+        self.previous_stage = self.stratum_stage();
+        self.entered = now.mono;
+    }
+
     fn adopt_done(&mut self, now: Now, verdict: &MoveVerdict) {
         self.fire(MoveEvent::Start);
+        if self.stage != LAST_STAGE {
+            self.enter(now);
+        }
         self.stage = LAST_STAGE;
         if self.fire(MoveEvent::Arrived) {
-            self.entered = now.mono;
             self.arrived_once = true;
         }
         let end = verdict.at.max(self.declared.deadline) + self.declared.watch;
--- a/crates/moves/src/course.rs
+++ b/crates/moves/src/course.rs
@@ -43,7 +43,7 @@
             return;
         }
         self.fire(MoveEvent::Start);
-        self.entered = now.mono;
+        self.enter(now);
     }
 
     fn climb(&mut self, now: Now) {
@@ -59,8 +59,8 @@
             self.wait = wait;
             return;
         }
+        self.enter(now);
         self.stage += 1;
-        self.entered = now.mono;
         self.arrive(now);
     }
 
@@ -118,8 +118,9 @@
             return;
         }
         self.fire(MoveEvent::Cleared);
-        self.check = None;
         self.watch_ends = self.watch_ends + now.mono.since(self.entered);
+        self.enter(now);
+        self.check = None;
         self.arrive(now);
     }
 
--- a/crates/moves/tests/course.rs
+++ b/crates/moves/tests/course.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{CallNames, at, config, daemon, even_slots, move_name};
 use cyclamen_ledger::VerdictKind;
 use cyclamen_moves::{MoveStage, Moves, MovesEffect};
@@ -95,3 +97,25 @@
     assert!(status.evidence[0].new_failed <= 10, "{status:?}");
     assert_eq!(verdicts(&out), vec![VerdictKind::Done, VerdictKind::TakenBack]);
 }
+
+#[test]
+fn course_check_leaves_out_earlier_calls() {
+    let mut moves = daemon(1, 1, at(0));
+    let mut out = Vec::new();
+    moves.adopt(at(0), &config(None, None), &mut out);
+    run(&mut moves, 0, 600, |_| false, &mut out);
+    let names = CallNames::new("lookup", 1);
+    while moves.stage(&move_name()) == Some(MoveStage::Watched) {
+        moves.record(at(600), &names.sample(true, true), &mut out);
+    }
+    assert_eq!(moves.stage(&move_name()), Some(MoveStage::Checking));
+    for _ in 0..10 {
+        let mut begun_before = names.sample(true, true);
+        begun_before.latency = Duration::from_secs(3);
+        moves.record(at(601), &begun_before, &mut out);
+        for _ in 0..5 {
+            moves.record(at(601), &names.sample(false, false), &mut out);
+        }
+    }
+    assert_eq!(moves.stage(&move_name()), Some(MoveStage::Checking));
+}
