Repair missed news within a period, name routes everywhere, pass reports on

Cause: 13 daemons took 4 to 10 s until each knew every backend server: a digest that differs was asked about after 3 periods at the earliest and not again for 4. A daemon without calls of a service showed no evidence, since it knew only the hashes of route names. Change: news missed is asked for after 1 period, and again after 2; names come from the configuration; reports that wait go to one more member a period; a daemon reports at most every 2 s.

--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -98,7 +98,7 @@
             gossip_period: Duration::from_secs(1),
             gossip_bytes_per_second: 2_048,
             announcement_lease: Duration::from_secs(6),
-            evidence_period: Duration::from_secs(1),
+            evidence_period: Duration::from_secs(2),
             poll_log: None,
         }
     }
--- a/crates/membership/src/hot.rs
+++ b/crates/membership/src/hot.rs
@@ -81,6 +81,11 @@
         self.news.get(topic)?.rider.as_ref()
     }
 
+    /// Whether reports of evidence wait.
+    pub(crate) fn has_reports(&self) -> bool {
+        self.news.values().any(|news| news.urgency == Urgency::Bulk)
+    }
+
     /// How many pieces of news there are.
     pub(crate) fn len(&self) -> usize {
         self.news.len()
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -80,6 +80,20 @@
         self.check_suspect_domains(now, out);
         self.probe_next(now, out);
         self.probe_cut_off(now, out);
+        self.pass_on_reports(now, out);
+    }
+
+    /// Sends reports of evidence that wait to one more member than probes would reach.
+    fn pass_on_reports(&mut self, now: Now, out: &mut Vec<Outgoing>) {
+        if !self.hot.has_reports() {
+            return;
+        }
+        for id in self.choose(1, |_, _| true) {
+            let Some(to) = self.address_of(id) else {
+                continue;
+            };
+            self.send(now, to, Message::Gossip, Spend::Bulk, &[], out);
+        }
     }
 
     /// Asks helpers when the probe of this period has no answer yet.
--- a/crates/membership/src/syncing.rs
+++ b/crates/membership/src/syncing.rs
@@ -18,10 +18,10 @@
 const QUICK_PARTS: u32 = 8;
 
 /// Pause between two exchanges otherwise, in periods.
-const SLOW_PERIODS: u32 = 4;
+const SLOW_PERIODS: u32 = 2;
 
 /// How long news may take to arrive by itself before it is asked for, in periods.
-const PATIENCE_PERIODS: u32 = 3;
+const PATIENCE_PERIODS: u32 = 1;
 
 /// Bytes of a bitmap of buckets.
 const BITMAP_BYTES: usize = BUCKETS / 8;
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -82,6 +82,11 @@
             let fresh = || ActiveMove::new(held, me, chart, now);
             let active = self.active.entry(name.clone()).or_insert_with(fresh);
             active.adopt(now, held);
+            for route in config.routes.values() {
+                if route.body.service == held.held.body.service {
+                    active.recorder.learn_name(&route.body.name);
+                }
+            }
             if let Some(conviction) = self.early.remove(&active.key) {
                 active.convict(conviction);
             }
--- a/crates/moves/src/recorder.rs
+++ b/crates/moves/src/recorder.rs
@@ -45,6 +45,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Recorder {
     routes: FastMap<RouteName, RouteMemory>,
+    /// Names of the service's routes.
+    names: FastMap<RouteKey, RouteName>,
     /// Limits that other reporters saw, by route.
     heard: FastMap<RouteKey, BTreeMap<ReporterKey, Duration>>,
     servers: FastMap<ServerName, ServerMemory>,
@@ -94,9 +96,14 @@
         self.heard.entry(limit.route).or_default().insert(reporter, span);
     }
 
-    /// The name of a route that this daemon had calls of.
+    /// Learns the name of a route that calls of the move may take.
+    pub(crate) fn learn_name(&mut self, name: &RouteName) {
+        self.names.insert(name.into(), name.clone());
+    }
+
+    /// The name of a route, while the configuration has it.
     pub(crate) fn route_name(&self, key: RouteKey) -> Option<&RouteName> {
-        self.routes.iter().find(|(_, memory)| memory.key == key).map(|(name, _)| name)
+        self.names.get(&key)
     }
 
     /// Whether this daemon had calls of the move.
@@ -107,6 +114,7 @@
     fn route(&mut self, name: &RouteName) -> &mut RouteMemory {
         if !self.routes.contains_key(name) {
             let memory = RouteMemory { key: name.into(), reference: Reference::default() };
+            self.learn_name(name);
             self.routes.insert(name.clone(), memory);
         }
         self.routes.get_mut(name).expect("inserted above")
