Judge a server slow by its quickest call

Cause: the limit stepped down when the average latency doubled; the latency of a call that waits for calls of its own is not its server's. With less of it left, such calls wait longer, and the limit falls further. Change: the quickest call of each 100 ms period against that of usual ones.

--- a/crates/routing/src/slots/limit.rs
+++ b/crates/routing/src/slots/limit.rs
@@ -1,19 +1,19 @@
 //! The adaptive limit of a backend server: its announced slots, fewer while it slows or sheds.
+//!
+//! Slowness is judged by the quickest call of each period: a call that waits for further calls of
+//! its own says nothing about its server, but a server whose quickest call is slow is slow.
 
 use std::time::Duration;
 
 use cyclamen_types::Mono;
 
-/// Weight of a new latency in the recent average.
-const RECENT_GAIN: f64 = 0.1;
+/// Weight of a period in the usual latency.
+const USUAL_GAIN: f64 = 0.02;
 
-/// Weight of a new latency in the long average.
-const USUAL_GAIN: f64 = 0.002;
+/// Periods before the usual latency says anything.
+const WARM_UP_PERIODS: u32 = 5;
 
-/// Calls before the averages say anything.
-const WARM_UP_CALLS: u32 = 50;
-
-/// The server is slow when the recent average is this many times the long one.
+/// The server is slow when its quickest call takes this many times the usual.
 const SLOW_FACTOR: f64 = 2.0;
 
 /// What is left of the limit after one step down.
@@ -33,12 +33,14 @@
 pub(super) struct AdaptiveLimit {
     slots: u32,
     limit: f64,
-    recent: f64,
+    /// The quickest call of this period, in seconds.
+    quickest: Option<f64>,
+    /// The quickest call of a usual period, in seconds.
     usual: f64,
-    calls: u32,
-    /// Whether the server shed a call since the last step.
+    periods: u32,
+    /// Whether the server shed a call in this period.
     shed: bool,
-    /// Whether all of the limit was in use since the last step.
+    /// Whether all of the limit was in use in this period.
     saturated: bool,
     stepped: Mono,
 }
@@ -48,9 +50,9 @@
         Self {
             slots,
             limit: f64::from(slots),
-            recent: 0.0,
+            quickest: None,
             usual: 0.0,
-            calls: 0,
+            periods: 0,
             shed: false,
             saturated: false,
             stepped: Mono(0),
@@ -81,7 +83,8 @@
     pub(super) fn learn(&mut self, now: Mono, latency: Duration, shed: bool) {
         self.shed |= shed;
         if !shed {
-            self.average(latency.as_secs_f64());
+            let sample = latency.as_secs_f64();
+            self.quickest = Some(self.quickest.map_or(sample, |known| known.min(sample)));
         }
         if now.since(self.stepped) >= STEP_PERIOD {
             self.step();
@@ -89,18 +92,10 @@
         }
     }
 
-    fn average(&mut self, sample: f64) {
-        self.calls = self.calls.saturating_add(1);
-        if self.calls == 1 {
-            self.recent = sample;
-        }
-        self.recent += RECENT_GAIN * (sample - self.recent);
-        self.usual += usual_gain(self.calls) * (sample - self.usual);
-    }
-
     fn step(&mut self) {
-        let slow = self.calls > WARM_UP_CALLS && self.recent > self.usual * SLOW_FACTOR;
-        if self.shed || (slow && self.saturated) {
+        let slow = self.slow() && self.saturated;
+        self.learn_usual();
+        if self.shed || slow {
             let lowest = (f64::from(self.slots) * LOWEST_SHARE).max(1.0);
             self.limit = (self.limit * STEP_DOWN).max(lowest);
         } else {
@@ -109,9 +104,19 @@
         self.shed = false;
         self.saturated = false;
     }
-}
 
-/// The long average follows quickly at first, then slowly.
-fn usual_gain(calls: u32) -> f64 {
-    (1.0 / f64::from(calls)).max(USUAL_GAIN)
+    fn slow(&self) -> bool {
+        let known = self.periods >= WARM_UP_PERIODS;
+        known && self.quickest.is_some_and(|quickest| quickest > self.usual * SLOW_FACTOR)
+    }
+
+    /// The usual latency follows quickly at first, then slowly.
+    fn learn_usual(&mut self) {
+        let Some(quickest) = self.quickest.take() else {
+            return;
+        };
+        self.periods = self.periods.saturating_add(1);
+        let gain = (1.0 / f64::from(self.periods)).max(USUAL_GAIN);
+        self.usual += gain * (quickest - self.usual);
+    }
 }
