Report all changed lines when there is trouble

Cause: an urgent report carried the routes in trouble of the new version alone, so in a burst on both versions other daemons saw the new one's failures up to four seconds before the old one's, and the sums over all routes convicted a good version. Change: a report carries all changed lines of the move.

--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -64,8 +64,8 @@
     pub(crate) recorder: Recorder,
     /// Own lines that other daemons have not been told.
     pub(crate) changed: BTreeSet<LineKey>,
-    /// Routes with trouble of the new version that other daemons have not been told.
-    pub(crate) urgent: BTreeSet<RouteKey>,
+    /// Whether there is trouble of the new version that other daemons have not been told.
+    pub(crate) urgent: bool,
     /// Routes with merged trouble of the new version that was not judged.
     pub(crate) unjudged: BTreeSet<RouteKey>,
     pub(crate) next_report: Mono,
@@ -105,7 +105,7 @@
             evidence: Evidence::new(tolerated),
             recorder: Recorder::default(),
             changed: BTreeSet::new(),
-            urgent: BTreeSet::new(),
+            urgent: false,
             unjudged: BTreeSet::new(),
             next_report: now.mono,
             next_reminder: now.mono,
@@ -232,23 +232,20 @@
         if side == Side::Old || counts.failed + counts.slow == 0 {
             return None;
         }
-        self.urgent.insert(key.route);
+        self.urgent = true;
         Some(key.route)
     }
 
-    /// Takes the changed lines of this reporter: all of them, or those of the urgent routes.
-    pub(crate) fn changed_lines(&mut self, all: bool) -> Vec<(LineKey, Counts)> {
-        let urgent = std::mem::take(&mut self.urgent);
+    /// Takes the changed lines of this reporter. All go together: a report of the routes in trouble
+    /// alone would show the new version's failures before the old one's.
+    pub(crate) fn changed_lines(&mut self) -> Vec<(LineKey, Counts)> {
+        self.urgent = false;
         let own = self.evidence.reporters().get(&self.me.reporter);
         let mut lines = Vec::new();
-        self.changed.retain(|key| {
-            if !all && !urgent.contains(&key.route) {
-                return true;
-            }
-            let counts = own.and_then(|own| own.lines.get(key)).copied();
-            lines.push((*key, counts.unwrap_or_default()));
-            false
-        });
+        for key in std::mem::take(&mut self.changed) {
+            let counts = own.and_then(|own| own.lines.get(&key)).copied();
+            lines.push((key, counts.unwrap_or_default()));
+        }
         lines
     }
 
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -316,12 +316,12 @@
                 continue;
             }
             let routine = active.next_report <= now.mono && self.budget.allows_routine();
-            let urgent = !active.urgent.is_empty() && self.budget.allows_urgent();
+            let urgent = active.urgent && self.budget.allows_urgent();
             if !routine && !urgent {
                 continue;
             }
             let period = self.settings.evidence_period * if urgent { 1 } else { QUIET_PERIODS };
-            let lines = active.changed_lines(routine);
+            let lines = active.changed_lines();
             for packet in packets(active.key, self.me.reporter, self.me.domain, &lines) {
                 let bytes = Payload::Evidence(packet).encode();
                 self.budget.spend(bytes.len());
