--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -22,8 +22,8 @@
 /// Time between two ticks while a move is open.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Periods of evidence between two reports of a move that goes well.
-const QUIET_PERIODS: u32 = 4;
+/// Periods of evidence between two reports of a daemon that counts only calls of the old version.
+const QUIET_PERIODS: u32 = 2;
 
 /// Longest time from merged trouble to its judgement.
 const JUDGE_DELAY: Duration = Duration::from_millis(50);
@@ -324,12 +324,13 @@
                 continue;
             }
             let routine = active.next_report <= now.mono && self.budget.allows_routine();
-            let urgent = !active.urgent.is_empty() && self.budget.allows_urgent();
+            let urgent = active.urgent && self.budget.allows_urgent();
             if !routine && !urgent {
                 continue;
             }
-            let period = self.settings.evidence_period * if urgent { 1 } else { QUIET_PERIODS };
-            let lines = active.changed_lines(routine);
+            let periods = if urgent || active.new_changed() { 1 } else { QUIET_PERIODS };
+            let period = self.settings.evidence_period * periods;
+            let lines = active.changed_lines();
             let limit_of = |route| active.recorder.limit(route);
             let packets = packets(active.key, self.me.reporter, self.me.domain, &lines, limit_of);
             for packet in packets {
