Let callers that have just connected finish when a daemon stops

A connection without a call yet was closed at once while its caller wrote. Change: connections open when the listener closes have 500 ms for a last call, whose answer closes them; the queue is emptied by the system's own accept. Also: a move that ends by its deadline is not called late, its sentence reads whole, reports go to two more members a period, and the demonstration makes 700 calls a second.

--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -1,9 +1,7 @@
 //! Accepts connections and serves the calls that come over them.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::pin::pin;
-use std::task::Poll;
 use std::time::Duration;
 
 use http::header::{CONNECTION, HeaderValue};
@@ -35,6 +33,9 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time for connections that are open when the listener closes to carry a last call.
+const LAST_CALLS: Duration = Duration::from_millis(500);
+
 /// Longest time to tell a flood that all connections are taken.
 const FLOOD_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -73,27 +74,26 @@
             }
         }
     }
-    accept_rest(&plane, &listener, &phase, &mut connections).await;
-    drop(listener);
+    accept_rest(&plane, listener, &phase, &mut connections);
     while connections.join_next().await.is_some() {}
 }
 
-/// Accepts what already waits, so that closing the listener cuts nobody.
-async fn accept_rest(
+/// Accepts what already waits and closes the listener, so that closing it cuts nobody. The system
+/// is asked, and not the runtime, which may not have heard yet of connections that wait.
+fn accept_rest(
     plane: &Plane,
-    listener: &TcpListener,
+    listener: TcpListener,
     phase: &watch::Receiver<Phase>,
     connections: &mut JoinSet<()>,
 ) {
-    loop {
-        let next = poll_fn(|cx| match listener.poll_accept(cx) {
-            Poll::Ready(Ok((stream, _))) => Poll::Ready(Some(stream)),
-            Poll::Ready(Err(_)) | Poll::Pending => Poll::Ready(None),
-        });
-        let Some(stream) = next.await else {
-            return;
-        };
-        open(plane, stream, phase, connections);
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let accepted = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = accepted {
+            open(plane, stream, phase, connections);
+        }
     }
 }
 
@@ -145,9 +145,13 @@
     tokio::select! {
         // A connection that breaks concerns its caller only.
         _ = serving.as_mut() => return,
-        () = closing(&mut phase) => serving.as_mut().graceful_shutdown(),
+        () = closing(&mut phase) => {}
+    }
+    // A caller that has just connected sends its call still; the answer closes the connection.
+    if tokio::time::timeout(LAST_CALLS, serving.as_mut()).await.is_err() {
+        serving.as_mut().graceful_shutdown();
+        let _ = serving.as_mut().await;
     }
-    let _ = serving.as_mut().await;
 }
 
 /// Waits for [`Phase::Closing`].
--- a/crates/lab/src/demo/script.rs
+++ b/crates/lab/src/demo/script.rs
@@ -19,7 +19,7 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// Calls per second.
-const CALLS_PER_SECOND: f64 = 450.0;
+const CALLS_PER_SECOND: f64 = 700.0;
 
 /// Longest time that the load runs.
 const LOAD_TIME: Duration = Duration::from_secs(34);
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -12,6 +12,9 @@
 use crate::membership::{Membership, Outgoing};
 use crate::records::MemberState;
 
+/// Members that reports of evidence are sent to in a period, beside the one that is probed.
+const REPORT_FANOUT: usize = 2;
+
 /// Members asked to probe one that did not answer.
 const HELPERS: usize = 3;
 
@@ -83,12 +86,12 @@
         self.pass_on_reports(now, out);
     }
 
-    /// Sends reports of evidence that wait to one more member than probes would reach.
+    /// Sends reports of evidence that wait to a few members beside the one that is probed.
     fn pass_on_reports(&mut self, now: Now, out: &mut Vec<Outgoing>) {
         if !self.hot.has_reports() {
             return;
         }
-        for id in self.choose(1, |_, _| true) {
+        for id in self.choose(REPORT_FANOUT, |_, _| true) {
             let Some(to) = self.address_of(id) else {
                 continue;
             };
--- a/crates/membership/src/riders.rs
+++ b/crates/membership/src/riders.rs
@@ -11,7 +11,7 @@
 const SEEN_LIMIT: usize = 8_192;
 
 /// Tellings of a report of evidence by each member; the next report makes up for what it misses.
-const EVIDENCE_TELLINGS: u32 = 2;
+const EVIDENCE_TELLINGS: u32 = 3;
 
 /// Tellings of a pushed record by each member; the others that it pushes to hear its version only
 /// and pull what did not reach them.
--- a/crates/moves/src/course.rs
+++ b/crates/moves/src/course.rs
@@ -97,6 +97,7 @@
             return;
         }
         self.arrived_once = true;
+        self.late = now.wall > self.declared.deadline;
         let until_deadline = self.declared.deadline.since(now.wall);
         self.watch_ends = now.mono + until_deadline + self.declared.watch;
     }
--- a/crates/moves/src/sentences.rs
+++ b/crates/moves/src/sentences.rs
@@ -68,7 +68,7 @@
 fn moving(active: &ActiveMove, percent: u32) -> String {
     let what = match active.wait {
         Wait::Schedule => "as scheduled".to_owned(),
-        wait => waited(wait),
+        wait => format!("and {}", waited(wait)),
     };
     format!("{percent}% of calls go to the new version, {what}")
 }
@@ -77,14 +77,14 @@
     match wait {
         Wait::Schedule => "the schedule left too little time".to_owned(),
         Wait::Calls { seen, wanted } => format!(
-            "and of the {wanted} calls that the next stage takes {seen} were seen: too little \
+            "of the {wanted} calls that the next stage takes {seen} were seen: too little \
              traffic"
         ),
-        Wait::Doubt => "and what it did wrong so far is too much to go on and too little to take \
+        Wait::Doubt => "what it did wrong so far is too much to go on and too little to take \
                         it back"
             .to_owned(),
         Wait::Slots => {
-            "and its announced slots carry no more: start more of its backend servers".to_owned()
+            "its announced slots carry no more: start more of its backend servers".to_owned()
         }
     }
 }
