--- a/crates/measure/src/moves/world.rs
+++ b/crates/measure/src/moves/world.rs
@@ -99,6 +99,8 @@
     /// A scenario before its start.
     pub fn new(scenario: &'a Scenario, policy: Policy, plotted: bool) -> Self {
         let servers = scenario.size.servers;
+        // One beside each backend server of either version.
+        let daemons = servers * 2;
         Self {
             scenario,
             policy,
@@ -107,7 +109,7 @@
             names: names(scenario),
             rng: SmallRng::seed_from_u64(scenario.seed),
             served: [vec![0; servers], vec![0; servers]],
-            met: vec![false; servers * servers * 2],
+            met: vec![false; daemons * servers * 2],
             flights: BinaryHeap::new(),
             slots: Vec::new(),
             first_hit: None,
@@ -117,7 +119,7 @@
             new_bad: 0,
             next_point: Mono(0),
             plotted,
-            arrived: vec![false; servers],
+            arrived: vec![false; daemons],
         }
     }
 
--- a/crates/measure/src/soak/episodes.rs
+++ b/crates/measure/src/soak/episodes.rs
@@ -277,7 +277,14 @@
     }
 
     async fn undo(&mut self, service: &str, first: usize) -> anyhow::Result<()> {
-        let yaml = format!("declarations:\n  - name: {service}\n    service:\n      version: v1\n");
+        // Undoing a verdict takes the base, as an operator gives it who has read the verdict.
+        let base = self.lab.nodes[0].daemon.shared.read(|instance| {
+            instance.config().services.get(service).map(|held| held.offset).unwrap_or_default()
+        });
+        let yaml = format!(
+            "declarations:\n  - name: {service}\n    base: {base}\n    service:\n      \
+             version: v1\n"
+        );
         if let Err(err) = self.lab.publish(&yaml, IN_FORCE).await {
             self.promises.broken(Promise::InForceAndStays, err.to_string());
         }
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -331,9 +331,12 @@
             let periods = if urgent || active.new_changed() { 1 } else { QUIET_PERIODS };
             let period = self.settings.evidence_period * periods;
             let lines = active.changed_lines();
-            let limit_of = |route| active.recorder.limit(route);
+            let limit_of = |route| active.recorder.limit_here(route);
             let packets = packets(active.key, self.me.reporter, self.me.domain, &lines, limit_of);
             for packet in packets {
+                for limit in &packet.limits {
+                    active.recorder.hear_limit(self.me.reporter, limit);
+                }
                 let bytes = Payload::Evidence(packet).encode();
                 self.budget.spend(bytes.len());
                 out.push(MovesEffect::Evidence(bytes));
--- a/crates/moves/src/recorder.rs
+++ b/crates/moves/src/recorder.rs
@@ -47,7 +47,7 @@
     routes: FastMap<RouteName, RouteMemory>,
     /// Names of the service's routes.
     names: FastMap<RouteKey, RouteName>,
-    /// Limits that other reporters saw, by route.
+    /// Limits that reporters reported, by route.
     heard: FastMap<RouteKey, BTreeMap<ReporterKey, Duration>>,
     servers: FastMap<ServerName, ServerMemory>,
 }
@@ -78,19 +78,21 @@
         Counted { key: LineKey { stratum, route: route.key, server }, counts }
     }
 
-    /// The latency above which a call of a route is slow: by the old version's calls here, else
-    /// by the median of what other reporters saw; `None` while nobody knows.
-    pub(crate) fn limit(&self, key: RouteKey) -> Option<Duration> {
-        let here = self.routes.values().find(|memory| memory.key == key);
-        if let Some(limit) = here.and_then(|memory| memory.reference.limit()) {
-            return Some(limit);
-        }
+    /// What the old version's calls here say a slow call of a route is, to be reported.
+    pub(crate) fn limit_here(&self, key: RouteKey) -> Option<Duration> {
+        self.routes.values().find(|memory| memory.key == key)?.reference.limit()
+    }
+
+    /// The latency above which a call of a route is slow: the median of what reporters, this one
+    /// included, have reported; `None` while nobody has. Calls of both versions are held against
+    /// the same reports, so that a limit that changes does not tell the versions apart.
+    fn limit(&self, key: RouteKey) -> Option<Duration> {
         let mut limits: Vec<Duration> = self.heard.get(&key)?.values().copied().collect();
         limits.sort_unstable();
         limits.get(limits.len() / 2).copied()
     }
 
-    /// Takes the limit that another reporter saw.
+    /// Takes the limit that a reporter reported.
     pub(crate) fn hear_limit(&mut self, reporter: ReporterKey, limit: &RouteLimit) {
         let span = Duration::from_micros(u64::from(limit.limit_us));
         self.heard.entry(limit.route).or_default().insert(reporter, span);
