--- a/crates/cyclamenmoor/src/appends.rs
+++ b/crates/cyclamenmoor/src/appends.rs
@@ -39,7 +39,8 @@
 
 #[derive(Debug)]
 struct Pending {
-    payload: Arc<str>,
+    /// The record for the log; `None` for a verdict that goes to the store.
+    payload: Option<Arc<str>>,
     settles: Settles,
     retry_at: Mono,
     failures: u32,
@@ -61,9 +62,18 @@
 
     fn push(&mut self, payload: Arc<str>, settles: Settles, out: &mut Effects) {
         self.tickets += 1;
-        let ticket = Ticket(self.tickets);
-        out.push(Effect::Append { ticket, payload: Arc::clone(&payload) });
+        self.begin(Ticket(self.tickets), Some(payload), settles, out);
+    }
+
+    fn begin(
+        &mut self,
+        ticket: Ticket,
+        payload: Option<Arc<str>>,
+        settles: Settles,
+        out: &mut Effects,
+    ) {
         let pending = Pending { payload, settles, retry_at: Mono::NEVER, failures: 0 };
+        out.extend(pending.effect(ticket));
         self.pending.insert(ticket, pending);
     }
 
@@ -84,6 +94,17 @@
         self.push(payload, Settles::Verdict(id, verdict), out);
     }
 
+    /// Writes a verdict into the store until the configuration that it hands over shows one.
+    pub(crate) fn settle_in_store(
+        &mut self,
+        id: MoveId,
+        verdict: MoveVerdict,
+        out: &mut Effects,
+    ) {
+        self.tickets += 1;
+        self.begin(Ticket(self.tickets), None, Settles::Verdict(id, verdict), out);
+    }
+
     /// Appends a record that is not tried again.
     pub(crate) fn once(&mut self, payload: Arc<str>, out: &mut Effects) {
         self.tickets += 1;
@@ -118,25 +139,47 @@
                 continue;
             }
             pending.retry_at = Mono::NEVER;
-            out.push(Effect::Append { ticket: *ticket, payload: Arc::clone(&pending.payload) });
+            out.extend(pending.effect(*ticket));
         }
     }
 
     /// Forgets appends that the fold shows.
     pub(crate) fn settle(&mut self, ledger: &Ledger) {
-        self.pending.retain(|_, pending| !settled(&pending.settles, ledger));
+        self.pending.retain(|_, pending| !pending.settled(ledger));
     }
 }
 
 impl Pending {
     /// The longest pause after the failures so far.
     fn full_pause(&self) -> Duration {
-        let longest = match self.settles {
-            Settles::Change(_) => CHANGE_PAUSE,
-            Settles::Verdict(..) => VERDICT_PAUSE,
+        let longest = match (&self.settles, &self.payload) {
+            (Settles::Verdict(..), Some(_)) => VERDICT_PAUSE,
+            (Settles::Change(_), _) | (Settles::Verdict(..), None) => CHANGE_PAUSE,
         };
         FIRST_PAUSE.saturating_mul(2_u32.saturating_pow(self.failures)).min(longest)
     }
+
+    /// What has to be done for it.
+    fn effect(&self, ticket: Ticket) -> Option<Effect> {
+        match (&self.payload, &self.settles) {
+            (Some(payload), _) => Some(Effect::Append { ticket, payload: Arc::clone(payload) }),
+            (None, Settles::Verdict(id, verdict)) => {
+                Some(Effect::Settle { ticket, id: id.clone(), verdict: verdict.clone() })
+            }
+            (None, Settles::Change(_)) => None,
+        }
+    }
+
+    /// Whether it is no longer needed. The store keeps the first verdict on a move, the log the
+    /// one of the highest rank.
+    fn settled(&self, ledger: &Ledger) -> bool {
+        let Settles::Verdict(id, _) = &self.settles else {
+            return settled(&self.settles, ledger);
+        };
+        let held = ledger.config().moves.get(&id.name);
+        let shown = held.is_some_and(|held| held.id() == *id && held.verdict.is_some());
+        self.payload.is_none() && shown || settled(&self.settles, ledger)
+    }
 }
 
 fn settled(settles: &Settles, ledger: &Ledger) -> bool {
--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -79,10 +79,14 @@
         let Some(record) = self.membership.own_server(server) else {
             return;
         };
+        let config = self.ledger.config();
+        let Some(version) = config.counted_version(&record.service, &record.version) else {
+            return;
+        };
         let sample = CallSample {
             route,
             service: &record.service,
-            version: &record.version,
+            version: &version,
             server,
             failed: served.failed,
             latency: served.latency,
--- a/crates/cyclamenmoor/src/event.rs
+++ b/crates/cyclamenmoor/src/event.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_declarations::Labels;
 use cyclamen_distribution::{Fetch, LogBatch, LogReadError, PeerResponse};
+use cyclamen_ledger::{MoveId, MoveVerdict};
 use cyclamen_membership::Outgoing;
 use cyclamen_routing::CallId;
 use cyclamen_types::{Offset, ServerName, ServiceName, VersionName};
@@ -45,6 +47,20 @@
     pub address: SocketAddr,
     /// Whether it drains.
     pub draining: bool,
+    /// Orders it among the announcements from the same address; `None` where the last to arrive
+    /// holds.
+    pub order: Option<AnnouncementOrder>,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+}
+
+/// Orders the announcements of backend servers that listen at one address, one after the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AnnouncementOrder {
+    /// When this life of the server started, in Unix milliseconds.
+    pub born: u64,
+    /// Grows with each announcement of this life.
+    pub sequence: u64,
 }
 
 /// Why an announcement was refused.
@@ -104,6 +120,16 @@
         /// The record's payload.
         payload: Arc<str>,
     },
+    /// Write a verdict into the store that keeps the configuration whole, unless it holds a
+    /// verdict on this move already, and answer with [`Event::Appended`].
+    Settle {
+        /// Names the write.
+        ticket: Ticket,
+        /// The move.
+        id: MoveId,
+        /// The verdict.
+        verdict: MoveVerdict,
+    },
     /// Queued calls whose slot is free now.
     Run(Vec<CallId>),
     /// Queued calls that waited too long: refuse them as not run.
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -5,10 +5,10 @@
 
 use cyclamen_declarations::Labels;
 use cyclamen_distribution::{
-    Distribution, Fetch, LogBatch, LogReadError, PeerRequest, PeerResponse,
+    ConfigSource, Distribution, Fetch, LogBatch, LogReadError, PeerRequest, PeerResponse,
 };
 use cyclamen_ledger::{Config, Ledger, LogRecord};
-use cyclamen_membership::{Held, Membership, Outgoing, Rider, RiderKind};
+use cyclamen_membership::{Held, Membership, Outgoing, Rider, RiderKind, ServerView};
 use cyclamen_moves::{Moves, MovesEffect, MovesSettings};
 use cyclamen_routing::{QueueOrder, RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
 use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, Offset, ServerName};
@@ -33,14 +33,18 @@
     pub(crate) moves: Moves,
     pub(crate) router: Router,
     pub(crate) beside: FastMap<ServerName, Beside>,
+    /// The lives of backend servers that said that they leave.
+    pub(crate) left: FastMap<ServerName, u64>,
     pub(crate) queue_order: QueueOrder,
     pub(crate) appends: Appends,
     pub(crate) sequence: u64,
     pub(crate) stopping: bool,
     told_ready: bool,
     pub(crate) table_faults: u64,
-    topology: u64,
-    adopted: ConfigVersion,
+    /// The topology that the router was last told; `None` when it has to be told anew.
+    topology: Option<u64>,
+    /// The configuration in force; `None` when the one held was not put in force yet.
+    adopted: Option<ConfigVersion>,
     outgoing: Vec<Outgoing>,
     fetches: Vec<Fetch>,
     pub(crate) moves_out: Vec<MovesEffect>,
@@ -60,7 +64,11 @@
             domain: me.domain.clone(),
             evidence_period: settings.evidence_period,
         };
-        let router = RouterSettings { domain: me.domain.clone(), region: me.region.clone() };
+        let router = RouterSettings {
+            domain: me.domain.clone(),
+            region: me.region.clone(),
+            retries: settings.retries,
+        };
         Self {
             labels,
             ledger: Ledger::default(),
@@ -69,14 +77,15 @@
             moves: Moves::new(moves, now),
             router: Router::new(router, seed),
             beside: FastMap::default(),
+            left: FastMap::default(),
             queue_order: QueueOrder::default(),
             appends: Appends::new(seed),
             sequence: 0,
             stopping: false,
             told_ready: false,
             table_faults: 0,
-            topology: 0,
-            adopted: ConfigVersion::NONE,
+            topology: None,
+            adopted: Some(ConfigVersion::NONE),
             outgoing: Vec::new(),
             fetches: Vec::new(),
             moves_out: Vec::new(),
@@ -97,6 +106,24 @@
         self.settle(now, out);
     }
 
+    /// Takes over a configuration that the store keeps whole; one of a lower version than the one
+    /// held is ignored, and `false` returned.
+    pub fn adopt(&mut self, now: Now, config: Config, out: &mut Effects) -> bool {
+        if !self.ledger.adopt(config) {
+            return false;
+        }
+        self.distribution.stored();
+        self.adopted = None;
+        self.settle(now, out);
+        true
+    }
+
+    /// Adds addresses of other members to join by.
+    pub fn add_peers(&mut self, now: Now, peers: &[SocketAddr], out: &mut Effects) {
+        self.membership.add_seeds(now, peers);
+        self.settle(now, out);
+    }
+
     /// When [`Event::Wakeup`] is due.
     pub fn next_wakeup(&self) -> Mono {
         let mut next = self.membership.next_tick();
@@ -173,7 +200,7 @@
     }
 
     fn tick_moves(&mut self, now: Now) {
-        let servers = self.membership.servers();
+        let servers = self.counted_servers();
         let domain = self.settings.me.domain.clone();
         let slots = |service: &_, version: &_| sync::slots_in(&servers, &domain, service, version);
         self.moves.tick(now, &slots, &mut self.moves_out);
@@ -262,10 +289,11 @@
     }
 
     fn adopt_config(&mut self, now: Now, out: &mut Effects) {
-        if self.ledger.version() == self.adopted {
+        if self.adopted == Some(self.ledger.version()) {
             return;
         }
-        self.adopted = self.ledger.version();
+        self.adopted = Some(self.ledger.version());
+        self.topology = None;
         self.state_held();
         let config = Arc::clone(self.ledger.config());
         match RouteTable::build(&config, &self.labels) {
@@ -293,17 +321,32 @@
     }
 
     fn adopt_topology(&mut self, now: Now) {
-        if self.membership.topology() == self.topology {
+        if self.topology == Some(self.membership.topology()) {
             return;
         }
-        self.topology = self.membership.topology();
+        self.topology = Some(self.membership.topology());
         let mut servers: Vec<ServerInfo> = Vec::new();
-        for view in self.membership.servers() {
+        for view in self.counted_servers() {
             servers.extend(sync::server_info(&view, &self.settings.me.instance));
         }
         self.router.set_servers(now, &servers);
     }
 
+    /// The backend servers that may take calls, each under the version that it counts under.
+    fn counted_servers(&self) -> Vec<ServerView> {
+        let config = self.ledger.config();
+        let mut views = self.membership.servers();
+        views.retain_mut(|view| {
+            let record = &mut view.record;
+            let Some(version) = config.counted_version(&record.service, &record.version) else {
+                return false;
+            };
+            record.version = version;
+            true
+        });
+        views
+    }
+
     fn carry_out_moves(&mut self, now: Now, out: &mut Effects) {
         let mut effects = std::mem::take(&mut self.moves_out);
         for effect in effects.drain(..) {
@@ -314,7 +357,10 @@
                 MovesEffect::Evidence(payload) => {
                     self.spread_moves(now, RiderKind::Evidence, payload);
                 }
-                MovesEffect::Append(id, verdict) => self.appends.verdict(id, verdict, out),
+                MovesEffect::Append(id, verdict) => match self.settings.distribution.source {
+                    ConfigSource::Log => self.appends.verdict(id, verdict, out),
+                    ConfigSource::Store => self.appends.settle_in_store(id, verdict, out),
+                },
                 MovesEffect::SplitsChanged => {
                     self.adopt_splits();
                     out.push(Effect::Changed);
--- a/crates/cyclamenmoor/src/lib.rs
+++ b/crates/cyclamenmoor/src/lib.rs
@@ -16,6 +16,8 @@
 
 pub use calls::{BodyEnd, Served};
 pub use dump::{Dump, MemberDump, ServerDump, SlotsDump};
-pub use event::{AnnounceError, Announcement, AppendError, Effect, Effects, Event, Ticket};
+pub use event::{
+    AnnounceError, Announcement, AnnouncementOrder, AppendError, Effect, Effects, Event, Ticket,
+};
 pub use instance::Instance;
 pub use settings::InstanceSettings;
--- a/crates/cyclamenmoor/src/servers.rs
+++ b/crates/cyclamenmoor/src/servers.rs
@@ -11,7 +11,7 @@
 };
 use cyclamen_types::{FastMap, Mono, Now, ServerName, ServiceName};
 
-use crate::event::{AnnounceError, Announcement, Effect, Effects};
+use crate::event::{AnnounceError, Announcement, AnnouncementOrder, Effect, Effects};
 use crate::instance::Instance;
 
 /// A backend server beside this daemon.
@@ -20,9 +20,20 @@
     pub(crate) slots: Slots,
     service: ServiceName,
     announced_slots: u32,
+    address: SocketAddr,
+    order: Option<AnnouncementOrder>,
     lease_ends: Mono,
 }
 
+/// Whether an announcement is to be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// It is the newest of its address.
+    Newest,
+    /// A later one of its address came before it, or its server has left.
+    Outdated,
+}
+
 impl Instance {
     /// Announces or renews a backend server beside this daemon, or lets it drain.
     ///
@@ -37,14 +48,22 @@
         if announcement.slots == 0 {
             return Err(AnnounceError::NoSlots(announcement.name.clone()));
         }
+        if self.standing(announcement) == Standing::Outdated {
+            return Ok(());
+        }
+        self.replace_earlier_life(now, announcement);
         let lease_ends = now.mono + self.settings.announcement_lease;
         let settings = self.slots_settings(&announcement.service, announcement.slots);
         let beside = self.beside.entry(announcement.name.clone()).or_insert_with(|| Beside {
             slots: Slots::new(settings),
             service: announcement.service.clone(),
             announced_slots: announcement.slots,
+            address: announcement.address,
+            order: announcement.order,
             lease_ends,
         });
+        beside.address = announcement.address;
+        beside.order = announcement.order;
         beside.service = announcement.service.clone();
         beside.announced_slots = announcement.slots;
         beside.lease_ends = lease_ends;
@@ -62,7 +81,8 @@
         Ok(())
     }
 
-    /// Withdraws a backend server: it gets nothing new from now on.
+    /// Withdraws a backend server: it gets nothing new from now on, and later announcements of the
+    /// same life bring it back no more. One of a later life than `born` stays.
     ///
     /// # Errors
     /// No such server is beside this daemon.
@@ -70,10 +90,21 @@
         &mut self,
         now: Now,
         name: &ServerName,
+        born: Option<u64>,
         out: &mut Effects,
     ) -> Result<(), AnnounceError> {
-        if !self.beside.contains_key(name) {
+        let Some(beside) = self.beside.get(name) else {
+            if let Some(life) = born {
+                self.left.insert(name.clone(), life);
+            }
             return Err(AnnounceError::Unknown(name.clone()));
+        };
+        let known = beside.order.map(|order| order.born);
+        if born.zip(known).is_some_and(|(born, known)| born < known) {
+            return Ok(());
+        }
+        if let Some(life) = born.or(known) {
+            self.left.insert(name.clone(), life);
         }
         self.set_state(now, name, ServerState::Gone);
         self.forget_if_gone(name);
@@ -81,6 +112,51 @@
         Ok(())
     }
 
+    fn standing(&self, announcement: &Announcement) -> Standing {
+        let Some(order) = announcement.order else {
+            return Standing::Newest;
+        };
+        if self.left.get(&announcement.name).is_some_and(|life| order.born <= *life) {
+            return Standing::Outdated;
+        }
+        for (name, beside) in &self.beside {
+            let Some(known) = beside.order else {
+                continue;
+            };
+            let same = *name == announcement.name;
+            let outdated = match same {
+                true => known >= order,
+                false => beside.address == announcement.address && known.born > order.born,
+            };
+            if outdated {
+                return Standing::Outdated;
+            }
+        }
+        Standing::Newest
+    }
+
+    /// An address has one server at a time: the ones that listened there before are gone, and a
+    /// server of the same name that started anew holds no calls.
+    fn replace_earlier_life(&mut self, now: Now, announcement: &Announcement) {
+        let Some(order) = announcement.order else {
+            return;
+        };
+        let mut gone = Vec::new();
+        for (name, beside) in &self.beside {
+            let Some(known) = beside.order else {
+                continue;
+            };
+            let replaced = beside.address == announcement.address || *name == announcement.name;
+            if replaced && known.born < order.born {
+                gone.push(name.clone());
+            }
+        }
+        for name in gone {
+            self.set_state(now, &name, ServerState::Gone);
+            self.beside.remove(&name);
+        }
+    }
+
     /// A call for a backend server beside this daemon asks for a slot.
     pub fn admit(
         &mut self,
@@ -222,6 +298,7 @@
             queue: limits.queue.unwrap_or(self.settings.queue),
             queue_wait: limits.queue_wait.unwrap_or(self.settings.queue_wait),
             order: self.queue_order,
+            adaptive: self.settings.adaptive_slots,
         }
     }
 
--- a/crates/cyclamenmoor/src/settings.rs
+++ b/crates/cyclamenmoor/src/settings.rs
@@ -5,6 +5,7 @@
 use cyclamen_declarations::Labels;
 use cyclamen_distribution::DistributionSettings;
 use cyclamen_membership::{MemberRecord, MembershipSettings};
+use cyclamen_routing::RetryLimits;
 
 /// Settings of one instance.
 #[derive(Clone, Debug)]
@@ -26,4 +27,8 @@
     pub queue: u32,
     /// Longest wait beside one backend server where no policy says otherwise.
     pub queue_wait: Duration,
+    /// Whether a backend server that slows or sheds runs fewer calls than its slots.
+    pub adaptive_slots: bool,
+    /// How this daemon spends retries.
+    pub retries: RetryLimits,
 }
--- a/crates/cyclamenmoor/tests/fleet/changes.rs
+++ b/crates/cyclamenmoor/tests/fleet/changes.rs
@@ -80,6 +80,8 @@
         },
         priority: 0,
         service: service.clone(),
+        services: Vec::new(),
+        attempts: None,
         split: Vec::new(),
         timeout: Duration::from_secs(1),
         idempotence: Default::default(),
--- a/crates/cyclamenmoor/tests/fleet/fleet.rs
+++ b/crates/cyclamenmoor/tests/fleet/fleet.rs
@@ -399,6 +399,7 @@
                 key: MeshKey([7; 32]),
             },
             distribution: DistributionSettings {
+                source: Default::default(),
                 long_poll: period * 10,
                 relay_silence: period * 5,
                 snapshot_transfers: 2,
@@ -409,6 +410,8 @@
             evidence_period: period,
             queue: 32,
             queue_wait: Duration::from_millis(200),
+            adaptive_slots: true,
+            retries: Default::default(),
         }
     }
 
--- a/crates/daemon/src/admin/servers.rs
+++ b/crates/daemon/src/admin/servers.rs
@@ -1,5 +1,7 @@
 //! Backend servers announce, renew and withdraw themselves.
 
+use std::time::Duration;
+
 use cyclamen_types::{NameError, ServerName};
 use cyclamenmoor::{AnnounceError, Announcement};
 use dropshot::{HttpResponseDeleted, HttpResponseOk, Path, TypedBody, endpoint};
@@ -37,7 +39,7 @@
     context::neighbour(&cx)?;
     let name: ServerName = path.into_inner().name.as_str().try_into()?;
     let shared = cx.context().shared()?;
-    shared.with(|instance, now, out| instance.withdraw(now, &name, out))?;
+    shared.with(|instance, now, out| instance.withdraw(now, &name, None, out))?;
     Ok(HttpResponseDeleted())
 }
 
@@ -47,6 +49,8 @@
         return Err(ApiError::new(ErrorCode::Malformed, message));
     }
     Ok(Announcement {
+        order: None,
+        cold: Duration::ZERO,
         name: name.try_into()?,
         service: body.service.try_into()?,
         version: body.version.try_into()?,
--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cyclamen_port::CallHeaders;
 use cyclamen_routing::{Refusal, RefusalKind};
 use derive_more::Display;
 use http::header::{CONTENT_TYPE, HeaderName, RETRY_AFTER};
@@ -54,7 +55,7 @@
 }
 
 /// The answer to a refused call.
-pub(super) fn refused(refusal: &Refusal) -> Response<AnswerBody> {
+pub(super) fn refused(names: &CallHeaders, refusal: &Refusal) -> Response<AnswerBody> {
     let status = match refusal.kind {
         RefusalKind::NoRoute => StatusCode::NOT_FOUND,
         RefusalKind::OutcomeUnknown => StatusCode::BAD_GATEWAY,
@@ -72,7 +73,7 @@
         reason: &refusal.reason,
         retry_after_ms: refusal.retry_after.map(millis),
     };
-    write(status, &told)
+    write(status, &told, names.fractional_retry_after)
 }
 
 /// The answer to a call that is wrong in itself; it was not run.
@@ -91,10 +92,10 @@
     };
     let reason = rejection.to_string();
     let told = Told { kind: "rejected", outcome, reason: &reason, retry_after_ms: retry };
-    write(status, &told)
+    write(status, &told, false)
 }
 
-fn write(status: StatusCode, told: &Told<'_>) -> Response<AnswerBody> {
+fn write(status: StatusCode, told: &Told<'_>, fractions: bool) -> Response<AnswerBody> {
     let body = serde_json::to_vec(told).unwrap_or_default();
     let mut response = Response::new(AnswerBody::whole(Bytes::from(body)));
     *response.status_mut() = status;
@@ -104,11 +105,21 @@
         headers.insert(OUTCOME_HEADER, outcome);
     }
     if let Some(millis) = told.retry_after_ms {
-        headers.insert(RETRY_AFTER, HeaderValue::from(millis.div_ceil(1_000).max(1)));
+        headers.insert(RETRY_AFTER, retry_after(millis, fractions));
     }
     response
 }
 
+/// The time to come back in seconds, whole ones where callers read no fractions.
+fn retry_after(millis: u64, fractions: bool) -> HeaderValue {
+    let whole = HeaderValue::from(millis.div_ceil(1_000).max(1));
+    if !fractions {
+        return whole;
+    }
+    let text = format!("{}.{:03}", millis / 1_000, millis % 1_000);
+    HeaderValue::from_str(&text).unwrap_or(whole)
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -142,6 +142,7 @@
         let outcome = match &end {
             HostEnd::Answered(response) => answered(response),
             HostEnd::Full(retry_after) => Outcome::NotRun { retry_after: *retry_after },
+            HostEnd::Shed(retry_after) => Outcome::Shed { retry_after: *retry_after },
             HostEnd::Down => Outcome::NotConnected,
             HostEnd::Unknown => Outcome::Reset,
             HostEnd::Late => Outcome::TimedOut,
@@ -164,6 +165,7 @@
         let outcome = match answer.outcome {
             HopOutcome::Ran => answered(&response),
             HopOutcome::Full => Outcome::NotRun { retry_after: answer.retry_after },
+            HopOutcome::Shed => Outcome::Shed { retry_after: answer.retry_after },
             HopOutcome::Down => Outcome::NotConnected,
             HopOutcome::Unknown => Outcome::Reset,
             HopOutcome::Late => Outcome::TimedOut,
--- a/crates/daemon/src/calls/edge.rs
+++ b/crates/daemon/src/calls/edge.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal, RefusalKind};
-use cyclamen_types::Mono;
+use cyclamen_routing::{Attempt, CallHead, Next, Refusal, RefusalKind};
+use cyclamen_types::{Mono, ServiceName};
 use http::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{Method, Request, Response};
@@ -33,10 +33,12 @@
     };
     let attempt = match begin(&plane, &parts, arrived) {
         Ok(attempt) => attempt,
-        Err(refusal) => return answer::refused(&refusal),
+        Err(refusal) => return answer::refused(&plane.headers, &refusal),
     };
     headers::strip_call(&mut parts.headers);
     add_request_id(&plane, &mut parts);
+    let caller = plane.caller_service.as_ref().map(ServiceName::as_str);
+    headers::set_own(&mut parts.headers, plane.headers.caller_service.as_ref(), caller);
     let limit = plane.shared.read(|instance| instance.table().limits(&attempt.service).body_bytes);
     let first = Try::start(&plane, attempt);
     if limit.is_some_and(|bytes| !body.limit(bytes)) {
@@ -60,7 +62,7 @@
 
 fn begin(plane: &Plane, parts: &Parts, arrived: Mono) -> Result<Attempt, Refusal> {
     let host = headers::host(parts);
-    let deadline = headers::deadline(&parts.headers).map_or(Mono::NEVER, |left| arrived + left);
+    let deadline = headers::deadline(&plane.headers, &parts.headers).map_or(Mono::NEVER, |left| arrived + left);
     let header = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
     let head = CallHead {
         method: parts.method.as_str(),
@@ -73,11 +75,11 @@
 }
 
 fn add_request_id(plane: &Plane, parts: &mut Parts) {
-    if parts.headers.contains_key(headers::REQUEST_ID_HEADER) {
+    if parts.headers.contains_key(&plane.headers.request_id) {
         return;
     }
     if let Ok(id) = HeaderValue::from_str(&plane.seal.number().to_string()) {
-        parts.headers.insert(headers::REQUEST_ID_HEADER, id);
+        parts.headers.insert(plane.headers.request_id.clone(), id);
     }
 }
 
@@ -94,18 +96,18 @@
             return answer::rejected(Rejection::BodyLate);
         };
         let ended = current.make(parts, out).await;
-        may_have_run |= !matches!(ended.outcome, Outcome::NotRun { .. } | Outcome::NotConnected);
+        may_have_run |= !ended.outcome.not_run();
         let (next, end) = current.finish(&ended);
         if body.too_large() && next != Next::Deliver {
             return answer::rejected(Rejection::GrewTooLarge);
         }
         match next {
             Next::Deliver => return ended.deliver(end),
-            Next::Refuse(refusal) => return answer::refused(&refusal),
+            Next::Refuse(refusal) => return answer::refused(&plane.headers, &refusal),
             Next::Retry(attempt, pause) => {
                 current = Try::start(plane, attempt);
                 if !body.repeatable() {
-                    return answer::refused(&unrepeatable(may_have_run));
+                    return answer::refused(&plane.headers, &unrepeatable(may_have_run));
                 }
                 tokio::time::sleep(pause).await;
             }
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cyclamen_port::CallHeaders;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
     PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -11,12 +12,6 @@
 /// All headers with this prefix are the daemons' own.
 const OWN_PREFIX: &str = "x-cyclamen-";
 
-/// Time that the caller still waits, in milliseconds.
-pub(super) const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-request-deadline-ms");
-
-/// Names the call; echoed by backend servers that know it.
-pub(super) const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
-
 /// Headers of one connection, beside those that `connection` names.
 const CONNECTION_HEADERS: [HeaderName; 10] = [
     CONNECTION,
@@ -71,15 +66,27 @@
 }
 
 /// The time that the caller still waits, where it says so.
-pub(super) fn deadline(headers: &HeaderMap) -> Option<Duration> {
-    let millis = headers.get(DEADLINE_HEADER)?.to_str().ok()?.parse().ok()?;
+pub(super) fn deadline(names: &CallHeaders, headers: &HeaderMap) -> Option<Duration> {
+    let millis = headers.get(&names.deadline)?.to_str().ok()?.parse().ok()?;
     Some(Duration::from_millis(millis))
 }
 
 /// Tells the next hop how long the caller still waits.
-pub(super) fn set_deadline(headers: &mut HeaderMap, left: Duration) {
+pub(super) fn set_deadline(names: &CallHeaders, headers: &mut HeaderMap, left: Duration) {
     let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    headers.insert(DEADLINE_HEADER, HeaderValue::from(millis));
+    headers.insert(names.deadline.clone(), HeaderValue::from(millis));
+}
+
+/// Sets a header that the daemons answer for, or removes what was sent under its name.
+pub(super) fn set_own(headers: &mut HeaderMap, name: Option<&HeaderName>, value: Option<&str>) {
+    let Some(name) = name else {
+        return;
+    };
+    headers.remove(name);
+    let value = value.and_then(|value| HeaderValue::from_str(value).ok());
+    if let Some(value) = value {
+        headers.insert(name.clone(), value);
+    }
 }
 
 /// The host that a call asks for, in lower case and without port.
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -53,6 +53,8 @@
     Ran,
     /// No slot: not run.
     Full,
+    /// The backend server said that it did not run the call.
+    Shed,
     /// No connection to the backend server, or it leaves: not run.
     Down,
     /// The backend server broke off after it may have begun.
@@ -245,6 +247,7 @@
     let all = [
         HopOutcome::Ran,
         HopOutcome::Full,
+        HopOutcome::Shed,
         HopOutcome::Down,
         HopOutcome::Unknown,
         HopOutcome::Late,
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cyclamen_declarations::Criticality;
+use cyclamen_port::CallHeaders;
 use cyclamen_routing::{Admission, CallId, Ran, Refusal, RefusalKind};
 use cyclamen_types::{Mono, RouteName, ServerName};
 use cyclamenmoor::Served;
@@ -39,6 +40,8 @@
     Answered(Box<Response<AnswerBody>>),
     /// No slot: not run.
     Full(Duration),
+    /// The server itself said that it did not run the call.
+    Shed(Duration),
     /// No connection, or it leaves: not run.
     Down,
     /// It broke off after it may have begun.
@@ -122,7 +125,7 @@
         return HostEnd::Full(SOON);
     };
     let started = plane.mono();
-    let request_id = req.headers().get(headers::REQUEST_ID_HEADER).cloned();
+    let request_id = req.headers().get(&plane.headers.request_id).cloned();
     let until = plane.until(call.deadline);
     let sent = plane.servers.send(call.address, req, until).await;
     let latency = plane.mono().since(started);
@@ -139,7 +142,16 @@
             return HostEnd::Late;
         }
     };
-    if !echoes(exchange.response.headers(), request_id.as_ref()) {
+    let status = exchange.response.status();
+    let answer = exchange.response.headers();
+    if !echoes(&plane.headers, answer, request_id.as_ref()) {
+        return HostEnd::Unknown;
+    }
+    if plane.headers.not_run.as_ref().is_some_and(|name| answer.contains_key(name)) {
+        slot.ran = Ran::Shed(latency);
+        return HostEnd::Shed(SOON);
+    }
+    if status.is_success() && !proven(&plane.headers, answer) {
         return HostEnd::Unknown;
     }
     slot.ran = match exchange.response.status() {
@@ -215,28 +227,36 @@
     if left.is_zero() {
         return None;
     }
-    headers::set_deadline(&mut parts.headers, left);
+    headers::set_deadline(&plane.headers, &mut parts.headers, left);
+    let target = plane.headers.target_server.as_ref();
+    headers::set_own(&mut parts.headers, target, Some(call.server.as_str()));
     Some(Request::from_parts(parts, body))
 }
 
 /// Whether an answer is to this call, as far as its server tells.
-fn echoes(answer: &HeaderMap, request_id: Option<&HeaderValue>) -> bool {
-    let echo = answer.get(headers::REQUEST_ID_HEADER);
+fn echoes(names: &CallHeaders, answer: &HeaderMap, request_id: Option<&HeaderValue>) -> bool {
+    let echo = answer.get(&names.request_id);
     echo.is_none() || echo == request_id
 }
 
+/// Whether an answer proves that a backend server made it, where such a proof is due.
+fn proven(names: &CallHeaders, answer: &HeaderMap) -> bool {
+    names.proof.as_ref().is_none_or(|proof| answer.contains_key(proof))
+}
+
 /// Tells the daemon that sent a call how it ended.
 fn reply(plane: &Plane, claim: &HopCall, end: HostEnd) -> Response<AnswerBody> {
     let (outcome, retry_after) = match &end {
         HostEnd::Answered(_) => (HopOutcome::Ran, Duration::ZERO),
         HostEnd::Full(retry_after) => (HopOutcome::Full, *retry_after),
+        HostEnd::Shed(retry_after) => (HopOutcome::Shed, *retry_after),
         HostEnd::Down => (HopOutcome::Down, DOWN_RETRY),
         HostEnd::Unknown => (HopOutcome::Unknown, Duration::ZERO),
         HostEnd::Late => (HopOutcome::Late, Duration::ZERO),
     };
     let mut response = match end {
         HostEnd::Answered(response) => *response,
-        HostEnd::Full(_) | HostEnd::Down => empty(StatusCode::SERVICE_UNAVAILABLE),
+        HostEnd::Full(_) | HostEnd::Shed(_) | HostEnd::Down => empty(StatusCode::SERVICE_UNAVAILABLE),
         HostEnd::Unknown | HostEnd::Late => empty(StatusCode::BAD_GATEWAY),
     };
     let load = plane.shared.read(|instance| instance.load(&claim.server));
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -23,7 +23,7 @@
 use tokio::task::JoinSet;
 
 use crate::calls::plane::Plane;
-use crate::calls::serve::{Phase, accept};
+use crate::calls::serve::{Door, Phase, accept};
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -39,13 +39,22 @@
 }
 
 impl CallServer {
-    /// Serves calls on `listener`.
-    pub fn start(shared: Shared, settings: &Settings, listener: TcpListener) -> Self {
+    /// Serves calls on `listener`; those of daemons on `hops`, where there is one.
+    pub fn start(
+        shared: Shared,
+        settings: &Settings,
+        listener: TcpListener,
+        hops: Option<TcpListener>,
+    ) -> Self {
         let plane = Plane::new(shared, settings);
         let phase = watch::Sender::new(Phase::Serving);
         let mut tasks = JoinSet::new();
         tasks.spawn(pool::tend(plane.clone()));
-        tasks.spawn(accept(plane, listener, phase.subscribe()));
+        let door = if hops.is_some() { Door::Callers } else { Door::Both };
+        if let Some(hops) = hops {
+            tasks.spawn(accept(plane.clone(), Door::Daemons, hops, phase.subscribe()));
+        }
+        tasks.spawn(accept(plane, door, listener, phase.subscribe()));
         Self { phase, tasks: Mutex::new(tasks), stop_grace: settings.limits.stop_grace }
     }
 
--- a/crates/daemon/src/calls/plane.rs
+++ b/crates/daemon/src/calls/plane.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use cyclamen_routing::CallId;
-use cyclamen_types::{Mono, Wall};
+use cyclamen_port::CallHeaders;
+use cyclamen_types::{Mono, ServiceName, Wall};
 use derive_more::Deref;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
@@ -29,6 +30,10 @@
 pub(super) struct Inner {
     pub(super) shared: Shared,
     pub(super) seal: HopSeal,
+    /// Names of the headers of calls and answers.
+    pub(super) headers: CallHeaders,
+    /// The service on whose instance this daemon runs, where backend servers are told.
+    pub(super) caller_service: Option<ServiceName>,
     /// Connections to backend servers beside this daemon.
     pub(super) servers: Pool,
     /// Connections to other daemons.
@@ -45,6 +50,8 @@
         Self(Arc::new(Inner {
             shared,
             seal: HopSeal::new(&settings.mesh_key),
+            headers: settings.headers(),
+            caller_service: settings.platform.as_ref().map(|platform| platform.service.clone()),
             servers: Pool::new(crate::calls::pool::SERVER_CONNECTIONS),
             daemons: Pool::new(DAEMON_CONNECTIONS),
             held_bytes: Arc::new(Semaphore::new(HELD_BYTES)),
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -54,8 +54,24 @@
     Closing,
 }
 
+/// Who may come in by a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Door {
+    /// Callers, and daemons with sealed calls.
+    Both,
+    /// Callers only: whatever they send counts as their own.
+    Callers,
+    /// Daemons only.
+    Daemons,
+}
+
 /// Accepts connections until the phase is [`Phase::Closing`], then waits for those open.
-pub(super) async fn accept(plane: Plane, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
+pub(super) async fn accept(
+    plane: Plane,
+    door: Door,
+    listener: TcpListener,
+    mut phase: watch::Receiver<Phase>,
+) {
     let mut connections = JoinSet::new();
     while *phase.borrow_and_update() != Phase::Closing {
         if *phase.borrow() == Phase::Lingering && connections.is_empty() {
@@ -63,7 +79,7 @@
         }
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => open(&plane, stream, &phase, &mut connections),
+                Ok((stream, _)) => open(&plane, door, stream, &phase, &mut connections),
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             },
             Some(_) = connections.join_next() => {}
@@ -74,7 +90,7 @@
             }
         }
     }
-    accept_rest(&plane, listener, &phase, &mut connections);
+    accept_rest(&plane, door, listener, &phase, &mut connections);
     while connections.join_next().await.is_some() {}
 }
 
@@ -82,6 +98,7 @@
 /// is asked, and not the runtime, which may not have heard yet of connections that wait.
 fn accept_rest(
     plane: &Plane,
+    door: Door,
     listener: TcpListener,
     phase: &watch::Receiver<Phase>,
     connections: &mut JoinSet<()>,
@@ -92,13 +109,14 @@
     while let Ok((stream, _)) = listener.accept() {
         let accepted = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         if let Ok(stream) = accepted {
-            open(plane, stream, phase, connections);
+            open(plane, door, stream, phase, connections);
         }
     }
 }
 
 fn open(
     plane: &Plane,
+    door: Door,
     stream: TcpStream,
     phase: &watch::Receiver<Phase>,
     connections: &mut JoinSet<()>,
@@ -108,8 +126,8 @@
         connections.spawn(tell_flood(stream));
         return;
     }
-    let for_daemons = connections.len() >= callers;
-    connections.spawn(connection(plane.clone(), stream, phase.clone(), for_daemons));
+    let door = if connections.len() >= callers { Door::Daemons } else { door };
+    connections.spawn(connection(plane.clone(), stream, phase.clone(), door));
 }
 
 async fn tell_flood(mut stream: TcpStream) {
@@ -118,12 +136,12 @@
     let _ = tokio::time::timeout(FLOOD_ANSWER_TIMEOUT, write).await;
 }
 
-/// Serves one connection; `for_daemons` when callers have taken all of theirs.
+/// Serves one connection.
 async fn connection(
     plane: Plane,
     stream: TcpStream,
     mut phase: watch::Receiver<Phase>,
-    for_daemons: bool,
+    door: Door,
 ) {
     // Without it, small answers wait for the other side's acknowledgement.
     let _ = stream.set_nodelay(true);
@@ -132,7 +150,7 @@
         let plane = plane.clone();
         let phase = answers_in.clone();
         async move {
-            let mut response = dispatch(plane, req, for_daemons).await;
+            let mut response = dispatch(plane, req, door).await;
             if *phase.borrow() != Phase::Serving {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -160,11 +178,14 @@
     let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
 }
 
-async fn dispatch(plane: Plane, req: Request<Incoming>, for_daemons: bool) -> Response<AnswerBody> {
+async fn dispatch(plane: Plane, req: Request<Incoming>, door: Door) -> Response<AnswerBody> {
+    if door == Door::Callers {
+        return edge::serve(plane, req).await;
+    }
     match plane.seal.open_call(plane.wall(), &req) {
         Ok(claim) => host::serve(plane, claim, req).await,
         Err(HopError::Repeated(claim)) => host::refuse_repeated(&plane, &claim),
-        Err(HopError::Absent | HopError::Forged) if for_daemons => {
+        Err(HopError::Absent | HopError::Forged) if door == Door::Daemons => {
             let mut response = answer::rejected(Rejection::Flood);
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             response
--- a/crates/daemon/src/fetch.rs
+++ b/crates/daemon/src/fetch.rs
@@ -4,7 +4,7 @@
 
 use cyclamen_distribution::Fetch;
 use cyclamen_membership::MeshKey;
-use cyclamenmoor::{Effect, Event};
+use cyclamenmoor::{AppendError, Effect, Event};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -12,6 +12,7 @@
 use crate::log_client::LogClient;
 use crate::peers;
 use crate::shared::Shared;
+use crate::store::{self, Link};
 
 /// What effects are carried out with.
 #[derive(Clone)]
@@ -20,6 +21,8 @@
     pub(crate) socket: Arc<UdpSocket>,
     pub(crate) log: LogClient,
     pub(crate) key: MeshKey,
+    /// The store that keeps the configuration whole, where the daemon has one.
+    pub(crate) store: Option<Link>,
 }
 
 /// Carries out effects until the instance is dropped; what is under way then ends with it.
@@ -42,6 +45,16 @@
                     carrier.tell(Event::Appended { ticket, result });
                 });
             }
+            Effect::Settle { ticket, id, verdict } => {
+                let carrier = carrier.clone();
+                under_way.spawn(async move {
+                    let result = match &carrier.store {
+                        Some(link) => store::settle(link, &id, &verdict).await,
+                        None => Err(AppendError::Unanswered),
+                    };
+                    carrier.tell(Event::Appended { ticket, result });
+                });
+            }
             Effect::Run(_) | Effect::Expire(_) | Effect::Changed => {}
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod calls;
+mod doors;
 mod fetch;
 mod gossip;
 mod life;
@@ -16,6 +17,7 @@
 mod run;
 pub mod settings;
 mod shared;
+pub mod store;
 
 pub use life::run_until;
 pub use run::{Running, StartError, start};
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -6,6 +6,8 @@
 
 use cyclamen_distribution::DistributionSettings;
 use cyclamen_membership::{Addresses, MemberRecord, MembershipSettings};
+use cyclamen_platform::Store;
+use cyclamen_port::StoredMember;
 use cyclamen_types::Incarnation;
 use cyclamenmoor::{Event, Instance, InstanceSettings};
 use thiserror::Error;
@@ -17,9 +19,10 @@
 use crate::calls::CallServer;
 use crate::fetch::{self, Carrier};
 use crate::log_client::LogClient;
-use crate::settings::Settings;
+use crate::settings::{PlatformSettings, Settings};
 use crate::shared::{self, Shared};
-use crate::{gossip, peers};
+use crate::store::{Link, View};
+use crate::{doors, gossip, peers, store};
 
 /// Largest gossip datagram, in bytes; fits the smallest common path MTU.
 const DATAGRAM_BYTES: usize = 1_200;
@@ -83,8 +86,14 @@
     let (socket, peer_listener) = bind_peer(settings.listen.peer).await?;
     let call_listener = bind(settings.listen.calls, "calls").await?;
     let admin = AdminServer::bind(&settings)?;
+    let platform = match &settings.platform {
+        Some(platform) => Some(PlatformListeners::bind(platform).await?),
+        None => None,
+    };
+    let calls_at = local(call_listener.local_addr(), settings.listen.calls);
+    let hops_at = platform.as_ref().map(|listeners| listeners.hops_at);
     let addresses = Addresses {
-        calls: local(call_listener.local_addr(), settings.listen.calls),
+        calls: hops_at.unwrap_or(calls_at),
         peer: local(peer_listener.local_addr(), settings.listen.peer),
         admin: admin.address(),
     };
@@ -99,10 +108,25 @@
         socket: Arc::new(socket),
         log: LogClient::new(settings.log_service),
         key: settings.mesh_key.clone(),
+        store: link(&settings, &shared),
     };
     admin.serve(shared.clone());
-    let calls = CallServer::start(shared.clone(), &settings, call_listener);
     let mut tasks = JoinSet::new();
+    let hops = platform.map(|listeners| {
+        tasks.spawn(doors::serve(shared.clone(), listeners.ready));
+        tasks.spawn(doors::serve(shared.clone(), listeners.announcements));
+        listeners.hops
+    });
+    let calls = CallServer::start(shared.clone(), &settings, call_listener, hops);
+    if let Some(link) = &carrier.store {
+        let me = StoredMember {
+            instance: settings.instance.clone(),
+            incarnation,
+            peer: addresses.peer,
+        };
+        tasks.spawn(store::follow(link.clone()));
+        tasks.spawn(store::introduce(link.clone(), me));
+    }
     tasks.spawn(gossip::receive(shared.clone(), Arc::clone(&carrier.socket)));
     tasks.spawn(peers::serve(shared.clone(), peer_listener, settings.mesh_key.clone()));
     tasks.spawn(fetch::carry(carrier, rx));
@@ -128,6 +152,32 @@
     }
 }
 
+/// Listeners for the platform and for the backend server beside this daemon.
+struct PlatformListeners {
+    hops: TcpListener,
+    hops_at: SocketAddr,
+    ready: TcpListener,
+    announcements: TcpListener,
+}
+
+impl PlatformListeners {
+    async fn bind(platform: &PlatformSettings) -> Result<Self, StartError> {
+        let hops = bind(platform.hops, "calls of daemons").await?;
+        Ok(Self {
+            hops_at: local(hops.local_addr(), platform.hops),
+            hops,
+            ready: bind(platform.ready, "readiness").await?,
+            announcements: bind(platform.announcements, "announcements").await?,
+        })
+    }
+}
+
+fn link(settings: &Settings, shared: &Shared) -> Option<Link> {
+    let platform = settings.platform.as_ref()?;
+    let view = View::new(settings.instance.clone());
+    Some(Link::new(shared.clone(), Store::new(platform.store), view))
+}
+
 fn instance_settings(
     settings: &Settings,
     addresses: Addresses,
@@ -152,12 +202,15 @@
             key: settings.mesh_key.clone(),
         },
         distribution: DistributionSettings {
+            source: settings.source(),
             long_poll: LONG_POLL,
             relay_silence: limits.gossip_period * RELAY_SILENCE_PERIODS,
             snapshot_transfers: SNAPSHOT_TRANSFERS,
             fresh_peers: FRESH_PEERS,
             poll_log: limits.poll_log,
         },
+        adaptive_slots: limits.adaptive_slots,
+        retries: limits.retries,
         announcement_lease: limits.announcement_lease,
         evidence_period: limits.evidence_period,
         queue: limits.queue,
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -5,6 +5,7 @@
 //! that embed a daemon fill in [`Settings`] themselves.
 
 mod fault;
+mod platform;
 mod process;
 mod raw;
 mod section;
@@ -14,11 +15,15 @@
 use std::time::Duration;
 
 use cyclamen_declarations::Labels;
+use cyclamen_distribution::ConfigSource;
 use cyclamen_membership::{Addresses, MeshKey};
+use cyclamen_port::CallHeaders;
+use cyclamen_routing::RetryLimits;
 use cyclamen_types::{FailureDomain, InstanceName, RegionName, TeamName};
 use derive_more::Debug;
 
 pub use fault::{SettingsFault, SettingsFaults};
+pub use platform::PlatformSettings;
 pub use process::{LoggingSettings, ProcessSettings};
 pub use raw::RawSettings;
 
@@ -37,8 +42,10 @@
     pub listen: Addresses,
     /// Peer addresses to ask first.
     pub peers: Vec<SocketAddr>,
-    /// Address of the platform's log service (HTTP).
+    /// Address of the platform's log service (HTTP). Not read where `platform` is set.
     pub log_service: SocketAddr,
+    /// Where this daemon meets the platform; `None` where it reads a log service.
+    pub platform: Option<PlatformSettings>,
     /// The key of the mesh.
     pub mesh_key: MeshKey,
     /// Tokens that may publish.
@@ -51,6 +58,24 @@
     pub seed: Option<u64>,
 }
 
+impl Settings {
+    /// Names of the headers of calls and answers.
+    pub(crate) fn headers(&self) -> CallHeaders {
+        match self.platform {
+            Some(_) => cyclamen_platform::call_headers(),
+            None => CallHeaders::default(),
+        }
+    }
+
+    /// Where the configuration comes from.
+    pub(crate) fn source(&self) -> ConfigSource {
+        match self.platform {
+            Some(_) => ConfigSource::Store,
+            None => ConfigSource::Log,
+        }
+    }
+}
+
 /// A token of an operator, as a hash.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OperatorToken {
@@ -66,7 +91,7 @@
 pub struct TokenHash(pub [u8; 32]);
 
 /// Limits of one daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitSettings {
     /// Connections of callers at a time.
     pub caller_connections: u32,
@@ -84,6 +109,10 @@
     pub announcement_lease: Duration,
     /// Longest time between two payloads of evidence.
     pub evidence_period: Duration,
+    /// Whether a backend server that slows or sheds runs fewer calls than its slots.
+    pub adaptive_slots: bool,
+    /// How this daemon spends retries.
+    pub retries: RetryLimits,
     /// Makes every daemon read the log this often, instead of the relays only.
     pub poll_log: Option<Duration>,
 }
@@ -99,6 +128,8 @@
             gossip_bytes_per_second: 2_048,
             announcement_lease: Duration::from_secs(6),
             evidence_period: Duration::from_secs(2),
+            adaptive_slots: true,
+            retries: RetryLimits::default(),
             poll_log: None,
         }
     }
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -15,7 +15,7 @@
 use super::process::{LoggingSettings, ProcessSettings};
 use super::section::{FaultList, Misfit, Section};
 use super::values::{self, ADDRESS_REMEDY, NAME_REMEDY};
-use super::{LimitSettings, OperatorToken, Settings};
+use super::{LimitSettings, OperatorToken, PlatformSettings, Settings};
 use crate::logging;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
@@ -82,7 +82,11 @@
     let place = read_place(root.section("instance"));
     let listen = read_listen(root.section("listen"));
     let peers = read_peers(root.items("peers"), faults);
-    let log_service = root.required("log_service", ADDRESS_REMEDY, values::destination);
+    let platform = root.section_if_present("platform").map(read_platform);
+    let log_service = match &platform {
+        Some(platform) => platform.as_ref().map(|platform| platform.store),
+        None => root.required("log_service", ADDRESS_REMEDY, values::destination),
+    };
     let mesh_key = read_mesh_key(raw, root.section("mesh_key"));
     let tokens = read_tokens(root.items("tokens"), faults);
     let limits = read_limits(root.section("limits"));
@@ -99,6 +103,7 @@
         listen: listen?,
         peers,
         log_service: log_service?,
+        platform: platform.flatten(),
         mesh_key: mesh_key?,
         tokens,
         limits,
@@ -152,6 +157,22 @@
     Some(Addresses { calls: calls?, peer: peer?, admin: admin? })
 }
 
+fn read_platform(mut section: Section<'_>) -> Option<PlatformSettings> {
+    let store = section.required("store", ADDRESS_REMEDY, values::destination);
+    let hops = section.required("hops", ADDRESS_REMEDY, values::own_address);
+    let ready = section.required("ready", ADDRESS_REMEDY, values::own_address);
+    let announcements = section.required("announcements", ADDRESS_REMEDY, values::own_address);
+    let service = section.required("service", NAME_REMEDY, values::name);
+    section.end();
+    Some(PlatformSettings {
+        store: store?,
+        hops: hops?,
+        ready: ready?,
+        announcements: announcements?,
+        service: service?,
+    })
+}
+
 fn read_mesh_key(raw: &RawSettings, mut section: Section<'_>) -> Option<MeshKey> {
     let file = section.optional("file", values::path);
     let env = section.optional("env", |value| values::text(value).map(String::from));
@@ -229,6 +250,15 @@
     section.overwrite("evidence_period", &mut limits.evidence_period, |value| {
         values::span(value, 50 * MILLISECOND..=MINUTE)
     });
+    section.overwrite("adaptive_slots", &mut limits.adaptive_slots, values::switch);
+    let retries = &mut limits.retries;
+    section.overwrite("saved_retries", &mut retries.saved, |value| {
+        values::count(value, 0..=10_000).map(f64::from)
+    });
+    section.overwrite("retries_per_second", &mut retries.floor_per_second, values::rate);
+    section.overwrite("unsent_attempts", &mut retries.unsent_beyond_attempts, |value| {
+        values::count(value, 0..=100)
+    });
     section.end();
     limits
 }
--- a/crates/daemon/src/settings/values.rs
+++ b/crates/daemon/src/settings/values.rs
@@ -80,6 +80,19 @@
     }
 }
 
+/// A rate a second.
+pub(super) fn rate(value: &Value) -> Result<f64, Misfit> {
+    let rate = value.as_f64().filter(|rate| rate.is_finite() && *rate >= 0.0);
+    let misfit = || Misfit::new(format!("{} is no rate", shown(value)), "write a number from 0 on");
+    rate.ok_or_else(misfit)
+}
+
+/// Yes or no.
+pub(super) fn switch(value: &Value) -> Result<bool, Misfit> {
+    let misfit = || Misfit::new(format!("{} does not fit", shown(value)), "write true or false");
+    value.as_bool().ok_or_else(misfit)
+}
+
 /// A whole number of 64 bits.
 pub(super) fn seed(value: &Value) -> Result<u64, Misfit> {
     let misfit = || Misfit::new("not a whole number", "write a number from 0 to 2^64 - 1");
--- a/crates/daemon/tests/admin/bench.rs
+++ b/crates/daemon/tests/admin/bench.rs
@@ -75,6 +75,7 @@
         listen: Addresses { calls: free, peer: free, admin: free },
         peers: Vec::new(),
         log_service,
+        platform: None,
         mesh_key: MeshKey([7; 32]),
         tokens: vec![token("provoz", TOKEN), token("sklad", OTHER_TOKEN)],
         limits: LimitSettings::default(),
--- a/crates/daemon/tests/mesh/mod.rs
+++ b/crates/daemon/tests/mesh/mod.rs
@@ -203,6 +203,7 @@
         listen: Addresses { calls: loopback(), peer: loopback(), admin: loopback() },
         peers,
         log_service,
+        platform: None,
         mesh_key: MeshKey([7; 32]),
         tokens: Vec::new(),
         limits: LimitSettings {
@@ -220,6 +221,8 @@
 fn announcement(server: &BackendServer) -> Announcement {
     let options = server.options();
     Announcement {
+        order: None,
+        cold: Duration::ZERO,
         name: options.name.clone(),
         service: options.service.clone(),
         version: options.version.clone(),
--- a/crates/declarations/src/bodies.rs
+++ b/crates/declarations/src/bodies.rs
@@ -26,7 +26,7 @@
 const MAX_BODY_BYTES: u64 = 1 << 40;
 
 /// Most attempts of one call.
-const MAX_ATTEMPTS: u64 = 10;
+pub(crate) const MAX_ATTEMPTS: u64 = 10;
 
 /// A border type with the name that stands beside it.
 #[derive(Clone, Debug)]
--- a/crates/declarations/src/border.rs
+++ b/crates/declarations/src/border.rs
@@ -2,11 +2,11 @@
 
 use crate::checked::{
     ChangeEntry, Declaration, EntryAction, HeaderMatch, HostPattern, Limits, Move, Policy, Retries,
-    Route, RouteMatch, Service, Version, WeightedVersion,
+    Route, RouteMatch, Service, Version, WeightedService, WeightedVersion,
 };
 use crate::generated::{
     DeleteBody, HeaderBody, Item, LabelMap, LimitsBody, MatchBody, MoveBody, OrderBody, PolicyBody,
-    RetriesBody, RouteBody, ServiceBody, VersionBody, WeightBody,
+    RetriesBody, RouteBody, ServiceBody, ServiceWeightBody, VersionBody, WeightBody,
 };
 use crate::labels::{Labels, Selector};
 use crate::text::{format_span, format_time};
@@ -72,8 +72,10 @@
             match_: Some((&route.matches).into()),
             priority: Some(route.priority),
             service: Some(route.service.to_string()),
+            services: route.services.iter().map(ServiceWeightBody::from).collect(),
             split: route.split.iter().map(WeightBody::from).collect(),
             timeout: Some(format_span(route.timeout)),
+            attempts: route.attempts,
             idempotence: Some(route.idempotence),
             criticality: Some(route.criticality),
             sticky: route.sticky.as_ref().map(|sticky| sticky.header.to_string()),
@@ -100,6 +102,12 @@
     }
 }
 
+impl From<&WeightedService> for ServiceWeightBody {
+    fn from(weighted: &WeightedService) -> Self {
+        Self { service: Some(weighted.service.to_string()), weight: Some(weighted.weight) }
+    }
+}
+
 impl From<&WeightedVersion> for WeightBody {
     fn from(weighted: &WeightedVersion) -> Self {
         Self { version: Some(weighted.version.to_string()), weight: Some(weighted.weight) }
--- a/crates/declarations/src/checked.rs
+++ b/crates/declarations/src/checked.rs
@@ -130,10 +130,14 @@
     pub priority: i32,
     /// Where its calls go.
     pub service: ServiceName,
+    /// Shares by service, in place of `service`; empty for that one alone.
+    pub services: Vec<WeightedService>,
     /// Fixed shares by version; empty for the service's own version.
     pub split: Vec<WeightedVersion>,
     /// Longest time for a call, retries included.
     pub timeout: Duration,
+    /// Backend servers that one call may be sent to; `None` leaves it to the policies.
+    pub attempts: Option<u32>,
     /// Which of its calls may run twice.
     pub idempotence: Idempotence,
     /// What goes first when slots are short.
@@ -175,6 +179,23 @@
     pub value: Option<Arc<str>>,
 }
 
+impl Route {
+    /// Every service that its calls may go to.
+    pub fn targets(&self) -> impl Iterator<Item = &ServiceName> {
+        let alone = self.services.is_empty().then_some(&self.service);
+        self.services.iter().map(|weighted| &weighted.service).chain(alone)
+    }
+}
+
+/// A service and its share of a route's calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceName,
+    /// Its weight; shares are weights over their sum, which is not zero.
+    pub weight: u32,
+}
+
 /// A version and its share of a route's calls.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WeightedVersion {
--- a/crates/declarations/src/generated.rs
+++ b/crates/declarations/src/generated.rs
@@ -943,6 +943,12 @@
 ///  "description": "A route.",
 ///  "type": "object",
 ///  "properties": {
+///    "attempts": {
+///      "description": "Backend servers that one call may be sent to; as the policies say when absent.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    },
 ///    "criticality": {
 ///      "$ref": "#/definitions/Criticality"
 ///    },
@@ -965,6 +971,13 @@
 ///      "description": "Where its calls go.",
 ///      "type": "string"
 ///    },
+///    "services": {
+///      "description": "Shares by service; they take the place of `service`.",
+///      "type": "array",
+///      "items": {
+///        "$ref": "#/definitions/ServiceWeightBody"
+///      }
+///    },
 ///    "split": {
 ///      "description": "Fixed shares by version.",
 ///      "type": "array",
@@ -988,6 +1001,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct RouteBody {
+    ///Backend servers that one call may be sent to; as the policies say when absent.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub attempts: ::std::option::Option<u32>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub criticality: ::std::option::Option<crate::Criticality>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
@@ -1007,6 +1023,9 @@
     ///Where its calls go.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub service: ::std::option::Option<::std::string::String>,
+    ///Shares by service; they take the place of `service`.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub services: ::std::vec::Vec<ServiceWeightBody>,
     ///Fixed shares by version.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub split: ::std::vec::Vec<WeightBody>,
@@ -1025,12 +1044,14 @@
 impl ::std::default::Default for RouteBody {
     fn default() -> Self {
         Self {
+            attempts: Default::default(),
             criticality: Default::default(),
             idempotence: Default::default(),
             match_: Default::default(),
             priority: Default::default(),
             proxies: Default::default(),
             service: Default::default(),
+            services: Default::default(),
             split: Default::default(),
             sticky: Default::default(),
             timeout: Default::default(),
@@ -1080,6 +1101,53 @@
         }
     }
 }
+///A service and its weight among those of a route.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "A service and its weight among those of a route.",
+///  "type": "object",
+///  "properties": {
+///    "service": {
+///      "description": "The service.",
+///      "type": "string"
+///    },
+///    "weight": {
+///      "description": "Its weight.",
+///      "type": "integer",
+///      "format": "uint32",
+///      "minimum": 0.0
+///    }
+///  },
+///  "additionalProperties": false
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceWeightBody {
+    ///The service.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub service: ::std::option::Option<::std::string::String>,
+    ///Its weight.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub weight: ::std::option::Option<u32>,
+}
+impl ::std::convert::From<&ServiceWeightBody> for ServiceWeightBody {
+    fn from(value: &ServiceWeightBody) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for ServiceWeightBody {
+    fn default() -> Self {
+        Self {
+            service: Default::default(),
+            weight: Default::default(),
+        }
+    }
+}
 ///A record of kind `snapshot`: one part of the text of a state.
 ///
 /// <details><summary>JSON schema</summary>
--- a/crates/declarations/src/routes.rs
+++ b/crates/declarations/src/routes.rs
@@ -3,15 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::bodies::{Named, selector, span};
-use crate::checked::{HeaderMatch, HostPattern, Route, RouteMatch, StickyKey, WeightedVersion};
+use crate::bodies::{MAX_ATTEMPTS, Named, selector, span};
+use crate::checked::{
+    HeaderMatch, HostPattern, Route, RouteMatch, StickyKey, WeightedService, WeightedVersion,
+};
 use crate::fault::{Faults, Problem};
-use crate::generated::{HeaderBody, MatchBody, RouteBody, WeightBody};
+use crate::generated::{HeaderBody, MatchBody, RouteBody, ServiceWeightBody, WeightBody};
 
 /// Longest time for a call where its route does not say.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Greatest weight of a version in a split.
+/// Greatest weight of a version or a service in a split.
 const MAX_WEIGHT: u64 = 1_000_000;
 
 impl TryFrom<Named<RouteBody>> for Route {
@@ -24,7 +26,11 @@
         let proxies = selector(&mut faults, "route.proxies", body.proxies);
         let matches = route_match(&mut faults, body.match_.unwrap_or_default());
         let service = faults.name("route.service", body.service);
+        let services = services(&mut faults, body.services);
         let split = split(&mut faults, body.split);
+        if let Some(attempts) = body.attempts {
+            faults.range("route.attempts", attempts.into(), 1, MAX_ATTEMPTS);
+        }
         let timeout = span(&mut faults, "route.timeout", body.timeout.as_ref(), DEFAULT_TIMEOUT);
         let sticky = body.sticky.as_ref();
         let sticky =
@@ -38,8 +44,10 @@
             matches,
             priority: body.priority.unwrap_or_default(),
             service,
+            services,
             split,
             timeout,
+            attempts: body.attempts,
             idempotence: body.idempotence.unwrap_or_default(),
             criticality: body.criticality.unwrap_or_default(),
             sticky,
@@ -147,6 +155,41 @@
     split
 }
 
+fn services(faults: &mut Faults, bodies: Vec<ServiceWeightBody>) -> Vec<WeightedService> {
+    let mut services: Vec<WeightedService> = Vec::new();
+    let given = bodies.len();
+    for (i, body) in bodies.into_iter().enumerate() {
+        let place = format!("route.services[{i}]");
+        match WeightedService::try_from(body) {
+            Ok(weighted) if services.iter().any(|w| w.service == weighted.service) => {
+                faults.push(&place, Problem::Twice(weighted.service.to_string()));
+            }
+            Ok(weighted) => services.push(weighted),
+            Err(inner) => faults.push_within(&place, inner),
+        }
+    }
+    let whole = given > 0 && services.len() == given;
+    if whole && services.iter().all(|weighted| weighted.weight == 0) {
+        faults.push("route.services", Problem::NoWeight);
+    }
+    services
+}
+
+impl TryFrom<ServiceWeightBody> for WeightedService {
+    type Error = Faults;
+
+    fn try_from(body: ServiceWeightBody) -> Result<Self, Faults> {
+        let mut faults = Faults::default();
+        let service = faults.name("service", body.service);
+        let weight = faults.required("weight", body.weight).unwrap_or_default();
+        faults.range("weight", weight.into(), 0, MAX_WEIGHT);
+        let Some(service) = service else {
+            return Err(faults);
+        };
+        faults.or(Self { service, weight })
+    }
+}
+
 impl TryFrom<WeightBody> for WeightedVersion {
     type Error = Faults;
 
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -33,9 +33,22 @@
 /// Shortest and longest time after which a refused peer comes back, in milliseconds.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u32> = 100..=1_000;
 
+/// Where the configuration comes from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// From the records of the log and from peers.
+    #[default]
+    Log,
+    /// From a store that keeps it whole and hands each version to every daemon; there are no
+    /// records to read, push or pull.
+    Store,
+}
+
 /// Settings of distribution.
 #[derive(Clone, Debug)]
 pub struct DistributionSettings {
+    /// Where the configuration comes from.
+    pub source: ConfigSource,
     /// Longest time a read of the log may wait for a record.
     pub long_poll: Duration,
     /// Silence of the relays after which a daemon reads the log itself.
@@ -154,6 +167,10 @@
 
     /// Does what is due; what to fetch goes to `out`.
     pub fn tick(&mut self, now: Now, ledger: &Ledger, m: &mut Membership, out: &mut Vec<Fetch>) {
+        if self.settings.source == ConfigSource::Store {
+            self.next = Mono::NEVER;
+            return;
+        }
         if std::mem::take(&mut self.log_answered) {
             m.log_answered(now);
         }
@@ -191,13 +208,20 @@
 
     /// Notes what peers are known to hold; a gap is closed soon unless the records come first.
     pub fn heard(&mut self, now: Now, ledger: &Ledger, m: &Membership) {
-        if m.best_version() <= ledger.version() || self.settings.poll_log.is_some() {
+        let told_by_peers =
+            self.settings.poll_log.is_none() && self.settings.source == ConfigSource::Log;
+        if m.best_version() <= ledger.version() || !told_by_peers {
             return;
         }
         self.gaps.notice(now, &mut self.rng);
         self.next = self.next.min(self.gaps.due());
     }
 
+    /// The store handed over a configuration: this daemon holds what is recent.
+    pub fn stored(&mut self) {
+        self.fresh.log_read();
+    }
+
     /// Notes a version that the log is known to have reached, so that this daemon soon holds it.
     pub fn expect(&mut self, now: Now, version: ConfigVersion) {
         self.log.expect(now, version);
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -13,6 +13,6 @@
 mod snapshots;
 
 pub use distribution::{
-    Distribution, DistributionCounters, DistributionSettings, Fetch, LogBatch, LogReadError,
+    ConfigSource, Distribution, DistributionCounters, DistributionSettings, Fetch, LogBatch, LogReadError,
 };
 pub use messages::{PeerRequest, PeerResponse};
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -343,7 +343,7 @@
                 let at = self.now + self.network.delay(&mut self.rng);
                 self.schedule.push(at, Happening::Append { node: index, life, ticket, payload });
             }
-            Effect::Run(_) | Effect::Expire(_) | Effect::Changed => {}
+            Effect::Settle { .. } | Effect::Run(_) | Effect::Expire(_) | Effect::Changed => {}
         }
     }
 
@@ -486,6 +486,7 @@
                 key: FLEET_KEY,
             },
             distribution: DistributionSettings {
+                source: Default::default(),
                 long_poll: Duration::from_secs(10),
                 relay_silence: period * 5,
                 snapshot_transfers: 4,
@@ -496,6 +497,8 @@
             evidence_period: Duration::from_secs(1),
             queue: 32,
             queue_wait: Duration::from_millis(200),
+            adaptive_slots: true,
+            retries: Default::default(),
         })
     }
 }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -135,6 +135,7 @@
         listen: Addresses { calls: ANY_PORT, peer: ANY_PORT, admin: ANY_PORT },
         peers,
         log_service,
+        platform: None,
         mesh_key: LAB_KEY,
         tokens: Vec::new(),
         limits,
--- a/crates/ledger/src/config.rs
+++ b/crates/ledger/src/config.rs
@@ -1,12 +1,12 @@
 //! The configuration that the fold reaches.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cyclamen_declarations::{Move, OrderAction, Policy, Route, Service, Version, VersionId};
 use cyclamen_types::{
     ConfigVersion, InstanceName, MoveName, Offset, PolicyName, RouteName, ServiceName, TeamName,
-    Wall,
+    VersionName, Wall,
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,40 @@
     pub policies: BTreeMap<PolicyName, Held<Policy>>,
     /// Moves by name, with orders and verdicts.
     pub moves: BTreeMap<MoveName, HeldMove>,
+    /// Under which version backend servers count whose own version is in no move; `None` where
+    /// all versions are declared and each counts under its own.
+    pub undeclared: Option<VersionName>,
+    /// Versions that were taken back by moves that are no longer held.
+    pub taken_back: BTreeSet<VersionId>,
+}
+
+impl Config {
+    /// Under which version a backend server takes calls that announced `version`; `None` when it
+    /// takes none, because a move put all calls of its service on another version.
+    pub fn counted_version(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+    ) -> Option<VersionName> {
+        let Some(undeclared) = &self.undeclared else {
+            return Some(version.clone());
+        };
+        let moves = self.moves.values().filter(|mv| mv.held.body.service == *service);
+        for mv in moves {
+            let done = mv.verdict.as_ref().is_some_and(|v| v.kind == VerdictKind::Done);
+            match (mv.held.body.to == *version, done) {
+                (true, true) => return Some(undeclared.clone()),
+                (true, false) => return Some(version.clone()),
+                (false, true) => return None,
+                (false, false) => {}
+            }
+        }
+        let id = VersionId { service: service.clone(), version: version.clone() };
+        if self.taken_back.contains(&id) {
+            return Some(id.version);
+        }
+        Some(undeclared.clone())
+    }
 }
 
 /// A declaration with who wrote it and where.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -301,6 +301,17 @@
         true
     }
 
+    /// Takes over a configuration that its source keeps whole, if its version is not lower than
+    /// the one held; returns whether it was.
+    pub fn adopt(&mut self, config: Config) -> bool {
+        if config.version < self.version() {
+            return false;
+        }
+        self.config = Arc::new(config);
+        self.window.clear();
+        true
+    }
+
     /// The payload of a record that publishes `change`.
     pub fn change_payload(change: &Change) -> String {
         payload::change_text(change)
--- a/crates/ledger/src/verify.rs
+++ b/crates/ledger/src/verify.rs
@@ -157,6 +157,9 @@
         if !self.needs_service("route.service", &route.service) {
             return;
         }
+        for (i, weighted) in route.services.iter().enumerate() {
+            self.needs_service(&format!("route.services[{i}].service"), &weighted.service);
+        }
         for (i, weighted) in route.split.iter().enumerate() {
             let place = format!("route.split[{i}].version");
             self.needs_version(&place, &route.service, &weighted.version);
@@ -272,7 +275,7 @@
             }
         }
         for route in self.draft.kept_routes() {
-            if route.service.as_str() == name {
+            if route.targets().any(|service| service.as_str() == name) {
                 users.push(route_key(route));
             }
         }
--- a/crates/measure/src/converge/fleet.rs
+++ b/crates/measure/src/converge/fleet.rs
@@ -160,6 +160,7 @@
             listen,
             peers: self.seeds(),
             log_service: self.log.address(),
+            platform: None,
             mesh_key: MeshKey([1; 32]),
             tokens: Vec::new(),
             limits: LimitSettings { announcement_lease: LEASE, poll_log, ..Default::default() },
@@ -174,6 +175,8 @@
         let running = cyclamen_daemon::start(settings.clone()).await?;
         settings.listen = running.addresses;
         let server = Announcement {
+            order: None,
+            cold: Duration::ZERO,
             name: format!("server-of-{}", settings.instance).parse()?,
             service: "dvere".parse()?,
             version: "v1".parse()?,
--- a/crates/membership/src/joining.rs
+++ b/crates/membership/src/joining.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Looks for members now, if there is an address to ask that is no member yet.
+    pub(crate) fn join_soon(&mut self, now: Now) {
+        self.joining.due = self.joining.due.min(now.mono);
+    }
+
     pub(crate) fn answer_join(&mut self, now: Now, from: SocketAddr, out: &mut Vec<Outgoing>) {
         let me = self.own_items();
         let mut others = Vec::new();
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -291,6 +291,17 @@
         self.log_contact
     }
 
+    /// Adds addresses to ask first; they are asked at once while this daemon is alone.
+    pub fn add_seeds(&mut self, now: Now, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            let own = *seed == self.me.addresses.peer;
+            if !own && !self.settings.seeds.contains(seed) {
+                self.settings.seeds.push(*seed);
+            }
+        }
+        self.join_soon(now);
+    }
+
     /// Tells all that this daemon stops.
     pub fn leave(&mut self, now: Now, out: &mut Vec<Outgoing>) {
         self.budget.refill(now);
--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -141,8 +141,8 @@
     pub(crate) fn share_ppm(&self) -> u32 {
         let share = match self.at() {
             MoveStage::Scheduled | MoveStage::TakenBack => 0,
-            MoveStage::Checking => ladder::rung(ladder::CHECK_STAGE).share_ppm,
-            _ => ladder::rung(self.stage).share_ppm,
+            MoveStage::Checking => ladder::rung(&self.declared, ladder::CHECK_STAGE).share_ppm,
+            _ => ladder::rung(&self.declared, self.stage).share_ppm,
         };
         share.min(self.carried_ppm())
     }
--- a/crates/moves/src/appends.rs
+++ b/crates/moves/src/appends.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cyclamen_declarations::Move;
 use cyclamen_ledger::{MoveVerdict, VerdictKind};
 use cyclamen_types::{Mono, Now};
 
 use crate::active::{ActiveMove, Identity};
+use crate::ladder;
 use crate::sentences;
 
 /// Time over which daemons that report evidence spread their appends of one verdict.
@@ -15,6 +17,12 @@
 /// Time over which all other daemons spread theirs, after those.
 const IDLE_SPREAD: Duration = Duration::from_secs(600);
 
+/// The same spread for moves that have little time.
+const SHORT_REPORTER_SPREAD: Duration = Duration::from_millis(600);
+
+/// The spread of the other daemons for moves that have little time.
+const SHORT_IDLE_SPREAD: Duration = Duration::from_secs(6);
+
 /// Whether this daemon appends what it decided.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Append {
@@ -38,10 +46,14 @@
 }
 
 /// How long a daemon waits for another one's append: those that report evidence go first.
-pub(crate) fn delay(me: &Identity, reports: bool) -> Duration {
+pub(crate) fn delay(me: &Identity, declared: &Move, reports: bool) -> Duration {
     let hash = u64::from_le_bytes(me.reporter.0);
     let within = |spread: Duration| Duration::from_millis(hash % spread.as_millis() as u64);
-    if reports { within(REPORTER_SPREAD) } else { REPORTER_SPREAD + within(IDLE_SPREAD) }
+    let (reporters, others) = match ladder::is_short(declared) {
+        true => (SHORT_REPORTER_SPREAD, SHORT_IDLE_SPREAD),
+        false => (REPORTER_SPREAD, IDLE_SPREAD),
+    };
+    if reports { within(reporters) } else { reporters + within(others) }
 }
 
 /// The verdict that this daemon came to.
--- a/crates/moves/src/check.rs
+++ b/crates/moves/src/check.rs
@@ -6,7 +6,7 @@
 
 use crate::evidence::{Counts, Evidence, Strata};
 use crate::findings::Finding;
-use crate::ladder::{LONE_STRATA_END, SHORTEST_DWELL};
+use crate::ladder::LONE_STRATA_END;
 use crate::sequential::{Class, HIGHEST_RATE, rate_before};
 
 /// Evidence against the suspicion that ends a check.
@@ -61,8 +61,8 @@
     }
 
     /// Shortest time that the check goes on; later checks of a move take longer.
-    pub(crate) fn shortest(&self) -> Duration {
-        SHORTEST_DWELL * 2_u32.pow(u32::from(self.round.min(MOST_DOUBLINGS)))
+    pub(crate) fn shortest(&self, dwell: Duration) -> Duration {
+        dwell * 2_u32.pow(u32::from(self.round.min(MOST_DOUBLINGS)))
     }
 
     /// Whether the calls since the check began speak clearly enough against the suspicion. Slots
--- a/crates/moves/src/course.rs
+++ b/crates/moves/src/course.rs
@@ -51,7 +51,7 @@
             self.arrive(now);
             return;
         }
-        let dwelt = now.mono.since(self.entered) >= ladder::SHORTEST_DWELL;
+        let dwelt = now.mono.since(self.entered) >= ladder::dwell(&self.declared);
         if !dwelt || now.mono < self.next_climb {
             return;
         }
@@ -70,11 +70,11 @@
         if !hasten && now.wall < ladder::entry(&self.declared, self.stage + 1) {
             return Some(Wait::Schedule);
         }
-        if self.carried_ppm() <= ladder::rung(self.stage).share_ppm {
+        if self.carried_ppm() <= ladder::rung(&self.declared, self.stage).share_ppm {
             return Some(Wait::Slots);
         }
         let seen = self.evidence.new_calls_from(self.stage);
-        let wanted = ladder::rung(self.stage).calls;
+        let wanted = ladder::rung(&self.declared, self.stage).calls;
         if seen < wanted && !self.deadline_wins(now) {
             return Some(Wait::Calls { seen, wanted });
         }
@@ -106,7 +106,7 @@
         let Some(check) = &self.check else {
             return;
         };
-        if now.mono.since(self.entered) < check.shortest() {
+        if now.mono.since(self.entered) < check.shortest(ladder::dwell(&self.declared)) {
             return;
         }
         let Some(cleared) = check.cleared(&self.evidence) else {
@@ -126,7 +126,7 @@
     }
 
     fn deadline_wins(&self, now: Now) -> bool {
-        let rest = ladder::shortest_rest(self.stage);
+        let rest = ladder::shortest_rest(&self.declared, self.stage);
         self.declared.clash == ClashRule::Deadline && now.wall + rest >= self.declared.deadline
     }
 
@@ -135,7 +135,7 @@
         if self.arrived_once || self.at() == MoveStage::TakenBack {
             return;
         }
-        let rest = ladder::shortest_rest(self.stage);
+        let rest = ladder::shortest_rest(&self.declared, self.stage);
         self.late = now.wall + rest > self.declared.deadline;
         if self.late && self.at() == MoveStage::Moving {
             self.late_because = Some(self.wait);
--- a/crates/moves/src/ladder.rs
+++ b/crates/moves/src/ladder.rs
@@ -19,8 +19,11 @@
 /// All calls, in parts per million.
 pub const WHOLE_PPM: u32 = 1_000_000;
 
+/// Stages of a move.
+const STAGES: usize = 5;
+
 /// The stages in order.
-pub const LADDER: [Rung; 5] = [
+pub const LADDER: [Rung; STAGES] = [
     Rung { share_ppm: 10_000, entry_percent: 0, calls: 8 },
     Rung { share_ppm: 50_000, entry_percent: 8, calls: 16 },
     Rung { share_ppm: 200_000, entry_percent: 20, calls: 40 },
@@ -28,6 +31,20 @@
     Rung { share_ppm: WHOLE_PPM, entry_percent: 55, calls: 0 },
 ];
 
+/// The stages of a move that has so little time that all of it is needed to see faults that show
+/// late: the share stays low for most of the time, then all calls follow at once. A fault that
+/// shows only then has cost a tenth of the calls at most.
+const SHORT_LADDER: [Rung; STAGES] = [
+    Rung { share_ppm: 20_000, entry_percent: 0, calls: 4 },
+    Rung { share_ppm: 50_000, entry_percent: 8, calls: 12 },
+    Rung { share_ppm: 60_000, entry_percent: 20, calls: 30 },
+    Rung { share_ppm: 200_000, entry_percent: 74, calls: 30 },
+    Rung { share_ppm: WHOLE_PPM, entry_percent: 80, calls: 0 },
+];
+
+/// Time from start to deadline below which a move takes the short ladder.
+const SHORT_SPAN: Duration = Duration::from_secs(60);
+
 /// The index of the last stage.
 pub const LAST_STAGE: u8 = LADDER.len() as u8 - 1;
 
@@ -37,30 +54,54 @@
 /// The stage to fall back to while a suspicion is checked.
 pub const CHECK_STAGE: u8 = 2;
 
-/// Shortest time at a stage.
+/// Shortest time at a stage of a move that has time.
 pub const SHORTEST_DWELL: Duration = Duration::from_secs(5);
 
+/// Parts of the time of a short move that it stays at a stage at least.
+const SHORT_DWELL_PARTS: u32 = 25;
+
 /// Time slots between the start and the planned end of the watch.
 const SLOTS: u64 = 48;
 
 /// Shortest time slot, in milliseconds.
 const SHORTEST_SLOT_MS: u64 = 10_000;
 
+/// Shortest time slot of a short move, in milliseconds.
+const SHORT_SLOT_MS: u64 = 500;
+
 /// The rung of a stage.
-pub fn rung(stage: u8) -> &'static Rung {
-    &LADDER[usize::from(stage.min(LAST_STAGE))]
+pub fn rung(declared: &Move, stage: u8) -> &'static Rung {
+    let ladder = if is_short(declared) { &SHORT_LADDER } else { &LADDER };
+    &ladder[usize::from(stage.min(LAST_STAGE))]
+}
+
+/// Whether a move has little time.
+pub fn is_short(declared: &Move) -> bool {
+    span(declared) < SHORT_SPAN
+}
+
+/// Shortest time at a stage.
+pub fn dwell(declared: &Move) -> Duration {
+    if is_short(declared) { span(declared) / SHORT_DWELL_PARTS } else { SHORTEST_DWELL }
 }
 
 /// When the schedule allows a stage.
 pub fn entry(declared: &Move, stage: u8) -> Wall {
-    let span = declared.deadline.since(declared.start);
-    let percent = rung(stage).entry_percent;
-    declared.start + Duration::from_millis(span.as_millis() as u64 * percent / 100)
+    let percent = rung(declared, stage).entry_percent;
+    declared.start + Duration::from_millis(span(declared).as_millis() as u64 * percent / 100)
 }
 
 /// The least time that the stages after `stage` take.
-pub fn shortest_rest(stage: u8) -> Duration {
-    SHORTEST_DWELL * u32::from(LAST_STAGE.saturating_sub(stage))
+pub fn shortest_rest(declared: &Move, stage: u8) -> Duration {
+    dwell(declared) * u32::from(LAST_STAGE.saturating_sub(stage))
+}
+
+fn span(declared: &Move) -> Duration {
+    declared.deadline.since(declared.start)
+}
+
+fn shortest_slot_ms(declared: &Move) -> u64 {
+    if is_short(declared) { SHORT_SLOT_MS } else { SHORTEST_SLOT_MS }
 }
 
 /// The time slot of a moment: 0 before the start, then slots of equal length, and slots as long
@@ -71,7 +112,7 @@
     }
     let end = declared.deadline + declared.watch;
     let plan = (end.since(declared.start).as_millis() as u64).max(SHORTEST_SLOT_MS);
-    let length = (plan / SLOTS).max(SHORTEST_SLOT_MS);
+    let length = (plan / SLOTS).max(shortest_slot_ms(declared));
     let passed = now.since(declared.start).as_millis() as u64;
     let slot = if passed < plan {
         1 + passed / length
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -360,7 +360,7 @@
     if active.conviction.is_none() && !all_done() {
         return;
     }
-    let delay = appends::delay(me, active.recorder.has_calls());
+    let delay = appends::delay(me, &active.declared, active.recorder.has_calls());
     active.append = Append::Due(now.mono + delay);
 }
 
--- /dev/null
+++ b/crates/port/src/headers.rs
@@ -0,0 +1,36 @@
+//! Names of the headers that callers, daemons and backend servers read.
+
+use http::HeaderName;
+
+/// Names of the headers of calls and answers. A header without a name is neither read nor written.
+#[derive(Clone, Debug)]
+pub struct CallHeaders {
+    /// Names the call; backend servers echo it.
+    pub request_id: HeaderName,
+    /// Time that the caller still waits, in milliseconds.
+    pub deadline: HeaderName,
+    /// The service on whose instance the call began; set by the daemon, whatever was sent.
+    pub caller_service: Option<HeaderName>,
+    /// The backend server that is meant; any other one does not run the call.
+    pub target_server: Option<HeaderName>,
+    /// Proof that an answer is a backend server's; without it a success is none.
+    pub proof: Option<HeaderName>,
+    /// On an answer: the backend server did not run the call.
+    pub not_run: Option<HeaderName>,
+    /// Whether callers read fractions of seconds in the time to come back.
+    pub fractional_retry_after: bool,
+}
+
+impl Default for CallHeaders {
+    fn default() -> Self {
+        Self {
+            request_id: HeaderName::from_static("x-request-id"),
+            deadline: HeaderName::from_static("x-request-deadline-ms"),
+            caller_service: None,
+            target_server: None,
+            proof: None,
+            not_run: None,
+            fractional_retry_after: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/port/src/stored.rs
@@ -0,0 +1,83 @@
+//! What the platform's store holds for the mesh.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cyclamen_declarations::{Route, Service};
+use cyclamen_types::{Incarnation, InstanceName, Offset, ServiceName, VersionName};
+
+/// The newest configuration, whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredConfig {
+    /// The operator's own number of it.
+    pub number: u64,
+    /// All services.
+    pub services: Vec<Service>,
+    /// Connections that a backend server of each service takes.
+    pub connections: Vec<(ServiceName, u32)>,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallerLimits {
+    /// Largest head of a call, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a call, in bytes.
+    pub body_bytes: u64,
+    /// Longest time for a head to arrive.
+    pub head_timeout: Duration,
+    /// How long a connection may stay idle.
+    pub idle_timeout: Duration,
+}
+
+/// An operator's order to move a service to a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The version that gets its calls.
+    pub to: VersionName,
+    /// Time for the whole move.
+    pub within: Duration,
+    /// Where the order stands in the store; a later one replaces it.
+    pub offset: Offset,
+}
+
+/// How far a move has come, as operators read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MoveState {
+    /// Under way.
+    Running,
+    /// Done: the old version's backend servers stop.
+    Done,
+    /// Taken back.
+    TakenBack,
+}
+
+/// The state of a move as the store holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordedMove {
+    /// The service.
+    pub service: ServiceName,
+    /// The version that was to get its calls.
+    pub to: VersionName,
+    /// The order that it answers, where its writer said so.
+    pub order: Option<Offset>,
+    /// How far it has come.
+    pub state: MoveState,
+}
+
+/// A daemon as it wrote itself into the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredMember {
+    /// Its name.
+    pub instance: InstanceName,
+    /// Which life of the instance wrote it.
+    pub incarnation: Incarnation,
+    /// Where it hears other daemons.
+    pub peer: SocketAddr,
+}
--- a/crates/routing/benches/route.rs
+++ b/crates/routing/benches/route.rs
@@ -66,6 +66,7 @@
 
 fn router(config: &Config) -> Router {
     let settings = RouterSettings {
+        retries: Default::default(),
         domain: "domain-0".try_into().expect("a name"),
         region: "region-0".try_into().expect("a name"),
     };
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -72,6 +72,8 @@
     pub idempotent: bool,
     /// When the call ends whatever happens.
     pub deadline: Mono,
+    /// When the route's own limit for a call ends, whatever the caller would wait for.
+    pub timeout_at: Mono,
     /// Attempts of this call before this one.
     pub earlier: u32,
 }
@@ -89,6 +91,11 @@
         /// When it may be tried again.
         retry_after: Duration,
     },
+    /// The backend server itself said that it did not run the call.
+    Shed {
+        /// When it may be tried again.
+        retry_after: Duration,
+    },
     /// No connection, so not a byte was sent.
     NotConnected,
     /// The connection broke with bytes sent and no answer.
@@ -101,6 +108,18 @@
     Truncated,
 }
 
+impl Outcome {
+    /// Whether the call surely was not run.
+    pub fn not_run(self) -> bool {
+        matches!(self, Self::NotRun { .. } | Self::Shed { .. } | Self::NotConnected)
+    }
+
+    /// Whether the call may have come to a backend server, run or not.
+    pub fn reached_server(self) -> bool {
+        !matches!(self, Self::NotRun { .. } | Self::NotConnected)
+    }
+}
+
 /// What follows an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal, RefusalKind};
 pub use router::{
-    Router, RouterCounters, RouterMode, RouterSettings, ServerInfo, ServerLoad, VersionSplit,
+    RetryLimits, Router, RouterCounters, RouterMode, RouterSettings, ServerInfo, ServerLoad, VersionSplit,
 };
 pub use slots::{Admission, CallId, QueueOrder, Ran, Slots, SlotsCounters, SlotsSettings};
 pub use table::{RouteIndex, RouteTable, ServiceIndex, ServiceLimits, ServiceRetries, TableFault};
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal};
 use crate::router::budget::RetryBudget;
+pub use crate::router::budget::RetryLimits;
 use crate::router::pool::ServerPool;
 use crate::router::server::Health;
 pub use crate::router::server::ServerLoad;
@@ -52,6 +53,8 @@
     pub domain: FailureDomain,
     /// Its region.
     pub region: RegionName,
+    /// How this daemon spends retries.
+    pub retries: RetryLimits,
 }
 
 /// A backend server that may take calls.
@@ -116,6 +119,8 @@
     tried: FastSet<ServerName>,
     started: Mono,
     answered: bool,
+    /// Earlier attempts that reached a backend server.
+    arrived: u32,
     /// Whether an earlier attempt may have run.
     may_have_run: bool,
 }
@@ -264,12 +269,17 @@
             return Err(refusals::expired());
         }
         let route = Arc::clone(self.table.route(index));
-        let draw = self.draw(&route, head);
-        let percent = self.table.service(&route.service).map_or(0, |s| s.retries.budget_percent);
-        let budget = self.budgets.entry(route.service.clone());
-        budget.or_insert_with(|| RetryBudget::new(now)).deposit(percent);
+        let (service, draw) = versions::service(&route, self.draw(&route, head));
+        let service = service.clone();
+        let percent = self.table.service(&service).map_or(0, |s| s.retries.budget_percent);
+        let limits = self.settings.retries;
+        let budget = self.budgets.entry(service.clone());
+        budget.or_insert_with(|| RetryBudget::new(limits, now)).deposit(percent);
         let start = Start {
+            service,
             deadline: head.deadline.min(now + route.timeout),
+            timeout_at: now + route.timeout,
+            arrived: 0,
             idempotent: idempotent(route.idempotence, head.method),
             route,
             draw,
@@ -290,7 +300,7 @@
 
     /// Chooses version and server for one more attempt.
     fn attempt(&mut self, now: Mono, start: Start) -> Result<Attempt, Refusal> {
-        let service = &start.route.service;
+        let service = &start.service;
         let Some(compiled) = self.table.service(service) else {
             return Err(refusals::no_route());
         };
@@ -315,6 +325,7 @@
             service: server.info.service.clone(),
             version,
             route: start.route.name.clone(),
+            timeout_at: start.timeout_at,
             criticality: start.route.criticality,
             idempotent: start.idempotent,
             deadline: start.deadline,
@@ -327,6 +338,7 @@
             tried: start.tried,
             started: now,
             answered: false,
+            arrived: start.arrived,
             may_have_run: start.may_have_run,
         };
         self.calls.insert(attempt.id, call);
@@ -370,7 +382,7 @@
 
     fn retry_or_refuse(&mut self, now: Mono, mut call: Call, outcome: Outcome) -> Next {
         let last = &call.attempt;
-        let not_run = matches!(outcome, Outcome::NotRun { .. } | Outcome::NotConnected);
+        let not_run = outcome.not_run();
         let baseline = self.mode == RouterMode::Baseline;
         if outcome == Outcome::Cancelled {
             return Next::Refuse(refusals::cancelled());
@@ -384,16 +396,25 @@
             return Next::Refuse(refusals::after_deadline(outcome));
         }
         let retries = self.table.service(&last.service).map(|s| s.retries).unwrap_or_default();
-        if last.earlier + 1 >= retries.attempts {
+        let allowed = call.route.attempts.unwrap_or(retries.attempts);
+        if last.earlier + 1 >= allowed + self.settings.retries.unsent_beyond_attempts {
             return Next::Refuse(refusal);
         }
+        let arrived = call.arrived + u32::from(outcome.reached_server());
+        if arrived >= allowed {
+            return Next::Refuse(refusal);
+        }
+        let draws = arrived > 0 || self.settings.retries.unsent_beyond_attempts == 0;
         let budget = self.budgets.get_mut(&last.service);
-        if !baseline && !budget.is_some_and(|budget| budget.withdraw(now)) {
+        if draws && !baseline && !budget.is_some_and(|budget| budget.withdraw(now)) {
             self.counters.retries_refused += 1;
             return Next::Refuse(refusal);
         }
         call.tried.insert(last.server.clone());
         let start = Start {
+            arrived,
+            service: last.service.clone(),
+            timeout_at: last.timeout_at,
             deadline: last.deadline,
             idempotent: last.idempotent,
             earlier: last.earlier + 1,
@@ -426,6 +447,9 @@
 /// What an attempt starts from.
 struct Start {
     route: Arc<CompiledRoute>,
+    service: ServiceName,
+    timeout_at: Mono,
+    arrived: u32,
     draw: Draw,
     tried: FastSet<ServerName>,
     idempotent: bool,
@@ -448,7 +472,7 @@
 fn pause(outcome: Outcome, earlier: u32) -> Duration {
     match outcome {
         Outcome::NotConnected if earlier == 0 => Duration::ZERO,
-        Outcome::NotRun { .. } if earlier == 0 => Duration::ZERO,
+        Outcome::NotRun { .. } | Outcome::Shed { .. } if earlier == 0 => Duration::ZERO,
         _ => (RETRY_PAUSE * (1 << earlier.min(6))).min(LONGEST_PAUSE),
     }
 }
--- a/crates/routing/src/router/refusals.rs
+++ b/crates/routing/src/router/refusals.rs
@@ -54,7 +54,7 @@
 /// The refusal after an attempt that is not tried again.
 pub(super) fn after(outcome: Outcome) -> Refusal {
     match outcome {
-        Outcome::NotRun { retry_after } => {
+        Outcome::NotRun { retry_after } | Outcome::Shed { retry_after } => {
             let reason = "the backend servers are full; the call was not run: come back later";
             refusal(RefusalKind::Overloaded, reason, Some(retry_after))
         }
@@ -70,7 +70,7 @@
 /// The refusal when a retry would come after the deadline.
 pub(super) fn after_deadline(outcome: Outcome) -> Refusal {
     match outcome {
-        Outcome::NotRun { .. } | Outcome::NotConnected => expired(),
+        _ if outcome.not_run() => expired(),
         _ => unknown(outcome),
     }
 }
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -182,7 +182,7 @@
                 }
                 self.failed()
             }
-            Outcome::NotRun { retry_after } => {
+            Outcome::NotRun { retry_after } | Outcome::Shed { retry_after } => {
                 self.full_until = now + retry_after;
                 Health::Fine
             }
--- a/crates/routing/src/router/versions.rs
+++ b/crates/routing/src/router/versions.rs
@@ -1,6 +1,6 @@
 //! The choice of a version: shares of a route, rewritten by a running move.
 
-use cyclamen_types::VersionName;
+use cyclamen_types::{ServiceName, VersionName};
 
 use crate::router::VersionSplit;
 use crate::table::{CompiledRoute, CompiledService};
@@ -25,6 +25,24 @@
     }
 }
 
+/// The service of a call, and the place of the call among those of the service on its route.
+pub(super) fn service(route: &CompiledRoute, draw: Draw) -> (&ServiceName, Draw) {
+    let total: u64 = route.services.iter().map(|weighted| u64::from(weighted.weight)).sum();
+    if total == 0 {
+        return (&route.service, draw);
+    }
+    let scaled = draw.0 * total;
+    let mut start = 0;
+    for weighted in &route.services {
+        let weight = u64::from(weighted.weight);
+        if scaled < start + weight * PPM {
+            return (&weighted.service, Draw((scaled - start) / weight));
+        }
+        start += weight * PPM;
+    }
+    (&route.service, draw)
+}
+
 /// The version of a call, and the one that may stand in where it has no live server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct VersionChoice {
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -45,6 +45,9 @@
     pub queue_wait: Duration,
     /// Which call of a class goes first.
     pub order: QueueOrder,
+    /// Whether fewer calls run while the server slows or sheds, and some slots are kept from bulk
+    /// calls. Without it all announced slots serve all calls.
+    pub adaptive: bool,
 }
 
 /// What becomes of a call that arrives.
@@ -261,7 +264,8 @@
         if self.running() >= limit {
             return false;
         }
-        criticality != Criticality::Bulk || self.bulk < bulk_limit(limit)
+        let shared = criticality != Criticality::Bulk || !self.settings.adaptive;
+        shared || self.bulk < bulk_limit(limit)
     }
 
     fn start(&mut self, now: Mono, call: CallId, criticality: Criticality) {
@@ -295,7 +299,7 @@
 
     fn learn(&mut self, now: Mono, running: Running, ran: Ran) {
         self.holds.learn(running.criticality, now.since(running.since));
-        if running.criticality == Criticality::Bulk {
+        if running.criticality == Criticality::Bulk || !self.settings.adaptive {
             return;
         }
         match ran {
--- a/crates/routing/src/table/build.rs
+++ b/crates/routing/src/table/build.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_declarations::{Labels, Route, VersionId};
 use cyclamen_ledger::Config;
-use cyclamen_types::{FastMap, VersionName};
+use cyclamen_types::{FastMap, ServiceName, VersionName};
 use typed_index_collections::TiVec;
 
 use crate::table::hosts::HostMap;
@@ -74,6 +74,8 @@
     CompiledRoute {
         name: route.name.clone(),
         service: route.service.clone(),
+        services: route.services.clone(),
+        attempts: route.attempts,
         split: route.split.clone(),
         timeout: route.timeout,
         idempotence: route.idempotence,
@@ -84,30 +86,45 @@
 }
 
 fn verify(config: &Config, route: &Route, faults: &mut Vec<TableFault>) {
-    let Some(service) = config.services.get(&route.service) else {
-        let service = route.service.clone();
-        faults.push(TableFault::MissingService { route: route.name.clone(), service });
-        return;
-    };
+    for target in route.targets() {
+        verify_service(config, route, target, faults);
+    }
     if route.split.is_empty() {
-        verify_version(config, route, &service.body.version, faults);
         return;
     }
     for weighted in &route.split {
-        verify_version(config, route, &weighted.version, faults);
+        verify_version(config, route, &route.service, &weighted.version, faults);
     }
     if route.split.iter().all(|weighted| weighted.weight == 0) {
         faults.push(TableFault::NoWeight { route: route.name.clone() });
     }
 }
 
+/// Checks that a service is held, and the version that takes its calls without a split.
+fn verify_service(
+    config: &Config,
+    route: &Route,
+    service: &ServiceName,
+    faults: &mut Vec<TableFault>,
+) {
+    let Some(held) = config.services.get(service) else {
+        let service = service.clone();
+        faults.push(TableFault::MissingService { route: route.name.clone(), service });
+        return;
+    };
+    if route.split.is_empty() {
+        verify_version(config, route, service, &held.body.version, faults);
+    }
+}
+
 fn verify_version(
     config: &Config,
     route: &Route,
+    service: &ServiceName,
     version: &VersionName,
     faults: &mut Vec<TableFault>,
 ) {
-    let id = VersionId { service: route.service.clone(), version: version.clone() };
+    let id = VersionId { service: service.clone(), version: version.clone() };
     if config.versions.contains_key(&id) {
         return;
     }
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use cyclamen_declarations::{
-    Criticality, HeaderMatch, Idempotence, RouteMatch, StickyKey, WeightedVersion,
+    Criticality, HeaderMatch, Idempotence, RouteMatch, StickyKey, WeightedService, WeightedVersion,
 };
 use cyclamen_types::{ConfigVersion, FastMap, RouteName, ServiceName, VersionName};
 use derive_more::{Display, From, Into};
@@ -66,6 +66,8 @@
 pub(crate) struct CompiledRoute {
     pub(crate) name: RouteName,
     pub(crate) service: ServiceName,
+    pub(crate) services: Vec<WeightedService>,
+    pub(crate) attempts: Option<u32>,
     pub(crate) split: Vec<WeightedVersion>,
     pub(crate) timeout: Duration,
     pub(crate) idempotence: Idempotence,
--- a/crates/routing/tests/calls_once.rs
+++ b/crates/routing/tests/calls_once.rs
@@ -109,7 +109,8 @@
             slots: 2,
             queue: 0,
             queue_wait: Duration::from_millis(50),
-            order: QueueOrder::OldestFirst,
+            adaptive: true,
+        order: QueueOrder::OldestFirst,
         };
         let slots = servers.iter().map(|s| (s.name.to_string(), Slots::new(settings))).collect();
         Self {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -45,6 +45,7 @@
 
 pub fn router(yaml: &str, servers: &[ServerInfo]) -> Router {
     let settings = RouterSettings {
+        retries: Default::default(),
         domain: "praha-a".try_into().expect("a name"),
         region: "cz-stred".try_into().expect("a name"),
     };
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -21,6 +21,7 @@
         slots,
         queue,
         queue_wait: Duration::from_millis(200),
+        adaptive: true,
         order: QueueOrder::OldestFirst,
     })
 }
