Place calls by expected end over all failure domains

Change: the daemon beside a server tells how long it holds a call; a call goes to the server where it is expected to end first, by that time, the slots in use, the share that fails and the distance. Servers of which nothing is known are taken to be as quick as the quickest.

Ruled out: drawing one call in 40 at random to keep knowledge fresh; it crossed failure domains without need and failed begin_same_domain_first.

--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -151,8 +151,8 @@
     ) -> Option<HeaderValue> {
         let HopAnswer { outcome, retry_after, load } = answer;
         let retry = retry_after.as_millis();
-        let ServerLoad { running, waiting, limit } = load;
-        let claim = format!("v1 {outcome} {retry} {running} {waiting} {limit}");
+        let ServerLoad { running, waiting, limit, hold_us } = load;
+        let claim = format!("v1 {outcome} {retry} {running} {waiting} {limit} {hold_us}");
         let hash = self.hash(&[b"answer", claim.as_bytes(), &answer_target(number, status)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
     }
@@ -235,7 +235,9 @@
     let running = fields.next()?.parse().ok()?;
     let waiting = fields.next()?.parse().ok()?;
     let limit = fields.next()?.parse().ok()?;
-    Some(HopAnswer { outcome, retry_after, load: ServerLoad { running, waiting, limit } })
+    let hold_us = fields.next()?.parse().ok()?;
+    let load = ServerLoad { running, waiting, limit, hold_us };
+    Some(HopAnswer { outcome, retry_after, load })
 }
 
 fn parse_criticality(text: &str) -> Option<Criticality> {
--- a/crates/daemon/src/calls/hop/tests.rs
+++ b/crates/daemon/src/calls/hop/tests.rs
@@ -79,7 +79,7 @@
     let answer = HopAnswer {
         outcome: HopOutcome::Full,
         retry_after: Duration::from_millis(30),
-        load: ServerLoad { running: 6, waiting: 2, limit: 6 },
+        load: ServerLoad { running: 6, waiting: 2, limit: 6, hold_us: 9_000 },
     };
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let mut headers = HeaderMap::new();
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -78,6 +78,9 @@
     pub earlier: u32,
 }
 
+/// Lowest status that counts as the backend server's own failure.
+pub(crate) const SERVER_FAULT_STATUS: u16 = 500;
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -114,6 +117,15 @@
         matches!(self, Self::NotRun { .. } | Self::Shed { .. } | Self::NotConnected)
     }
 
+    /// Whether the backend server failed the call; `None` where the end says nothing about it.
+    pub fn failed(self) -> Option<bool> {
+        match self {
+            Self::Answered { status } => Some(status >= SERVER_FAULT_STATUS),
+            Self::NotRun { .. } | Self::Shed { .. } | Self::Cancelled => None,
+            Self::NotConnected | Self::Reset | Self::TimedOut | Self::Truncated => Some(true),
+        }
+    }
+
     /// Whether the call may have come to a backend server, run or not.
     pub fn reached_server(self) -> bool {
         !matches!(self, Self::NotRun { .. } | Self::NotConnected)
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! of an attempt and says what follows; [`Router::end_body`] takes the end of the answer's body.
 
 mod budget;
+mod placing;
 mod pool;
 mod refusals;
 mod server;
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -1,5 +1,7 @@
 //! The backend servers of a router, and the choice among those of one version.
 
+use std::time::Duration;
+
 use cyclamen_types::{
     FailureDomain, FastMap, FastSet, Mono, RegionName, ServerName, ServiceName, VersionName,
 };
@@ -9,19 +11,24 @@
 use typed_index_collections::TiVec;
 
 use crate::router::ServerInfo;
+use crate::router::placing::Distance;
 use crate::router::server::Server;
 
 /// Largest share of a version's servers out of choice at a time, in percent.
 const EJECTED_CAP_PERCENT: usize = 34;
 
+/// Expected times that differ by less than this part count as alike.
+const ALIKE: f64 = 0.05;
+
+/// How long a server is taken to hold a call where nothing is known of any.
+const UNKNOWN_HOLD: Duration = Duration::from_millis(10);
+
 #[derive(Clone, Copy, Debug, From, Into, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ServerIndex(usize);
 
 /// The servers of one version, in order of name.
 #[derive(Debug, Default)]
 struct Group {
-    near: Vec<ServerIndex>,
-    region: Vec<ServerIndex>,
     all: Vec<ServerIndex>,
 }
 
@@ -32,6 +39,8 @@
     by_name: FastMap<ServerName, ServerIndex>,
     groups: FastMap<ServiceName, FastMap<VersionName, Group>>,
     candidates: Vec<ServerIndex>,
+    /// Where this daemon is.
+    place: Option<(FailureDomain, RegionName)>,
     seen_before: bool,
 }
 
@@ -62,6 +71,7 @@
         }
         self.by_name.clear();
         self.groups.clear();
+        self.place = Some((domain.clone(), region.clone()));
         let mut sorted: Vec<&ServerInfo> = infos.iter().collect();
         sorted.sort_by(|a, b| a.name.cmp(&b.name));
         sorted.dedup_by(|a, b| a.name == b.name);
@@ -73,12 +83,12 @@
                 }
                 None => Server::new(info.clone(), now, !self.seen_before),
             };
-            self.add(server, domain, region);
+            self.add(server);
         }
         self.seen_before |= !infos.is_empty();
     }
 
-    fn add(&mut self, server: Server, domain: &FailureDomain, region: &RegionName) {
+    fn add(&mut self, server: Server) {
         let info = server.info.clone();
         let index = self.servers.push_and_get_key(server);
         self.by_name.insert(info.name, index);
@@ -88,12 +98,6 @@
         let versions = self.groups.entry(info.service).or_default();
         let group = versions.entry(info.version).or_default();
         group.all.push(index);
-        if info.region == *region {
-            group.region.push(index);
-        }
-        if info.domain == *domain {
-            group.near.push(index);
-        }
     }
 
     pub(super) fn get_mut(&mut self, index: ServerIndex) -> &mut Server {
@@ -129,8 +133,8 @@
         true
     }
 
-    /// Chooses a server: sound ones with room before others, near ones before far ones; of two
-    /// drawn at random the cheaper.
+    /// Chooses a server: sound ones with room before others, of these the one at which the call is
+    /// expected to end first.
     pub(super) fn choose(
         &mut self,
         now: Mono,
@@ -159,14 +163,9 @@
     ) -> Option<ServerIndex> {
         let group = self.group(service, version)?;
         for want in [Want::Room, Want::Sound, Want::Any] {
-            for tier in [&group.near, &group.region, &group.all] {
-                if want != Want::Room && tier.len() < group.all.len() {
-                    continue;
-                }
-                self.collect(now, tier, want, tried, candidates);
-                if !candidates.is_empty() {
-                    return Some(self.cheaper_of_two(now, candidates, rng));
-                }
+            self.collect(now, &group.all, want, tried, candidates);
+            if !candidates.is_empty() {
+                return Some(self.quickest(now, candidates, rng));
             }
         }
         None
@@ -209,37 +208,45 @@
         !server.info.doubtful && !server.ejected(now)
     }
 
-    fn cheaper_of_two(
+    /// The one at which a call is expected to end first. Servers of which nothing is known, or
+    /// nothing lately, are taken to be as quick as the quickest, so that they are tried again.
+    fn quickest(
         &self,
         now: Mono,
         candidates: &[ServerIndex],
         rng: &mut SmallRng,
     ) -> ServerIndex {
-        let first = rng.random_range(0..candidates.len());
-        if candidates.len() == 1 {
-            return candidates[first];
+        let hoped = self.shortest_hold(candidates);
+        let mut best = (f64::INFINITY, candidates[0]);
+        for index in candidates {
+            let server = &self.servers[*index];
+            let prospect = server.prospect(now, hoped, self.distance(server));
+            let near_enough = rng.random_range(1.0 - ALIKE..1.0 + ALIKE);
+            let expected = prospect.expected() * near_enough;
+            if expected < best.0 {
+                best = (expected, *index);
+            }
         }
-        let mut second = rng.random_range(0..candidates.len() - 1);
-        if second >= first {
-            second += 1;
+        best.1
+    }
+
+    /// How long the quickest of these servers holds a call, in seconds.
+    fn shortest_hold(&self, servers: &[ServerIndex]) -> f64 {
+        let known = servers.iter().filter_map(|index| self.servers[*index].hold());
+        known.min_by(f64::total_cmp).unwrap_or(UNKNOWN_HOLD.as_secs_f64())
+    }
+
+    fn distance(&self, server: &Server) -> Distance {
+        let Some((domain, region)) = &self.place else {
+            return Distance::Near;
+        };
+        if server.info.domain == *domain {
+            return Distance::Near;
         }
-        let (a, b) = (candidates[first], candidates[second]);
-        let unknown = unknown_latency(&self.servers[a], &self.servers[b]);
-        let costs = (self.servers[a].cost(now, unknown), self.servers[b].cost(now, unknown));
-        if costs.1 < costs.0 { b } else { a }
+        if server.info.region == *region { Distance::Region } else { Distance::Far }
     }
 
     fn group(&self, service: &ServiceName, version: &VersionName) -> Option<&Group> {
         self.groups.get(service)?.get(version)
     }
 }
-
-/// The latency to assume where none is known: that of the other.
-fn unknown_latency(a: &Server, b: &Server) -> f64 {
-    match (a.latency() > 0.0, b.latency() > 0.0) {
-        (true, true) => a.latency().min(b.latency()),
-        (true, false) => a.latency(),
-        (false, true) => b.latency(),
-        (false, false) => 1.0,
-    }
-}
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -4,8 +4,9 @@
 
 use cyclamen_types::{Mono, ServerName};
 
-use crate::call::Outcome;
+use crate::call::{Outcome, SERVER_FAULT_STATUS};
 use crate::router::ServerInfo;
+use crate::router::placing::{Distance, Prospect};
 
 /// Weight of a new latency in the moving average.
 const LATENCY_GAIN: f64 = 0.2;
@@ -13,11 +14,17 @@
 /// Time in which an old latency loses most of its say.
 const LATENCY_MEMORY: Duration = Duration::from_secs(5);
 
+/// Weight of one more end of a call in the share that fails.
+const FAILING_GAIN: f64 = 0.1;
+
+/// Time in which failures lose most of their say.
+const FAILING_MEMORY: Duration = Duration::from_secs(4);
+
 /// Time over which a cold server comes up to its full share.
-const SLOW_START: Duration = Duration::from_secs(10);
+const SLOW_START: Duration = Duration::from_secs(4);
 
 /// Share of a server that has just come up.
-const COLD_WEIGHT: f64 = 0.1;
+const COLD_WEIGHT: f64 = 0.4;
 
 /// Failures in a row that eject a server.
 const EJECT_AFTER: u32 = 5;
@@ -34,9 +41,6 @@
 /// A report of load older than this says nothing.
 const LOAD_MEMORY: Duration = Duration::from_secs(1);
 
-/// Lowest status that counts as the server's own failure.
-const SERVER_FAULT: u16 = 500;
-
 /// The load that a backend server's own daemon reported with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerLoad {
@@ -46,6 +50,8 @@
     pub waiting: u32,
     /// Calls that may run at a time, now.
     pub limit: u32,
+    /// How long the server holds a call, in microseconds; zero while unknown.
+    pub hold_us: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -70,6 +76,8 @@
     in_flight: u32,
     latency: f64,
     latency_at: Mono,
+    failing: f64,
+    failing_at: Mono,
     up_since: Mono,
     warm: bool,
     failures: u32,
@@ -88,6 +96,8 @@
             in_flight: 0,
             latency: 0.0,
             latency_at: now,
+            failing: 0.0,
+            failing_at: now,
             up_since: now,
             warm,
             failures: 0,
@@ -138,20 +148,43 @@
         self.load(now) < limit
     }
 
-    /// How long a call sent now would take, up to a common factor: lower is better.
-    pub(super) fn cost(&self, now: Mono, unknown_latency: f64) -> f64 {
-        let latency = match self.latency > 0.0 {
-            true => self.latency * self.latency_say(now) + unknown_latency * self.forgotten(now),
-            false => unknown_latency,
+    /// What is known of it for a call placed now; `hoped_hold` stands in for what is not, in
+    /// seconds.
+    pub(super) fn prospect(&self, now: Mono, hoped_hold: f64, distance: Distance) -> Prospect {
+        let known = self.say(now);
+        let hold = match self.hold() {
+            Some(hold) => hold * known + hoped_hold * (1.0 - known),
+            None => hoped_hold,
         };
-        let full = if self.full_until > now { f64::from(self.info.slots.max(1)) } else { 0.0 };
-        let load = f64::from(self.load(now)) + full + 1.0;
-        latency.max(1.0) * load / (f64::from(self.info.slots.max(1)) * self.weight(now))
+        let full = if self.full_until > now { self.info.slots } else { 0 };
+        Prospect {
+            hold,
+            load: self.load(now) + full,
+            slots: self.info.slots,
+            failing: self.failing(now),
+            weight: self.weight(now),
+            distance,
+        }
+    }
+
+    /// How long it has lately held a call, in seconds, as the daemon beside it tells, else as
+    /// seen from here; `None` when unknown.
+    pub(super) fn hold(&self) -> Option<f64> {
+        let told = self.report.map(|report| report.load.hold_us).filter(|hold| *hold > 0);
+        let seconds = told.map_or(self.latency, |hold| hold as f64) / 1e6;
+        (seconds > 0.0).then_some(seconds)
     }
 
-    /// The latency that its calls have lately had, in microseconds; zero when unknown.
-    pub(super) fn latency(&self) -> f64 {
-        self.latency
+    fn failing(&self, now: Mono) -> f64 {
+        let age = now.since(self.failing_at).as_secs_f64();
+        self.failing * (-age / FAILING_MEMORY.as_secs_f64()).exp()
+    }
+
+    fn learn_failing(&mut self, now: Mono, failed: bool) {
+        let before = self.failing(now);
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failing = before + FAILING_GAIN * (sample - before);
+        self.failing_at = now;
     }
 
     /// Its share while it comes up: from [`COLD_WEIGHT`] to 1.
@@ -173,11 +206,14 @@
 
     /// Learns from the end of an attempt.
     pub(super) fn learn(&mut self, now: Mono, outcome: Outcome, latency: Duration) -> Health {
+        if let Some(failed) = outcome.failed() {
+            self.learn_failing(now, failed);
+        }
         match outcome {
             Outcome::Answered { status } => {
                 self.unconnected = 0;
                 self.learn_latency(now, latency);
-                if status < SERVER_FAULT {
+                if status < SERVER_FAULT_STATUS {
                     return self.recovered(now);
                 }
                 self.failed()
@@ -236,12 +272,11 @@
         self.latency_at = now;
     }
 
-    fn latency_say(&self, now: Mono) -> f64 {
-        (-now.since(self.latency_at).as_secs_f64() / LATENCY_MEMORY.as_secs_f64()).exp()
-    }
-
-    fn forgotten(&self, now: Mono) -> f64 {
-        1.0 - self.latency_say(now)
+    /// How much of what is known of its quickness still counts, from 0 to 1.
+    fn say(&self, now: Mono) -> f64 {
+        let told_at = self.report.map_or(Mono(0), |report| report.at);
+        let age = now.since(self.latency_at.max(told_at)).as_secs_f64();
+        (-age / LATENCY_MEMORY.as_secs_f64()).exp()
     }
 
     fn fresh_report(&self, now: Mono) -> Option<&Report> {
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -194,7 +194,12 @@
 
     /// What the server carries now.
     pub fn load(&self) -> ServerLoad {
-        ServerLoad { running: self.running(), waiting: self.waiting(), limit: self.limit.get() }
+        ServerLoad {
+            running: self.running(),
+            waiting: self.waiting(),
+            limit: self.limit.get(),
+            hold_us: u64::try_from(self.holds.of_all().as_micros()).unwrap_or(u64::MAX),
+        }
     }
 
     /// When a refused call may come back: the time for those that wait to be served.
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -51,7 +51,7 @@
 #[test]
 fn begin_other_domain_when_full() {
     let mut router = router(DOORS, &three());
-    let full = ServerLoad { running: 15, waiting: 3, limit: 15 };
+    let full = ServerLoad { running: 15, waiting: 3, limit: 15, hold_us: 0 };
     for name in ["a", "b"] {
         router.observe_load(at(0), &ServerName::try_from(name).expect("a name"), full);
     }
