Begin pipelined calls as they come; count the bytes of answers as distance

Calls with large answers crossed failure domains as readily as small ones.

Ruled out: one hyper connection behind a pipe for each call; its answers would have to be cut apart again to come back in order.

Change: connections of callers are read with httparse; calls without a body begin at once and are answered in order; anything else is handed to hyper with the bytes already read. The router learns the bytes of a route's answers and adds them to the distance.

--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Learns how many bytes a call of a route and its answer have.
+    pub fn observe_size(&mut self, route: &RouteName, bytes: u64) {
+        self.router.observe_size(route, bytes);
+    }
+
     /// Learns from the load that the daemon beside a backend server reported.
     pub fn observe_load(&mut self, now: Now, server: &ServerName, load: ServerLoad) {
         self.router.observe_load(now, server, load);
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -9,6 +9,7 @@
 use http::request::Parts;
 use http::uri::{PathAndQuery, Uri};
 use http::{Request, Response, Version};
+use http_body::Body;
 use tokio::time::Instant;
 
 use crate::calls::body::{AnswerBody, OutBody};
@@ -56,7 +57,7 @@
 
     /// Ends the attempt. After [`Next::Deliver`] there is an [`AttemptEnd`] for the body.
     pub(super) fn finish(mut self, ended: &Ended) -> (Next, Option<AttemptEnd>) {
-        let next = self.tell(ended.outcome, ended.load);
+        let next = self.tell(ended.outcome, ended.load, ended.bytes());
         let end = (next == Next::Deliver).then(|| AttemptEnd {
             plane: self.plane.clone(),
             attempt: self.attempt.clone(),
@@ -65,12 +66,20 @@
         (next, end)
     }
 
-    fn tell(&mut self, outcome: Outcome, load: Option<ServerLoad>) -> Next {
+    fn tell(
+        &mut self,
+        outcome: Outcome,
+        load: Option<ServerLoad>,
+        bytes: Option<u64>,
+    ) -> Next {
         self.finished = true;
         self.plane.shared.with(|instance, now, _| {
             if let Some(load) = load {
                 instance.observe_load(now, &self.attempt.server, load);
             }
+            if let Some(bytes) = bytes {
+                instance.observe_size(&self.attempt.route, bytes);
+            }
             instance.finish(now, &self.attempt, outcome)
         })
     }
@@ -127,7 +136,7 @@
 impl Drop for Try {
     fn drop(&mut self) {
         if !self.finished {
-            self.tell(Outcome::Cancelled, None);
+            self.tell(Outcome::Cancelled, None, None);
         }
     }
 }
@@ -177,6 +186,11 @@
         }
     }
 
+    /// Bytes of the answer's body, where there is an answer that tells them.
+    fn bytes(&self) -> Option<u64> {
+        self.response.as_ref()?.body().size_hint().exact()
+    }
+
     /// The answer for the caller.
     pub(super) fn deliver(self, end: Option<AttemptEnd>) -> Response<AnswerBody> {
         let response = self.response.unwrap_or_default();
--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -63,6 +63,11 @@
 }
 
 impl CallBody {
+    /// No body.
+    pub(super) fn empty() -> Self {
+        Self::Held { bytes: Bytes::new(), _permit: None }
+    }
+
     /// Takes the body of a call; a small one of known length is read by `until` and held, while
     /// `budget` has bytes left.
     pub(super) async fn take(
@@ -71,7 +76,7 @@
         until: Instant,
     ) -> Result<Self, Rejection> {
         if incoming.is_end_stream() {
-            return Ok(Self::Held { bytes: Bytes::new(), _permit: None });
+            return Ok(Self::empty());
         }
         let bytes = incoming.size_hint().upper().filter(|bytes| *bytes <= HELD_BYTES);
         let bytes = bytes.and_then(|bytes| u32::try_from(bytes).ok());
--- a/crates/daemon/src/calls/edge.rs
+++ b/crates/daemon/src/calls/edge.rs
@@ -21,16 +21,30 @@
 
 /// Serves one call of a caller.
 pub(super) async fn serve(plane: Plane, req: Request<Incoming>) -> Response<AnswerBody> {
-    if let Some(rejection) = wrong(&req) {
-        return answer::rejected(rejection);
-    }
     let arrived = plane.mono();
-    let (mut parts, incoming) = req.into_parts();
+    let (parts, incoming) = req.into_parts();
     let until = Instant::now() + BODY_TIMEOUT;
-    let body = match CallBody::take(incoming, &plane.held_bytes, until).await {
-        Ok(body) => body,
-        Err(rejection) => return answer::rejected(rejection),
-    };
+    match CallBody::take(incoming, &plane.held_bytes, until).await {
+        Ok(body) => serve_from(plane, arrived, parts, body).await,
+        Err(rejection) => answer::rejected(rejection),
+    }
+}
+
+/// Serves one call of a caller whose body is at hand.
+pub(super) async fn serve_parts(plane: Plane, parts: Parts, body: CallBody) -> Response<AnswerBody> {
+    let arrived = plane.mono();
+    serve_from(plane, arrived, parts, body).await
+}
+
+async fn serve_from(
+    plane: Plane,
+    arrived: Mono,
+    mut parts: Parts,
+    body: CallBody,
+) -> Response<AnswerBody> {
+    if let Some(rejection) = wrong(&parts) {
+        return answer::rejected(rejection);
+    }
     let attempt = match begin(&plane, &parts, arrived) {
         Ok(attempt) => attempt,
         Err(refusal) => return answer::refused(&plane.headers, &refusal),
@@ -48,11 +62,11 @@
 }
 
 /// What is wrong with a call that no route is looked up for.
-fn wrong(req: &Request<Incoming>) -> Option<Rejection> {
-    if req.method() == Method::CONNECT {
+fn wrong(parts: &Parts) -> Option<Rejection> {
+    if parts.method == Method::CONNECT {
         return Some(Rejection::Tunnel);
     }
-    let headers = req.headers();
+    let headers = &parts.headers;
     let two_hosts = headers.get_all(HOST).iter().count() > 1;
     let two_lengths = headers.contains_key(CONTENT_LENGTH)
         && (headers.contains_key(TRANSFER_ENCODING)
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -11,8 +11,10 @@
 mod headers;
 mod hop;
 mod host;
+mod pipeline;
 mod plane;
 mod pool;
+mod respond;
 mod serve;
 
 use std::sync::{Mutex, PoisonError};
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -19,13 +19,13 @@
 use crate::calls::body::AnswerBody;
 use crate::calls::hop::HopError;
 use crate::calls::plane::Plane;
-use crate::calls::{edge, host};
+use crate::calls::{edge, host, pipeline};
 
-/// Longest time for the head of a call to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time for the head of a call to arrive, and for a connection to stay idle.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Largest head of a call, in bytes.
-const HEAD_BYTES: usize = 32 * 1024;
+pub(super) const HEAD_BYTES: usize = 32 * 1024;
 
 /// Connections kept for other daemons when callers have taken all of theirs.
 const DAEMON_CONNECTIONS: usize = 1_024;
@@ -145,6 +145,21 @@
 ) {
     // Without it, small answers wait for the other side's acknowledgement.
     let _ = stream.set_nodelay(true);
+    if door == Door::Callers {
+        match pipeline::serve(&plane, stream, &mut phase, HEAD_TIMEOUT).await {
+            pipeline::Served::Closed => {}
+            pipeline::Served::Other(rest) => one_by_one(plane, *rest, phase, door).await,
+        }
+        return;
+    }
+    one_by_one(plane, stream, phase, door).await;
+}
+
+/// Serves the calls of a connection one after the other.
+async fn one_by_one<S>(plane: Plane, stream: S, mut phase: watch::Receiver<Phase>, door: Door)
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
     let answers_in = phase.clone();
     let service = service_fn(move |req| {
         let plane = plane.clone();
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -15,7 +15,7 @@
 
 use cyclamen_declarations::Idempotence;
 use cyclamen_types::{
-    FailureDomain, FastMap, FastSet, Mono, Now, RegionName, ServerName, ServiceName, VersionName,
+    ConfigVersion, FailureDomain, FastMap, FastSet, Mono, Now, RegionName, RouteName, ServerName, ServiceName, VersionName,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -30,6 +30,9 @@
 use crate::router::versions::{Draw, PPM, VersionChoice};
 use crate::table::{CompiledRoute, RouteTable};
 
+/// Weight of one more size in what is known of a route.
+const SIZE_GAIN: f64 = 0.1;
+
 /// First pause before a retry that does not name one.
 const RETRY_PAUSE: Duration = Duration::from_millis(2);
 
@@ -136,6 +139,8 @@
     splits: FastMap<ServiceName, VersionSplit>,
     budgets: FastMap<ServiceName, RetryBudget>,
     calls: FastMap<AttemptId, Call>,
+    /// Bytes that calls of a route and their answers lately had.
+    sizes: FastMap<RouteName, f64>,
     last_attempt: u64,
     rng: SmallRng,
     counters: RouterCounters,
@@ -152,6 +157,7 @@
             splits: Default::default(),
             budgets: Default::default(),
             calls: Default::default(),
+            sizes: Default::default(),
             last_attempt: 0,
             rng: SmallRng::seed_from_u64(seed),
             counters: Default::default(),
@@ -164,6 +170,8 @@
             return false;
         }
         self.table = table;
+        let table = &self.table;
+        self.sizes.retain(|route, _| table.has_route(route));
         true
     }
 
@@ -244,6 +252,17 @@
         }
     }
 
+    /// Learns how many bytes a call of a route and its answer have.
+    pub fn observe_size(&mut self, route: &RouteName, bytes: u64) {
+        let bytes = bytes as f64;
+        match self.sizes.get_mut(route) {
+            Some(known) => *known += SIZE_GAIN * (bytes - *known),
+            None => {
+                self.sizes.insert(route.clone(), bytes);
+            }
+        }
+    }
+
     /// Changes how the router decides.
     pub fn set_mode(&mut self, mode: RouterMode) {
         self.mode = mode;
@@ -265,6 +284,9 @@
     }
 
     fn try_begin(&mut self, now: Mono, head: &CallHead<'_>) -> Result<Attempt, Refusal> {
+        if self.table.version() == ConfigVersion::NONE {
+            return Err(refusals::no_configuration());
+        }
         let index = self.table.find(head).ok_or_else(refusals::no_route)?;
         if head.deadline <= now {
             return Err(refusals::expired());
@@ -310,7 +332,10 @@
         let version = self.live_version(service, choice);
         let tried = &start.tried;
         let chosen = match self.mode {
-            RouterMode::Full => self.pool.choose(now, service, &version, tried, &mut self.rng),
+            RouterMode::Full => {
+                let bytes = self.sizes.get(&start.route.name).copied().unwrap_or_default();
+                self.pool.choose(now, service, &version, tried, bytes, &mut self.rng)
+            }
             RouterMode::Baseline => self.pool.any(service, &version, &mut self.rng),
         };
         let Some(chosen) = chosen else {
--- a/crates/routing/src/router/placing.rs
+++ b/crates/routing/src/router/placing.rs
@@ -13,6 +13,9 @@
 /// Added time of a call to a backend server of another region.
 const OTHER_REGION: Duration = Duration::from_millis(25);
 
+/// Bytes between failure domains that are worth a second of a caller's time.
+const BYTES_PER_SECOND: f64 = 300_000.0;
+
 /// Share of the slots in use from which a server is taken to slow down.
 const CROWDED_FROM: f64 = 0.6;
 
@@ -48,6 +51,8 @@
     pub(super) weight: f64,
     /// Where it is.
     pub(super) distance: Distance,
+    /// Bytes that the call and its answer are expected to have.
+    pub(super) bytes: f64,
 }
 
 impl Prospect {
@@ -59,14 +64,17 @@
         let turns = (in_use - 1.0).max(0.0);
         let service = self.hold * (1.0 + CROWDED_FACTOR * crowded + turns);
         let trouble = 1.0 + FAILURE_FACTOR * self.failing;
-        service * trouble / self.weight + self.way().as_secs_f64()
+        service * trouble / self.weight + self.way()
     }
 
-    fn way(&self) -> Duration {
-        match self.distance {
-            Distance::Near => Duration::ZERO,
+    /// The time that the way adds, in seconds: large answers are better kept in the own failure
+    /// domain, since all domains share what lies between them.
+    fn way(&self) -> f64 {
+        let added = match self.distance {
+            Distance::Near => return 0.0,
             Distance::Region => OTHER_DOMAIN,
             Distance::Far => OTHER_REGION,
-        }
+        };
+        added.as_secs_f64() + self.bytes / BYTES_PER_SECOND
     }
 }
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -141,13 +141,14 @@
         service: &ServiceName,
         version: &VersionName,
         tried: &FastSet<ServerName>,
+        bytes: f64,
         rng: &mut SmallRng,
     ) -> Option<ServerIndex> {
         if !self.has(service, version) {
             return None;
         }
         let mut candidates = std::mem::take(&mut self.candidates);
-        let chosen = self.choose_from(now, service, version, tried, &mut candidates, rng);
+        let chosen = self.choose_from(now, service, version, tried, bytes, &mut candidates, rng);
         self.candidates = candidates;
         chosen
     }
@@ -158,6 +159,7 @@
         service: &ServiceName,
         version: &VersionName,
         tried: &FastSet<ServerName>,
+        bytes: f64,
         candidates: &mut Vec<ServerIndex>,
         rng: &mut SmallRng,
     ) -> Option<ServerIndex> {
@@ -165,7 +167,7 @@
         for want in [Want::Room, Want::Sound, Want::Any] {
             self.collect(now, &group.all, want, tried, candidates);
             if !candidates.is_empty() {
-                return Some(self.quickest(now, candidates, rng));
+                return Some(self.quickest(now, candidates, bytes, rng));
             }
         }
         None
@@ -214,13 +216,14 @@
         &self,
         now: Mono,
         candidates: &[ServerIndex],
+        bytes: f64,
         rng: &mut SmallRng,
     ) -> ServerIndex {
         let hoped = self.shortest_hold(candidates);
         let mut best = (f64::INFINITY, candidates[0]);
         for index in candidates {
             let server = &self.servers[*index];
-            let prospect = server.prospect(now, hoped, self.distance(server));
+            let prospect = server.prospect(now, hoped, self.distance(server), bytes);
             let near_enough = rng.random_range(1.0 - ALIKE..1.0 + ALIKE);
             let expected = prospect.expected() * near_enough;
             if expected < best.0 {
--- a/crates/routing/src/router/refusals.rs
+++ b/crates/routing/src/router/refusals.rs
@@ -18,6 +18,11 @@
     refusal(RefusalKind::NoRoute, reason, None)
 }
 
+pub(super) fn no_configuration() -> Refusal {
+    let reason = "this daemon holds no configuration yet; the call was not run: come back later";
+    refusal(RefusalKind::Unavailable, reason, Some(COME_BACK))
+}
+
 pub(super) fn expired() -> Refusal {
     let reason = "the deadline passed before the call was run: send it again with more time";
     refusal(RefusalKind::Expired, reason, Some(COME_BACK))
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -150,7 +150,13 @@
 
     /// What is known of it for a call placed now; `hoped_hold` stands in for what is not, in
     /// seconds.
-    pub(super) fn prospect(&self, now: Mono, hoped_hold: f64, distance: Distance) -> Prospect {
+    pub(super) fn prospect(
+        &self,
+        now: Mono,
+        hoped_hold: f64,
+        distance: Distance,
+        bytes: f64,
+    ) -> Prospect {
         let known = self.say(now);
         let hold = match self.hold() {
             Some(hold) => hold * known + hoped_hold * (1.0 - known),
@@ -164,6 +170,7 @@
             failing: self.failing(now),
             weight: self.weight(now),
             distance,
+            bytes,
         }
     }
 
--- a/crates/routing/src/table/build.rs
+++ b/crates/routing/src/table/build.rs
@@ -34,12 +34,13 @@
             let index = routes.push_and_get_key(Arc::new(compile(route)));
             hosts.insert(&route.matches.hosts, trimmed_prefix(&route.matches), index);
         }
+        let route_set = routes.iter().map(|route| route.name.clone()).collect();
         let services = services_of(config, proxy);
         let mut service_names = FastMap::default();
         for (index, service) in services.iter_enumerated() {
             service_names.insert(service.name.clone(), index);
         }
-        Ok(Self { version: config.version, routes, services, service_names, hosts })
+        Ok(Self { version: config.version, routes, route_set, services, service_names, hosts })
     }
 }
 
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -13,7 +13,7 @@
 use cyclamen_declarations::{
     Criticality, HeaderMatch, Idempotence, RouteMatch, StickyKey, WeightedService, WeightedVersion,
 };
-use cyclamen_types::{ConfigVersion, FastMap, RouteName, ServiceName, VersionName};
+use cyclamen_types::{ConfigVersion, FastMap, FastSet, RouteName, ServiceName, VersionName};
 use derive_more::{Display, From, Into};
 use thiserror::Error;
 use typed_index_collections::TiVec;
@@ -90,6 +90,7 @@
 pub struct RouteTable {
     version: ConfigVersion,
     routes: TiVec<RouteIndex, Arc<CompiledRoute>>,
+    route_set: FastSet<RouteName>,
     services: TiVec<ServiceIndex, CompiledService>,
     service_names: FastMap<ServiceName, ServiceIndex>,
     hosts: HostMap,
@@ -108,6 +109,11 @@
         names
     }
 
+    /// Whether it holds a route of this name.
+    pub fn has_route(&self, name: &RouteName) -> bool {
+        self.route_set.contains(name)
+    }
+
     /// The name of a route.
     pub fn route_name(&self, index: RouteIndex) -> Option<&RouteName> {
         self.routes.get(index).map(|route| &route.name)
