--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -38,6 +38,7 @@
     phase: watch::Sender<Phase>,
     tasks: Mutex<JoinSet<()>>,
     stop_grace: Duration,
+    stop_linger: Option<Duration>,
 }
 
 impl CallServer {
@@ -57,14 +58,24 @@
             tasks.spawn(accept(plane.clone(), Door::Daemons, hops, phase.subscribe()));
         }
         tasks.spawn(accept(plane, door, listener, phase.subscribe()));
-        Self { phase, tasks: Mutex::new(tasks), stop_grace: settings.limits.stop_grace }
+        let limits = &settings.limits;
+        Self {
+            phase,
+            tasks: Mutex::new(tasks),
+            stop_grace: limits.stop_grace,
+            stop_linger: limits.stop_linger,
+        }
     }
 
     /// Refuses new calls as not run and waits for those in flight.
     pub async fn stop(&self) {
         let mut tasks = std::mem::take(&mut *self.lock());
-        let linger = LONGEST_LINGER.min(self.stop_grace / 4);
-        self.phase.send_replace(Phase::Lingering);
+        let linger = self.stop_linger.unwrap_or(LONGEST_LINGER.min(self.stop_grace / 4));
+        let phase = match self.stop_linger {
+            Some(_) => Phase::Staying,
+            None => Phase::Lingering,
+        };
+        self.phase.send_replace(phase);
         let ended = tokio::time::timeout(linger, self.phase.closed()).await.is_ok();
         if !ended {
             self.phase.send_replace(Phase::Closing);
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -50,6 +50,8 @@
     Serving,
     /// Each answer closes its connection.
     Lingering,
+    /// The same, though nobody may be connected.
+    Staying,
     /// Idle connections are closed, nothing new is accepted.
     Closing,
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -101,6 +101,9 @@
     pub queue_wait: Duration,
     /// Longest time for calls in flight to end when the daemon stops.
     pub stop_grace: Duration,
+    /// How long a daemon that stops goes on taking connections, for callers who have not heard of
+    /// it; `None` ends that as soon as nobody is connected, and within a quarter of the grace.
+    pub stop_linger: Option<Duration>,
     /// One gossip round and one probe per period.
     pub gossip_period: Duration,
     /// Bound on gossip sent, in bytes per second.
@@ -124,6 +127,7 @@
             queue: 32,
             queue_wait: Duration::from_millis(200),
             stop_grace: Duration::from_secs(30),
+            stop_linger: None,
             gossip_period: Duration::from_secs(1),
             gossip_bytes_per_second: 2_048,
             announcement_lease: Duration::from_secs(6),
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -238,6 +238,8 @@
     section.overwrite("stop_grace", &mut limits.stop_grace, |value| {
         values::span(value, Duration::ZERO..=HOUR)
     });
+    let linger = |value: &_| values::span(value, Duration::ZERO..=MINUTE).map(Some);
+    section.overwrite("stop_linger", &mut limits.stop_linger, linger);
     section.overwrite("gossip_period", &mut limits.gossip_period, |value| {
         values::span(value, 50 * MILLISECOND..=MINUTE)
     });
