--- a/crates/cyclamenmoor/tests/fleet/fleet.rs
+++ b/crates/cyclamenmoor/tests/fleet/fleet.rs
@@ -247,7 +247,7 @@
             Effect::Append { ticket, payload } => {
                 self.schedule(index, Duration::from_millis(1), Arrival::Append { ticket, payload });
             }
-            Effect::Run(_) | Effect::Expire(_) | Effect::Changed => {}
+            Effect::Settle { .. } | Effect::Run(_) | Effect::Expire(_) | Effect::Changed => {}
         }
     }
 
