Write decisions about calls and beliefs as bounded lines; serve metrics; explain a call

Cause: on-call engineers have only logs and metrics; the daemon logged changes of its own state and nothing about a call.

Change: `cyclamen-decisions` holds the typed lines, the sampling by the id of a call (alike on all hops), the budget of lines a second with counts of what was left out, and the explanation of a call from the lines of all daemons. The daemon gathers the decisions of a call and writes them when it failed, was refused, retried or slow, or is sampled. All of standard output goes through one bounded queue and a thread, log4rs included (appender `bounded_stdout`). `metrics.text` serves counters and histograms with labels of fixed sets. `cyclamen explain ID [FILE...]` reads the lines.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod explain;
 mod get;
 mod members;
 mod moves;
@@ -43,6 +44,7 @@
     Publish(publish::Publish),
     Check(check::Check),
     Demo(demo::Demo),
+    Explain(explain::Explain),
     Get(get::Get),
     Moves(moves::Moves),
     Verdict(verdict::Verdict),
@@ -75,6 +77,7 @@
             Command::Publish(args) => args.run(&cx).await,
             Command::Check(args) => args.run(&cx),
             Command::Demo(args) => args.run(&cx).await,
+            Command::Explain(args) => args.run(&cx),
             Command::Get(args) => args.run(&cx).await,
             Command::Moves(args) => args.run(&cx).await,
             Command::Verdict(args) => args.run(&cx).await,
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -41,7 +41,7 @@
 async fn serve(addresses: mpsc::Sender<SocketAddr>, stop: oneshot::Receiver<()>) {
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
     let log = LogService::start(free, LogOptions::default()).await.expect("a free port");
-    let running = start(settings(log.address())).await.expect("free ports");
+    let running = start(settings(log.address()), None).await.expect("free ports");
     addresses.send(running.addresses.admin).expect("the test waits");
     stop.await.expect("the test stops it");
     running.stop().await;
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cyclamen_routing::{Attempt, Hop, Next, Outcome, ServerLoad};
+use cyclamen_types::ServerName;
 use cyclamenmoor::BodyEnd;
 use http::header::HeaderName;
 use http::request::Parts;
@@ -46,6 +47,21 @@
         Self { plane: plane.clone(), attempt, finished: false }
     }
 
+    /// What was decided.
+    pub(super) fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+
+    /// Which attempt of the call this is, from 1.
+    pub(super) fn number(&self) -> u32 {
+        self.attempt.earlier + 1
+    }
+
+    /// The backend server.
+    pub(super) fn server(&self) -> &ServerName {
+        &self.attempt.server
+    }
+
     /// Makes the attempt.
     pub(super) async fn make(&self, parts: &Parts, body: OutBody) -> Ended {
         let req = request(parts, body);
@@ -148,14 +164,7 @@
 
     /// The end of an attempt over the backend server beside this daemon.
     fn here(end: HostEnd, load: ServerLoad) -> Self {
-        let outcome = match &end {
-            HostEnd::Answered(response) => answered(response),
-            HostEnd::Full(retry_after) => Outcome::NotRun { retry_after: *retry_after },
-            HostEnd::Shed(retry_after) => Outcome::Shed { retry_after: *retry_after },
-            HostEnd::Down => Outcome::NotConnected,
-            HostEnd::Unknown => Outcome::Reset,
-            HostEnd::Late => Outcome::TimedOut,
-        };
+        let outcome = end.outcome();
         let mut ended = Self { load: Some(load), ..Self::without(outcome) };
         if let HostEnd::Answered(response) = end {
             ended.response = Some(*response);
--- a/crates/daemon/src/calls/edge.rs
+++ b/crates/daemon/src/calls/edge.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cyclamen_decisions::CallEnd;
 use cyclamen_routing::{Attempt, CallHead, Next, Refusal, RefusalKind};
 use cyclamen_types::{Mono, ServiceName};
 use http::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
@@ -15,6 +16,7 @@
 use crate::calls::body::{AnswerBody, CallBody};
 use crate::calls::headers;
 use crate::calls::plane::Plane;
+use crate::calls::trail::{Trail, attempt_end, call_end};
 
 /// Longest time for a small body of a call to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -45,12 +47,13 @@
     if let Some(rejection) = wrong(&parts) {
         return answer::rejected(rejection);
     }
+    headers::strip_call(&mut parts.headers);
+    add_request_id(&plane, &mut parts);
+    let trail = Trail::of(&plane, &parts.headers);
     let attempt = match begin(&plane, &parts, arrived) {
         Ok(attempt) => attempt,
-        Err(refusal) => return answer::refused(&plane.headers, &refusal),
+        Err(refusal) => return refuse(&plane, arrived, trail, &refusal),
     };
-    headers::strip_call(&mut parts.headers);
-    add_request_id(&plane, &mut parts);
     let caller = plane.caller_service.as_ref().map(ServiceName::as_str);
     headers::set_own(&mut parts.headers, plane.headers.caller_service.as_ref(), caller);
     let limit = plane.shared.read(|instance| instance.table().limits(&attempt.service).body_bytes);
@@ -58,7 +61,22 @@
     if limit.is_some_and(|bytes| !body.limit(bytes)) {
         return answer::rejected(Rejection::TooLarge);
     }
-    try_until_done(&plane, &parts, &body, first).await
+    try_until_done(&plane, arrived, &parts, &body, first, trail).await
+}
+
+fn refuse(
+    plane: &Plane,
+    began: Mono,
+    trail: Option<Trail>,
+    refusal: &Refusal,
+) -> Response<AnswerBody> {
+    let response = answer::refused(&plane.headers, refusal);
+    let took = plane.mono().since(began);
+    plane.metrics.call(call_end(refusal.kind), response.status().as_u16(), took);
+    if let Some(trail) = trail {
+        trail.refused(refusal, response.status());
+    }
+    response
 }
 
 /// What is wrong with a call that no route is looked up for.
@@ -99,9 +117,11 @@
 
 async fn try_until_done(
     plane: &Plane,
+    arrived: Mono,
     parts: &Parts,
     body: &CallBody,
     first: Try,
+    mut trail: Option<Trail>,
 ) -> Response<AnswerBody> {
     let mut current = first;
     let mut may_have_run = false;
@@ -109,19 +129,36 @@
         let Some(out) = body.for_attempt() else {
             return answer::rejected(Rejection::BodyLate);
         };
+        let (number, server) = (current.number(), current.server().clone());
+        let began = plane.mono();
+        if let Some(trail) = &mut trail {
+            trail.placed(current.attempt());
+        }
         let ended = current.make(parts, out).await;
+        plane.metrics.attempt(attempt_end(ended.outcome));
+        if let Some(trail) = &mut trail {
+            trail.attempted(number, &server, ended.outcome, began);
+        }
         may_have_run |= !ended.outcome.not_run();
         let (next, end) = current.finish(&ended);
         if body.too_large() && next != Next::Deliver {
             return answer::rejected(Rejection::GrewTooLarge);
         }
         match next {
-            Next::Deliver => return ended.deliver(end),
-            Next::Refuse(refusal) => return answer::refused(&plane.headers, &refusal),
+            Next::Deliver => {
+                let response = ended.deliver(end);
+                let took = plane.mono().since(arrived);
+                plane.metrics.call(CallEnd::Answered, response.status().as_u16(), took);
+                if let Some(trail) = trail {
+                    trail.answered(response.status());
+                }
+                return response;
+            }
+            Next::Refuse(refusal) => return refuse(plane, arrived, trail, &refusal),
             Next::Retry(attempt, pause) => {
                 current = Try::start(plane, attempt);
                 if !body.repeatable() {
-                    return answer::refused(&plane.headers, &unrepeatable(may_have_run));
+                    return refuse(plane, arrived, trail, &unrepeatable(may_have_run));
                 }
                 tokio::time::sleep(pause).await;
             }
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cyclamen_decisions::SlotAnswer;
 use cyclamen_declarations::Criticality;
 use cyclamen_port::CallHeaders;
-use cyclamen_routing::{Admission, CallId, Ran, Refusal, RefusalKind};
+use cyclamen_routing::{Admission, CallId, Outcome, Ran, Refusal, RefusalKind};
 use cyclamen_types::{Mono, RouteName, ServerName};
 use cyclamenmoor::Served;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
@@ -17,6 +18,7 @@
 use crate::calls::hop::{ANSWER_HEADER, HopAnswer, HopCall, HopOutcome};
 use crate::calls::plane::Plane;
 use crate::calls::pool::{Exchange, SendFailure};
+use crate::calls::trail::{Trail, attempt_end};
 use crate::shared::SlotTurn;
 
 /// When to come back to a server that cannot be reached.
@@ -50,6 +52,22 @@
     Late,
 }
 
+impl HostEnd {
+    /// The end as the daemon that chose the server learns it.
+    pub(super) fn outcome(&self) -> Outcome {
+        match self {
+            Self::Answered(response) => {
+                Outcome::Answered { status: response.status().as_u16() }
+            }
+            Self::Full(retry_after) => Outcome::NotRun { retry_after: *retry_after },
+            Self::Shed(retry_after) => Outcome::Shed { retry_after: *retry_after },
+            Self::Down => Outcome::NotConnected,
+            Self::Unknown => Outcome::Reset,
+            Self::Late => Outcome::TimedOut,
+        }
+    }
+}
+
 /// Holds a slot, or a place in the queue, until dropped.
 pub(super) struct SlotGuard {
     plane: Plane,
@@ -117,10 +135,27 @@
 
 /// Runs a call on a backend server beside this daemon.
 pub(super) async fn run(plane: &Plane, call: HostCall, req: Request<OutBody>) -> HostEnd {
-    let mut slot = match take_slot(plane, &call).await {
-        Ok(slot) => slot,
-        Err(end) => return end,
+    let mut trail = Trail::of(plane, req.headers());
+    let server = call.server.clone();
+    let taken = take_slot(plane, &call, trail.as_mut()).await;
+    let began = plane.mono();
+    let end = match taken {
+        Ok(slot) => run_in(plane, call, slot, req).await,
+        Err(end) => end,
     };
+    if let Some(trail) = trail {
+        trail.ran(&server, attempt_end(end.outcome()), began);
+    }
+    end
+}
+
+/// Runs a call that has a slot.
+async fn run_in(
+    plane: &Plane,
+    call: HostCall,
+    mut slot: SlotGuard,
+    req: Request<OutBody>,
+) -> HostEnd {
     let Some(req) = for_server(plane, &call, req) else {
         return HostEnd::Full(SOON);
     };
@@ -129,6 +164,7 @@
     let until = plane.until(call.deadline);
     let sent = plane.servers.send(call.address, req, until).await;
     let latency = plane.mono().since(started);
+    plane.metrics.ran(latency);
     if let Some(served) = served(&sent, latency) {
         slot.observe(served);
     }
@@ -166,7 +202,24 @@
     HostEnd::Answered(Box::new(Response::from_parts(parts, body)))
 }
 
-async fn take_slot(plane: &Plane, call: &HostCall) -> Result<SlotGuard, HostEnd> {
+async fn take_slot(
+    plane: &Plane,
+    call: &HostCall,
+    trail: Option<&mut Trail>,
+) -> Result<SlotGuard, HostEnd> {
+    let (answer, taken) = ask_for_slot(plane, call).await;
+    plane.metrics.slot(answer);
+    if let Some(trail) = trail {
+        let load = plane.shared.read(|instance| instance.load(&call.server));
+        trail.slot(&call.server, answer, load, call.deadline);
+    }
+    taken
+}
+
+async fn ask_for_slot(
+    plane: &Plane,
+    call: &HostCall,
+) -> (SlotAnswer, Result<SlotGuard, HostEnd>) {
     let id = plane.next_call();
     let turn = plane.shared.wait_for_slot(id);
     let admission = plane.shared.with(|instance, now, out| {
@@ -174,7 +227,7 @@
     });
     if let Admission::Refused(refusal) = admission {
         plane.shared.forget_wait(id);
-        return Err(refused(&refusal));
+        return (SlotAnswer::Refused, Err(refused(&refusal)));
     }
     let slot = SlotGuard {
         plane: plane.clone(),
@@ -184,13 +237,13 @@
         ran: Ran::Unmeasured,
     };
     if admission == Admission::Run {
-        return Ok(slot);
+        return (SlotAnswer::Run, Ok(slot));
     }
     match turn.await {
-        Ok(SlotTurn::Run) => Ok(slot),
+        Ok(SlotTurn::Run) => (SlotAnswer::Waited, Ok(slot)),
         Ok(SlotTurn::Expired) | Err(_) => {
             let come_back = plane.shared.read(|instance| instance.come_back(&call.server));
-            Err(HostEnd::Full(come_back))
+            (SlotAnswer::Expired, Err(HostEnd::Full(come_back)))
         }
     }
 }
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -16,16 +16,19 @@
 mod pool;
 mod respond;
 mod serve;
+mod trail;
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::call_metrics::CallMetrics;
 use crate::calls::plane::Plane;
 use crate::calls::serve::{Door, Phase, accept};
+use crate::lines::Lines;
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -33,6 +36,15 @@
 /// that closes it.
 const LONGEST_LINGER: Duration = Duration::from_secs(2);
 
+/// Who is told of calls.
+#[derive(Clone, Default)]
+pub struct Observers {
+    /// Where decisions about calls are written, if anywhere.
+    pub lines: Option<Lines>,
+    /// Counters and times of calls.
+    pub metrics: Arc<CallMetrics>,
+}
+
 /// The call server of one daemon.
 pub struct CallServer {
     phase: watch::Sender<Phase>,
@@ -46,10 +58,11 @@
     pub fn start(
         shared: Shared,
         settings: &Settings,
+        observers: Observers,
         listener: TcpListener,
         hops: Option<TcpListener>,
     ) -> Self {
-        let plane = Plane::new(shared, settings);
+        let plane = Plane::new(shared, settings, observers);
         let phase = watch::Sender::new(Phase::Serving);
         let mut tasks = JoinSet::new();
         tasks.spawn(pool::tend(plane.clone()));
--- a/crates/daemon/src/calls/plane.rs
+++ b/crates/daemon/src/calls/plane.rs
@@ -13,6 +13,9 @@
 
 use crate::calls::hop::HopSeal;
 use crate::calls::pool::Pool;
+use crate::call_metrics::CallMetrics;
+use crate::calls::Observers;
+use crate::lines::Lines;
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -34,6 +37,10 @@
     pub(super) headers: CallHeaders,
     /// The service on whose instance this daemon runs, where backend servers are told.
     pub(super) caller_service: Option<ServiceName>,
+    /// Where decisions about calls are written, if anywhere.
+    pub(super) lines: Option<Lines>,
+    /// Counters and times of calls.
+    pub(super) metrics: Arc<CallMetrics>,
     /// Connections to backend servers beside this daemon.
     pub(super) servers: Pool,
     /// Connections to other daemons.
@@ -45,10 +52,12 @@
 }
 
 impl Plane {
-    pub(super) fn new(shared: Shared, settings: &Settings) -> Self {
+    pub(super) fn new(shared: Shared, settings: &Settings, observers: Observers) -> Self {
         let connections = usize::try_from(settings.limits.caller_connections).unwrap_or(usize::MAX);
         Self(Arc::new(Inner {
             shared,
+            lines: observers.lines,
+            metrics: observers.metrics,
             seal: HopSeal::new(&settings.mesh_key),
             headers: settings.headers(),
             caller_service: settings.platform.as_ref().map(|platform| platform.service.clone()),
--- a/crates/daemon/src/doors.rs
+++ b/crates/daemon/src/doors.rs
@@ -2,11 +2,12 @@
 //! what the server says of itself.
 
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cyclamen_platform::announcements::{self, BODY_BYTES, READY_PATH, Said};
-use cyclamenmoor::AnnounceError;
+use cyclamenmoor::{AnnounceError, Instance};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -16,6 +17,7 @@
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::call_metrics::CallMetrics;
 use crate::shared::Shared;
 
 /// How long a connection may stay idle.
@@ -24,21 +26,48 @@
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-/// Answers at `listener` until the task is dropped.
+/// What a listener answers.
+#[derive(Clone)]
+enum Door {
+    /// Readiness and announcements.
+    Platform,
+    /// Metrics as text.
+    Metrics(Arc<CallMetrics>),
+}
+
+/// Answers questions for readiness and announcements at `listener` until the task is dropped.
 pub(crate) async fn serve(shared: Shared, listener: TcpListener) {
+    accept(shared, Door::Platform, listener).await;
+}
+
+/// Answers with metrics at `listener` until the task is dropped.
+pub(crate) async fn serve_metrics(
+    shared: Shared,
+    metrics: Arc<CallMetrics>,
+    listener: TcpListener,
+) {
+    accept(shared, Door::Metrics(metrics), listener).await;
+}
+
+async fn accept(shared: Shared, door: Door, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        tokio::spawn(connection(shared.clone(), stream));
+        tokio::spawn(connection(shared.clone(), door.clone(), stream));
     }
 }
 
-async fn connection(shared: Shared, stream: TcpStream) {
+async fn connection(shared: Shared, door: Door, stream: TcpStream) {
     let service = service_fn(move |req| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(answer(&shared, req).await) }
+        let (shared, door) = (shared.clone(), door.clone());
+        async move {
+            Ok::<_, Infallible>(match door {
+                Door::Platform => answer(&shared, req).await,
+                Door::Metrics(metrics) => metrics_answer(&shared, &metrics),
+            })
+        }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT);
@@ -46,6 +75,16 @@
     let _ = builder.serve_connection(TokioIo::new(stream), service).await;
 }
 
+fn metrics_answer(shared: &Shared, metrics: &CallMetrics) -> Response<Full<Bytes>> {
+    match metrics.text(&shared.read(Instance::dump)) {
+        Ok(text) => Response::new(Full::new(text.into())),
+        Err(fault) => {
+            warn!("metrics could not be formatted: {fault}");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 async fn answer(shared: &Shared, req: Request<Incoming>) -> Response<Full<Bytes>> {
     if req.uri().path() == READY_PATH {
         return status(match shared.read(|instance| instance.ready()) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,11 +5,14 @@
 //! write and wait.
 
 pub mod admin;
+mod bounded_writer;
+mod call_metrics;
 pub mod calls;
 mod doors;
 mod fetch;
 mod gossip;
 mod life;
+mod lines;
 pub mod log_client;
 pub mod logging;
 pub mod metrics;
@@ -19,7 +22,9 @@
 mod shared;
 pub mod store;
 
+pub use bounded_writer::BoundedWriter;
 pub use life::run_until;
+pub use lines::{LineSettings, Lines};
 pub use run::{Running, StartError, start};
 pub use settings::{LimitSettings, OperatorToken, Settings, TokenHash};
 pub use shared::{Shared, SlotTurn};
--- a/crates/daemon/src/life/tests.rs
+++ b/crates/daemon/src/life/tests.rs
@@ -1,5 +1,6 @@
 //! Log lines follow changes of state, and nothing else.
 
+use cyclamen_decisions::Belief;
 use cyclamen_ledger::MoveId;
 use cyclamen_moves::{MoveStage, MoveStatus};
 use cyclamen_types::{ConfigVersion, Offset};
@@ -7,7 +8,14 @@
 use super::{Glance, Seen};
 
 fn glance(version: u64, moves: Vec<MoveStatus>) -> Glance {
-    Glance { ready: true, relay: false, version: ConfigVersion(version), moves }
+    let (members, servers) = (Vec::new(), Vec::new());
+    Glance { ready: true, relay: false, version: ConfigVersion(version), moves, members, servers }
+}
+
+/// The lines of these beliefs.
+fn text(beliefs: &[Belief]) -> String {
+    let lines: Vec<String> = beliefs.iter().map(ToString::to_string).collect();
+    lines.join("\n")
 }
 
 fn status(declared: u64, stage: MoveStage, share_ppm: u32) -> MoveStatus {
@@ -28,7 +36,7 @@
 fn lines_first_look() {
     let mut seen = Seen::default();
     let lines = seen.changes(&Glance { relay: true, ..glance(3, Vec::new()) });
-    insta::assert_snapshot!(lines.join("\n"));
+    insta::assert_snapshot!(text(&lines));
 }
 
 #[test]
@@ -46,5 +54,5 @@
     let mut lines = seen.changes(&glance(3, vec![status(2, MoveStage::TakenBack, 0)]));
     lines.extend(seen.changes(&glance(4, vec![status(3, MoveStage::TakenBack, 0)])));
     lines.extend(seen.changes(&Glance { ready: false, ..glance(4, Vec::new()) }));
-    insta::assert_snapshot!(lines.join("\n"));
+    insta::assert_snapshot!(text(&lines));
 }
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,16 +1,26 @@
 //! Log lines by log4rs: where they go, and the bridge from the libraries that log by slog.
+//!
+//! Beside the appenders of log4rs there is one of kind `bounded_stdout`: it queues lines and never
+//! waits for whoever reads standard output.
 
 use std::path::Path;
+use std::sync::OnceLock;
 
 use anyhow::{Context, anyhow};
 use log::LevelFilter;
+use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Config, Deserializers, RawConfig, Root};
+use log4rs::config::{
+    Appender, Config, Deserialize as Deserialize4rs, Deserializers, RawConfig, Root,
+};
+use log4rs::encode::writer::simple::SimpleWriter;
+use log4rs::encode::{Encode, EncoderConfig};
 use log4rs::encode::pattern::PatternEncoder;
 use serde::Deserialize;
 use serde_yaml_ng::Value;
 use slog::Drain;
 
+use crate::bounded_writer::BoundedWriter;
 use crate::settings::LoggingSettings;
 
 /// One line: time, level, module, message.
@@ -26,12 +36,12 @@
             log4rs::init_config(stderr_config()?)?;
         }
         LoggingSettings::File(path) => {
-            log4rs::init_file(path, Deserializers::default())
+            log4rs::init_file(path, deserializers())
                 .with_context(|| format!("mend the log4rs configuration {}", path.display()))?;
         }
         LoggingSettings::Inline(tree) => {
-            let raw = RawConfig::deserialize(tree).context("mend logging.log4rs")?;
-            log4rs::config::init_raw_config(raw).context("mend logging.log4rs")?;
+            let config = config_of(tree).map_err(|fault| anyhow!("mend logging.log4rs: {fault}"))?;
+            log4rs::init_config(config)?;
         }
     }
     Ok(())
@@ -39,8 +49,12 @@
 
 /// Whether log4rs takes a configuration; the error says what it refuses.
 pub(crate) fn check(tree: &Value) -> Result<(), String> {
+    config_of(tree).map(|_| ())
+}
+
+fn config_of(tree: &Value) -> Result<Config, String> {
     let raw = RawConfig::deserialize(tree).map_err(|error| error.to_string())?;
-    let (appenders, errors) = raw.appenders_lossy(&Deserializers::default());
+    let (appenders, errors) = raw.appenders_lossy(&deserializers());
     if !errors.is_empty() {
         // Only the debug form names the faults; its first line holds them without backtraces.
         let text = format!("{errors:?}");
@@ -48,12 +62,12 @@
         return Err(first.trim_start_matches("AppenderErrors([").into());
     }
     let config = Config::builder().appenders(appenders).loggers(raw.loggers()).build(raw.root());
-    config.map(|_| ()).map_err(|errors| errors.to_string())
+    config.map_err(|errors| errors.to_string())
 }
 
 /// Whether log4rs takes a configuration file; the error says what it refuses.
 pub(crate) fn check_file(path: &Path) -> Result<(), String> {
-    let config = log4rs::config::load_config_file(path, Deserializers::default());
+    let config = log4rs::config::load_config_file(path, deserializers());
     config.map(|_| ()).map_err(|error| format!("{error:#}"))
 }
 
@@ -63,6 +77,68 @@
     slog::Logger::root(drain.ignore_res(), slog::o!())
 }
 
+/// The one writer of standard output, started with the first line.
+///
+/// # Errors
+/// No thread could be started.
+pub fn stdout_writer() -> std::io::Result<BoundedWriter> {
+    static WRITER: OnceLock<BoundedWriter> = OnceLock::new();
+    if let Some(writer) = WRITER.get() {
+        return Ok(writer.clone());
+    }
+    let writer = BoundedWriter::start(std::io::stdout())?;
+    Ok(WRITER.get_or_init(|| writer).clone())
+}
+
+/// Appends lines to the bounded queue of standard output.
+#[derive(Debug)]
+struct BoundedStdout {
+    writer: BoundedWriter,
+    encoder: Box<dyn Encode>,
+}
+
+impl Append for BoundedStdout {
+    fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
+        let mut line = SimpleWriter(Vec::new());
+        self.encoder.encode(&mut line, record)?;
+        let text = String::from_utf8_lossy(&line.0);
+        self.writer.put(text.trim_end().into());
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+/// What the configuration says of a [`BoundedStdout`].
+#[derive(Deserialize)]
+struct BoundedStdoutConfig {
+    encoder: EncoderConfig,
+}
+
+struct BoundedStdoutDeserializer;
+
+impl Deserialize4rs for BoundedStdoutDeserializer {
+    type Trait = dyn Append;
+    type Config = BoundedStdoutConfig;
+
+    fn deserialize(
+        &self,
+        config: BoundedStdoutConfig,
+        deserializers: &Deserializers,
+    ) -> anyhow::Result<Box<dyn Append>> {
+        let EncoderConfig { kind, config } = config.encoder;
+        let encoder = deserializers.deserialize(&kind, config)?;
+        Ok(Box::new(BoundedStdout { writer: stdout_writer()?, encoder }))
+    }
+}
+
+/// The appenders of log4rs and ours.
+fn deserializers() -> Deserializers {
+    let mut deserializers = Deserializers::default();
+    deserializers.insert("bounded_stdout", BoundedStdoutDeserializer);
+    deserializers
+}
+
 fn stderr_config() -> anyhow::Result<Config> {
     let appender = ConsoleAppender::builder()
         .target(Target::Stderr)
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -16,8 +16,9 @@
 use tokio::task::JoinSet;
 
 use crate::admin::AdminServer;
-use crate::calls::CallServer;
+use crate::calls::{CallServer, Observers};
 use crate::fetch::{self, Carrier};
+use crate::lines::Lines;
 use crate::log_client::LogClient;
 use crate::settings::{PlatformSettings, Settings};
 use crate::shared::{self, Shared};
@@ -61,6 +62,9 @@
         /// The system's word.
         cause: std::io::Error,
     },
+    /// The thread that writes lines did not start.
+    #[error("no thread for log lines: {0}; look at the limits of this process")]
+    Lines(std::io::Error),
     /// The administration API did not start.
     #[error("the administration API does not start: {0}; check the address in the settings")]
     Admin(String),
@@ -81,7 +85,7 @@
 ///
 /// # Errors
 /// A port in use, or an address that this machine does not have.
-pub async fn start(settings: Settings) -> Result<Running, StartError> {
+pub async fn start(settings: Settings, lines: Option<Lines>) -> Result<Running, StartError> {
     let started = Instant::now();
     let (socket, peer_listener) = bind_peer(settings.listen.peer).await?;
     let call_listener = bind(settings.listen.calls, "calls").await?;
@@ -90,6 +94,10 @@
         Some(platform) => Some(PlatformListeners::bind(platform).await?),
         None => None,
     };
+    let metrics_listener = match settings.metrics_text {
+        Some(address) => Some(bind(address, "metrics").await?),
+        None => None,
+    };
     let calls_at = local(call_listener.local_addr(), settings.listen.calls);
     let hops_at = platform.as_ref().map(|listeners| listeners.hops_at);
     let addresses = Addresses {
@@ -117,7 +125,12 @@
         tasks.spawn(doors::serve(shared.clone(), listeners.announcements));
         listeners.hops
     });
-    let calls = CallServer::start(shared.clone(), &settings, call_listener, hops);
+    let observers = Observers { lines, metrics: Arc::default() };
+    if let Some(listener) = metrics_listener {
+        let metrics = Arc::clone(&observers.metrics);
+        tasks.spawn(doors::serve_metrics(shared.clone(), metrics, listener));
+    }
+    let calls = CallServer::start(shared.clone(), &settings, observers.clone(), call_listener, hops);
     if let Some(link) = &carrier.store {
         let me = StoredMember {
             instance: settings.instance.clone(),
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -22,6 +22,8 @@
 use cyclamen_types::{FailureDomain, InstanceName, RegionName, TeamName};
 use derive_more::Debug;
 
+use crate::lines::LineSettings;
+
 pub use fault::{SettingsFault, SettingsFaults};
 pub use platform::PlatformSettings;
 pub use process::{LoggingSettings, ProcessSettings};
@@ -54,6 +56,10 @@
     pub limits: LimitSettings,
     /// Where metrics go (statsd over UDP); none by default.
     pub metrics: Option<SocketAddr>,
+    /// Where metrics are served as text (HTTP); nowhere by default.
+    pub metrics_text: Option<SocketAddr>,
+    /// Structured lines on standard output about calls and beliefs; none by default.
+    pub decisions: Option<LineSettings>,
     /// Seed of all randomness; from the system when absent.
     pub seed: Option<u64>,
 }
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -16,6 +16,7 @@
 use super::section::{FaultList, Misfit, Section};
 use super::values::{self, ADDRESS_REMEDY, NAME_REMEDY};
 use super::{LimitSettings, OperatorToken, PlatformSettings, Settings};
+use crate::lines::LineSettings;
 use crate::logging;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
@@ -90,7 +91,8 @@
     let mesh_key = read_mesh_key(raw, root.section("mesh_key"));
     let tokens = read_tokens(root.items("tokens"), faults);
     let limits = read_limits(root.section("limits"));
-    let metrics = root.section_if_present("metrics").and_then(read_metrics);
+    let metrics = root.section_if_present("metrics").map(read_metrics).unwrap_or_default();
+    let decisions = root.section_if_present("decisions").map(read_decisions);
     let logging = root.section_if_present("logging").map(read_logging);
     let seed = root.optional("seed", values::seed);
     root.end();
@@ -107,7 +109,9 @@
         mesh_key: mesh_key?,
         tokens,
         limits,
-        metrics,
+        metrics: metrics.statsd,
+        metrics_text: metrics.text,
+        decisions,
         seed,
     };
     Some(ProcessSettings { daemon, logging: logging.unwrap_or_default() })
@@ -265,10 +269,30 @@
     limits
 }
 
-fn read_metrics(mut section: Section<'_>) -> Option<SocketAddr> {
-    let statsd = section.required("statsd", ADDRESS_REMEDY, values::destination);
+/// Where metrics go, and where they are served.
+#[derive(Default)]
+struct MetricsAddresses {
+    statsd: Option<SocketAddr>,
+    text: Option<SocketAddr>,
+}
+
+fn read_metrics(mut section: Section<'_>) -> MetricsAddresses {
+    let statsd = section.optional("statsd", values::destination);
+    let text = section.optional("text", values::own_address);
+    section.end();
+    MetricsAddresses { statsd, text }
+}
+
+fn read_decisions(mut section: Section<'_>) -> LineSettings {
+    let mut settings = LineSettings::default();
+    section.overwrite("sample_one_in", &mut settings.sample_one_in, |value| {
+        values::count(value, 0..=1_000_000)
+    });
+    section.overwrite("lines_per_second", &mut settings.per_second, |value| {
+        values::count(value, 1..=100_000)
+    });
     section.end();
-    statsd
+    settings
 }
 
 fn read_logging(mut section: Section<'_>) -> LoggingSettings {
--- a/crates/daemon/tests/admin/bench.rs
+++ b/crates/daemon/tests/admin/bench.rs
@@ -80,6 +80,8 @@
         tokens: vec![token("provoz", TOKEN), token("sklad", OTHER_TOKEN)],
         limits: LimitSettings::default(),
         metrics: None,
+        metrics_text: None,
+        decisions: None,
         seed: Some(7),
     }
 }
@@ -94,7 +96,7 @@
     pub async fn start_with(options: LogOptions) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         let log = LogService::start(free, options).await.expect("a free port");
-        let running = start(settings(log.address())).await.expect("free ports");
+        let running = start(settings(log.address()), None).await.expect("free ports");
         let api = Api::of(&running).await;
         Self { running, log, api }
     }
@@ -105,7 +107,7 @@
         settings.instance = "praha-b-1".parse().expect("a name");
         settings.domain = "praha-b".parse().expect("a name");
         settings.peers = vec![self.running.addresses.peer];
-        let running = start(settings).await.expect("free ports");
+        let running = start(settings, None).await.expect("free ports");
         let api = Api::of(&running).await;
         (running, api)
     }
--- a/crates/daemon/tests/admin/errors.rs
+++ b/crates/daemon/tests/admin/errors.rs
@@ -38,7 +38,7 @@
 #[tokio::test]
 async fn publish_before_ready() {
     let log = "127.0.0.1:9".parse().expect("an address");
-    let running = cyclamen_daemon::start(bench::settings(log)).await.expect("free ports");
+    let running = cyclamen_daemon::start(bench::settings(log), None).await.expect("free ports");
     let api = bench::Api::at(running.addresses.admin);
     let path = "/v1/changes?change_id=early&wait_ms=0";
     let reply = api.send(Method::POST, path, Some(TOKEN), ROUTE).await;
--- a/crates/daemon/tests/mesh/mod.rs
+++ b/crates/daemon/tests/mesh/mod.rs
@@ -85,7 +85,7 @@
             peers.push(member.daemon().addresses.peer);
         }
         let settings = settings(index, self.log.address(), peers, limits);
-        let daemon = start(settings).await.expect("free ports");
+        let daemon = start(settings, None).await.expect("free ports");
         let calls = daemon.addresses.calls;
         let announcement = announcement(&server);
         let member = Member { daemon: Some(daemon), calls, server, announcement };
@@ -214,6 +214,8 @@
             ..limits
         },
         metrics: None,
+        metrics_text: None,
+        decisions: None,
         seed: Some(index as u64 + 1),
     }
 }
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -88,7 +88,7 @@
         limits: LimitSettings,
     ) -> anyhow::Result<Running> {
         let settings = settings(plan, log_service, peers, limits)?;
-        Ok(start(settings).await?)
+        Ok(start(settings, None).await?)
     }
 
     /// Withdraws the backend server, stops the daemon gracefully, then the server.
@@ -140,6 +140,8 @@
         tokens: Vec::new(),
         limits,
         metrics: None,
+        metrics_text: None,
+        decisions: None,
         seed: Some(plan.seed),
     })
 }
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -207,7 +207,7 @@
             return;
         };
         runtime.block_on(async {
-            let Ok(daemon) = start(settings).await else {
+            let Ok(daemon) = start(settings, None).await else {
                 return;
             };
             let (shared, addresses) = (daemon.shared.clone(), daemon.addresses);
@@ -271,6 +271,8 @@
             ..LimitSettings::default()
         },
         metrics: None,
+        metrics_text: None,
+        decisions: None,
         seed: Some(seed.wrapping_add(index as u64)),
     })
 }
--- a/crates/measure/src/converge/fleet.rs
+++ b/crates/measure/src/converge/fleet.rs
@@ -165,6 +165,8 @@
             tokens: Vec::new(),
             limits: LimitSettings { announcement_lease: LEASE, poll_log, ..Default::default() },
             metrics: None,
+            metrics_text: None,
+            decisions: None,
             seed: Some(args.seed ^ ((index as u64) << 32)),
         })
     }
@@ -172,7 +174,7 @@
 
 impl Daemon {
     async fn start(mut settings: Settings) -> anyhow::Result<Self> {
-        let running = cyclamen_daemon::start(settings.clone()).await?;
+        let running = cyclamen_daemon::start(settings.clone(), None).await?;
         settings.listen = running.addresses;
         let server = Announcement {
             order: None,
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cyclamen_declarations::Criticality;
-use cyclamen_types::{Mono, RouteName, ServerName, ServiceName, VersionName};
+use cyclamen_types::{ConfigVersion, Mono, RouteName, ServerName, ServiceName, VersionName};
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 
@@ -76,6 +76,23 @@
     pub timeout_at: Mono,
     /// Attempts of this call before this one.
     pub earlier: u32,
+    /// The version of the configuration that the route is of.
+    pub config: ConfigVersion,
+    /// Why this server.
+    pub choice: Choice,
+}
+
+/// What decided for a backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Choice {
+    /// Calls that it was taken to have.
+    pub load: u32,
+    /// How long the call was expected to take.
+    pub expected: Duration,
+    /// Age of what the daemon beside it last told; `None` when it told nothing.
+    pub told_ago: Option<Duration>,
+    /// The next best server.
+    pub runner_up: Option<ServerName>,
 }
 
 /// Lowest status that counts as the backend server's own failure.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,7 +8,7 @@
 mod slots;
 mod table;
 
-pub use call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal, RefusalKind};
+pub use call::{Attempt, AttemptId, CallHead, Choice, Hop, Next, Outcome, Refusal, RefusalKind};
 pub use router::{
     RetryLimits, Router, RouterCounters, RouterMode, RouterSettings, ServerInfo, ServerLoad, VersionSplit,
 };
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -338,7 +338,7 @@
             }
             RouterMode::Baseline => self.pool.any(service, &version, &mut self.rng),
         };
-        let Some(chosen) = chosen else {
+        let Some((chosen, choice)) = chosen else {
             return Err(refusals::unavailable(service, &version, !tried.is_empty()));
         };
         let server = self.pool.get_mut(chosen);
@@ -356,6 +356,8 @@
             idempotent: start.idempotent,
             deadline: start.deadline,
             earlier: start.earlier,
+            config: self.table.version(),
+            choice,
         };
         let call = Call {
             attempt: attempt.clone(),
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 use typed_index_collections::TiVec;
 
+use crate::call::Choice;
 use crate::router::ServerInfo;
 use crate::router::placing::Distance;
 use crate::router::server::Server;
@@ -143,7 +144,7 @@
         tried: &FastSet<ServerName>,
         bytes: f64,
         rng: &mut SmallRng,
-    ) -> Option<ServerIndex> {
+    ) -> Option<(ServerIndex, Choice)> {
         if !self.has(service, version) {
             return None;
         }
@@ -162,7 +163,7 @@
         bytes: f64,
         candidates: &mut Vec<ServerIndex>,
         rng: &mut SmallRng,
-    ) -> Option<ServerIndex> {
+    ) -> Option<(ServerIndex, Choice)> {
         let group = self.group(service, version)?;
         for want in [Want::Room, Want::Sound, Want::Any] {
             self.collect(now, &group.all, want, tried, candidates);
@@ -179,9 +180,9 @@
         service: &ServiceName,
         version: &VersionName,
         rng: &mut SmallRng,
-    ) -> Option<ServerIndex> {
+    ) -> Option<(ServerIndex, Choice)> {
         let group = self.group(service, version)?;
-        Some(group.all[rng.random_range(0..group.all.len())])
+        Some((group.all[rng.random_range(0..group.all.len())], Choice::default()))
     }
 
     fn collect(
@@ -218,19 +219,30 @@
         candidates: &[ServerIndex],
         bytes: f64,
         rng: &mut SmallRng,
-    ) -> ServerIndex {
+    ) -> (ServerIndex, Choice) {
         let hoped = self.shortest_hold(candidates);
         let mut best = (f64::INFINITY, candidates[0]);
+        let mut second = None;
         for index in candidates {
             let server = &self.servers[*index];
             let prospect = server.prospect(now, hoped, self.distance(server), bytes);
             let near_enough = rng.random_range(1.0 - ALIKE..1.0 + ALIKE);
             let expected = prospect.expected() * near_enough;
             if expected < best.0 {
+                second = best.0.is_finite().then_some(best);
                 best = (expected, *index);
+            } else if second.is_none_or(|(known, _)| expected < known) {
+                second = Some((expected, *index));
             }
         }
-        best.1
+        let server = &self.servers[best.1];
+        let choice = Choice {
+            load: server.load(now),
+            expected: Duration::try_from_secs_f64(best.0).unwrap_or(Duration::MAX),
+            told_ago: server.told_ago(now),
+            runner_up: second.map(|(_, index)| self.servers[index].name().clone()),
+        };
+        (best.1, choice)
     }
 
     /// How long the quickest of these servers holds a call, in seconds.
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -290,8 +290,13 @@
         self.report.as_ref().filter(|report| now.since(report.at) < LOAD_MEMORY)
     }
 
+    /// Age of what the daemon beside it last told.
+    pub(super) fn told_ago(&self, now: Mono) -> Option<Duration> {
+        self.report.map(|report| now.since(report.at))
+    }
+
     /// Calls at the server as far as this router can tell.
-    fn load(&self, now: Mono) -> u32 {
+    pub(super) fn load(&self, now: Mono) -> u32 {
         let Some(report) = self.fresh_report(now) else {
             return self.in_flight;
         };
