--- a/crates/cyclamenmoor/src/appends.rs
+++ b/crates/cyclamenmoor/src/appends.rs
@@ -95,12 +95,7 @@
     }
 
     /// Writes a verdict into the store until the configuration that it hands over shows one.
-    pub(crate) fn settle_in_store(
-        &mut self,
-        id: MoveId,
-        verdict: MoveVerdict,
-        out: &mut Effects,
-    ) {
+    pub(crate) fn settle_in_store(&mut self, id: MoveId, verdict: MoveVerdict, out: &mut Effects) {
         self.tickets += 1;
         self.begin(Ticket(self.tickets), None, Settles::Verdict(id, verdict), out);
     }
--- a/crates/cyclamenmoor/src/servers.rs
+++ b/crates/cyclamenmoor/src/servers.rs
@@ -3,11 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cyclamen_declarations::Criticality;
 use cyclamen_membership::{ServerRecord, ServerState};
 use cyclamen_routing::{
-    Admission, CallId, QueueOrder, Ran, Refusal, RefusalKind, RouterMode, ServerLoad, Slots,
-    SlotsSettings,
+    Admission, CallId, CallNeeds, QueueOrder, Ran, Refusal, RefusalKind, RouterMode, ServerLoad,
+    Slots, SlotsSettings,
 };
 use cyclamen_types::{FastMap, Mono, Now, ServerName, ServiceName};
 
@@ -163,8 +162,7 @@
         now: Now,
         server: &ServerName,
         call: CallId,
-        criticality: Criticality,
-        deadline: Mono,
+        needs: &CallNeeds,
         out: &mut Effects,
     ) -> Admission {
         let Some(beside) = self.beside.get_mut(server) else {
@@ -174,7 +172,7 @@
             return Admission::Run;
         }
         let mut evicted = Vec::new();
-        let admission = beside.slots.admit(now, call, criticality, deadline, &mut evicted);
+        let admission = beside.slots.admit(now, call, needs, &mut evicted);
         if !evicted.is_empty() {
             out.push(Effect::Expire(evicted));
         }
--- a/crates/cyclamenmoor/tests/fleet/changes.rs
+++ b/crates/cyclamenmoor/tests/fleet/changes.rs
@@ -81,6 +81,7 @@
         priority: 0,
         service: service.clone(),
         services: Vec::new(),
+        target: None,
         attempts: None,
         split: Vec::new(),
         timeout: Duration::from_secs(1),
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cyclamen_routing::{Attempt, Hop, Next, Outcome, ServerLoad};
-use cyclamen_types::ServerName;
+use cyclamen_types::{Mono, ServerName};
 use cyclamenmoor::BodyEnd;
 use http::header::HeaderName;
 use http::request::Parts;
@@ -82,12 +82,7 @@
         (next, end)
     }
 
-    fn tell(
-        &mut self,
-        outcome: Outcome,
-        load: Option<ServerLoad>,
-        bytes: Option<u64>,
-    ) -> Next {
+    fn tell(&mut self, outcome: Outcome, load: Option<ServerLoad>, bytes: Option<u64>) -> Next {
         self.finished = true;
         self.plane.shared.with(|instance, now, _| {
             if let Some(load) = load {
@@ -106,6 +101,7 @@
             route: self.attempt.route.clone(),
             address,
             criticality: self.attempt.criticality,
+            aim: self.attempt.aim,
             deadline: self.attempt.deadline,
         };
         let end = host::run(&self.plane, call, req).await;
@@ -142,7 +138,10 @@
         let left = self.plane.left(self.attempt.deadline);
         let server = self.attempt.server.clone();
         let route = self.attempt.route.clone();
-        let call = HopCall { server, route, number, left, criticality: self.attempt.criticality };
+        let aim = self.attempt.aim;
+        let wanted = (aim != Mono::NEVER).then(|| self.plane.left(aim));
+        let criticality = self.attempt.criticality;
+        let call = HopCall { server, route, number, left, wanted, criticality };
         let header = self.plane.seal.seal_call(self.plane.wall(), &call, req)?;
         req.headers_mut().insert(HeaderName::from_static(CALL_HEADER), header);
         Some(())
--- a/crates/daemon/src/calls/edge.rs
+++ b/crates/daemon/src/calls/edge.rs
@@ -33,7 +33,11 @@
 }
 
 /// Serves one call of a caller whose body is at hand.
-pub(super) async fn serve_parts(plane: Plane, parts: Parts, body: CallBody) -> Response<AnswerBody> {
+pub(super) async fn serve_parts(
+    plane: Plane,
+    parts: Parts,
+    body: CallBody,
+) -> Response<AnswerBody> {
     let arrived = plane.mono();
     serve_from(plane, arrived, parts, body).await
 }
@@ -94,7 +98,8 @@
 
 fn begin(plane: &Plane, parts: &Parts, arrived: Mono) -> Result<Attempt, Refusal> {
     let host = headers::host(parts);
-    let deadline = headers::deadline(&plane.headers, &parts.headers).map_or(Mono::NEVER, |left| arrived + left);
+    let deadline = headers::deadline(&plane.headers, &parts.headers)
+        .map_or(Mono::NEVER, |left| arrived + left);
     let header = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
     let head = CallHead {
         method: parts.method.as_str(),
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -42,6 +42,8 @@
     pub(super) route: RouteName,
     pub(super) number: HopNumber,
     pub(super) left: Duration,
+    /// Time left until an answer is wanted, where the route says.
+    pub(super) wanted: Option<Duration>,
     pub(super) criticality: Criticality,
 }
 
@@ -121,9 +123,10 @@
         call: &HopCall,
         req: &Request<B>,
     ) -> Option<HeaderValue> {
-        let HopCall { server, route, number, left, criticality } = call;
+        let HopCall { server, route, number, left, wanted, criticality } = call;
         let left = left.as_millis();
-        let claim = format!("v1 {server} {route} {number} {left} {criticality} {now}");
+        let wanted = wanted.map_or(-1, |wanted| i64::try_from(wanted.as_millis()).unwrap_or(-1));
+        let claim = format!("v1 {server} {route} {number} {left} {wanted} {criticality} {now}");
         let hash = self.hash(&[b"call", claim.as_bytes(), &target(req)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
     }
@@ -220,9 +223,11 @@
     let route = RouteName::try_from(fields.next()?).ok()?;
     let number = HopNumber(fields.next()?.parse().ok()?);
     let left = Duration::from_millis(fields.next()?.parse().ok()?);
+    let wanted: i64 = fields.next()?.parse().ok()?;
+    let wanted = u64::try_from(wanted).ok().map(Duration::from_millis);
     let criticality = parse_criticality(fields.next()?)?;
     let at = Wall(fields.next()?.parse().ok()?);
-    Some((HopCall { server, route, number, left, criticality }, at))
+    Some((HopCall { server, route, number, left, wanted, criticality }, at))
 }
 
 fn parse_answer(claim: &str) -> Option<HopAnswer> {
--- a/crates/daemon/src/calls/hop/tests.rs
+++ b/crates/daemon/src/calls/hop/tests.rs
@@ -22,6 +22,7 @@
         route: "dvere-records".try_into().expect("a name"),
         number: seal.number(),
         left: Duration::from_millis(250),
+        wanted: Some(Duration::from_millis(100)),
         criticality: Criticality::Critical,
     }
 }
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -7,7 +7,7 @@
 use cyclamen_decisions::SlotAnswer;
 use cyclamen_declarations::Criticality;
 use cyclamen_port::CallHeaders;
-use cyclamen_routing::{Admission, CallId, Outcome, Ran, Refusal, RefusalKind};
+use cyclamen_routing::{Admission, CallId, CallNeeds, Outcome, Ran, Refusal, RefusalKind};
 use cyclamen_types::{Mono, RouteName, ServerName};
 use cyclamenmoor::Served;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
@@ -33,6 +33,8 @@
     pub(super) route: RouteName,
     pub(super) address: SocketAddr,
     pub(super) criticality: Criticality,
+    /// When an answer is wanted.
+    pub(super) aim: Mono,
     pub(super) deadline: Mono,
 }
 
@@ -56,9 +58,7 @@
     /// The end as the daemon that chose the server learns it.
     pub(super) fn outcome(&self) -> Outcome {
         match self {
-            Self::Answered(response) => {
-                Outcome::Answered { status: response.status().as_u16() }
-            }
+            Self::Answered(response) => Outcome::Answered { status: response.status().as_u16() },
             Self::Full(retry_after) => Outcome::NotRun { retry_after: *retry_after },
             Self::Shed(retry_after) => Outcome::Shed { retry_after: *retry_after },
             Self::Down => Outcome::NotConnected,
@@ -117,6 +117,7 @@
         route: claim.route.clone(),
         address,
         criticality: claim.criticality,
+        aim: claim.wanted.map_or(Mono::NEVER, |wanted| plane.mono() + wanted),
         deadline: plane.mono() + claim.left,
     };
     let (parts, incoming) = req.into_parts();
@@ -216,15 +217,17 @@
     taken
 }
 
-async fn ask_for_slot(
-    plane: &Plane,
-    call: &HostCall,
-) -> (SlotAnswer, Result<SlotGuard, HostEnd>) {
+async fn ask_for_slot(plane: &Plane, call: &HostCall) -> (SlotAnswer, Result<SlotGuard, HostEnd>) {
     let id = plane.next_call();
     let turn = plane.shared.wait_for_slot(id);
-    let admission = plane.shared.with(|instance, now, out| {
-        instance.admit(now, &call.server, id, call.criticality, call.deadline, out)
-    });
+    let needs = CallNeeds {
+        criticality: call.criticality,
+        route: Some(call.route.clone()),
+        aim: call.aim,
+        deadline: call.deadline,
+    };
+    let admission =
+        plane.shared.with(|instance, now, out| instance.admit(now, &call.server, id, &needs, out));
     if let Admission::Refused(refusal) = admission {
         plane.shared.forget_wait(id);
         return (SlotAnswer::Refused, Err(refused(&refusal)));
@@ -309,7 +312,9 @@
     };
     let mut response = match end {
         HostEnd::Answered(response) => *response,
-        HostEnd::Full(_) | HostEnd::Shed(_) | HostEnd::Down => empty(StatusCode::SERVICE_UNAVAILABLE),
+        HostEnd::Full(_) | HostEnd::Shed(_) | HostEnd::Down => {
+            empty(StatusCode::SERVICE_UNAVAILABLE)
+        }
         HostEnd::Unknown | HostEnd::Late => empty(StatusCode::BAD_GATEWAY),
     };
     let load = plane.shared.read(|instance| instance.load(&claim.server));
--- a/crates/daemon/src/calls/plane.rs
+++ b/crates/daemon/src/calls/plane.rs
@@ -4,17 +4,17 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use cyclamen_routing::CallId;
 use cyclamen_port::CallHeaders;
+use cyclamen_routing::CallId;
 use cyclamen_types::{Mono, ServiceName, Wall};
 use derive_more::Deref;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
-use crate::calls::hop::HopSeal;
-use crate::calls::pool::Pool;
 use crate::call_metrics::CallMetrics;
 use crate::calls::Observers;
+use crate::calls::hop::HopSeal;
+use crate::calls::pool::Pool;
 use crate::lines::Lines;
 use crate::settings::Settings;
 use crate::shared::Shared;
--- a/crates/daemon/src/calls/trail.rs
+++ b/crates/daemon/src/calls/trail.rs
@@ -57,7 +57,13 @@
     }
 
     /// An attempt ended.
-    pub(super) fn attempted(&mut self, number: u32, server: &ServerName, outcome: Outcome, began: Mono) {
+    pub(super) fn attempted(
+        &mut self,
+        number: u32,
+        server: &ServerName,
+        outcome: Outcome,
+        began: Mono,
+    ) {
         let took_ms = self.since(began);
         let server = server.as_str().into();
         let end = attempt_end(outcome);
@@ -65,7 +71,13 @@
     }
 
     /// The daemon beside a server answered whether the call gets a slot.
-    pub(super) fn slot(&mut self, server: &ServerName, answer: SlotAnswer, load: ServerLoad, deadline: Mono) {
+    pub(super) fn slot(
+        &mut self,
+        server: &ServerName,
+        answer: SlotAnswer,
+        load: ServerLoad,
+        deadline: Mono,
+    ) {
         let ServerLoad { running, waiting, limit, .. } = load;
         let server = server.as_str().into();
         let left_ms = whole_millis(self.plane.left(deadline));
--- a/crates/daemon/src/doors.rs
+++ b/crates/daemon/src/doors.rs
@@ -109,7 +109,8 @@
 fn take(shared: &Shared, said: Said) -> StatusCode {
     match said {
         Said::Heartbeat(announcement) => {
-            let taken = shared.with(|instance, now, out| instance.announce(now, &announcement, out));
+            let taken =
+                shared.with(|instance, now, out| instance.announce(now, &announcement, out));
             match taken {
                 Ok(()) => StatusCode::OK,
                 Err(fault) => {
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -13,9 +13,9 @@
 use log4rs::config::{
     Appender, Config, Deserialize as Deserialize4rs, Deserializers, RawConfig, Root,
 };
+use log4rs::encode::pattern::PatternEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
 use log4rs::encode::{Encode, EncoderConfig};
-use log4rs::encode::pattern::PatternEncoder;
 use serde::Deserialize;
 use serde_yaml_ng::Value;
 use slog::Drain;
@@ -40,7 +40,8 @@
                 .with_context(|| format!("mend the log4rs configuration {}", path.display()))?;
         }
         LoggingSettings::Inline(tree) => {
-            let config = config_of(tree).map_err(|fault| anyhow!("mend logging.log4rs: {fault}"))?;
+            let config =
+                config_of(tree).map_err(|fault| anyhow!("mend logging.log4rs: {fault}"))?;
             log4rs::init_config(config)?;
         }
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -130,13 +130,11 @@
         let metrics = Arc::clone(&observers.metrics);
         tasks.spawn(doors::serve_metrics(shared.clone(), metrics, listener));
     }
-    let calls = CallServer::start(shared.clone(), &settings, observers.clone(), call_listener, hops);
+    let calls =
+        CallServer::start(shared.clone(), &settings, observers.clone(), call_listener, hops);
     if let Some(link) = &carrier.store {
-        let me = StoredMember {
-            instance: settings.instance.clone(),
-            incarnation,
-            peer: addresses.peer,
-        };
+        let me =
+            StoredMember { instance: settings.instance.clone(), incarnation, peer: addresses.peer };
         tasks.spawn(store::follow(link.clone()));
         tasks.spawn(store::introduce(link.clone(), me));
     }
--- a/crates/decisions/src/explain.rs
+++ b/crates/decisions/src/explain.rs
@@ -135,7 +135,11 @@
             format!("the connection to {server} broke before the answer; it may have run")
         }
         (CallEnd::Unknown, None, _) => "it may have run; no line tells of an attempt".into(),
-        (CallEnd::Refused, _, Some((SlotAnswer::Refused | SlotAnswer::Expired, running, waiting, limit))) => {
+        (
+            CallEnd::Refused,
+            _,
+            Some((SlotAnswer::Refused | SlotAnswer::Expired, running, waiting, limit)),
+        ) => {
             format!(
                 "overload: {running} of {limit} slots were in use and {waiting} calls waited; it \
                  was not run"
--- a/crates/declarations/src/border.rs
+++ b/crates/declarations/src/border.rs
@@ -75,6 +75,7 @@
             services: route.services.iter().map(ServiceWeightBody::from).collect(),
             split: route.split.iter().map(WeightBody::from).collect(),
             timeout: Some(format_span(route.timeout)),
+            target: route.target.map(format_span),
             attempts: route.attempts,
             idempotence: Some(route.idempotence),
             criticality: Some(route.criticality),
--- a/crates/declarations/src/checked.rs
+++ b/crates/declarations/src/checked.rs
@@ -136,6 +136,8 @@
     pub split: Vec<WeightedVersion>,
     /// Longest time for a call, retries included.
     pub timeout: Duration,
+    /// Time within which an answer is wanted: calls that can still make it go first.
+    pub target: Option<Duration>,
     /// Backend servers that one call may be sent to; `None` leaves it to the policies.
     pub attempts: Option<u32>,
     /// Which of its calls may run twice.
--- a/crates/declarations/src/generated.rs
+++ b/crates/declarations/src/generated.rs
@@ -989,6 +989,10 @@
 ///      "description": "Header whose value keeps a caller's calls on one version.",
 ///      "type": "string"
 ///    },
+///    "target": {
+///      "description": "Time within which an answer is wanted, such as `300ms`; calls that can still make it go first.",
+///      "type": "string"
+///    },
 ///    "timeout": {
 ///      "description": "Longest time for a call, retries included, such as `800ms`.",
 ///      "type": "string"
@@ -1032,6 +1036,9 @@
     ///Header whose value keeps a caller's calls on one version.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub sticky: ::std::option::Option<::std::string::String>,
+    ///Time within which an answer is wanted, such as `300ms`; calls that can still make it go first.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub target: ::std::option::Option<::std::string::String>,
     ///Longest time for a call, retries included, such as `800ms`.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub timeout: ::std::option::Option<::std::string::String>,
@@ -1054,6 +1061,7 @@
             services: Default::default(),
             split: Default::default(),
             sticky: Default::default(),
+            target: Default::default(),
             timeout: Default::default(),
         }
     }
--- a/crates/declarations/src/lib.rs
+++ b/crates/declarations/src/lib.rs
@@ -23,8 +23,8 @@
 pub use checked::{
     Change, ChangeEntry, ClashRule, Criticality, Declaration, DeclarationKey, DeclarationKind,
     EntryAction, HeaderMatch, HostPattern, Idempotence, Limits, Move, MoveOrder, OrderAction,
-    Policy, Retries, Route, RouteMatch, Service, StickyKey, Version, VersionId,
-    WeightedService, WeightedVersion,
+    Policy, Retries, Route, RouteMatch, Service, StickyKey, Version, VersionId, WeightedService,
+    WeightedVersion,
 };
 pub use fault::{Fault, Faults, Problem};
 pub use labels::{LabelError, Labels, Requirement, Selector};
--- a/crates/declarations/src/routes.rs
+++ b/crates/declarations/src/routes.rs
@@ -9,6 +9,7 @@
 };
 use crate::fault::{Faults, Problem};
 use crate::generated::{HeaderBody, MatchBody, RouteBody, ServiceWeightBody, WeightBody};
+use crate::text;
 
 /// Longest time for a call where its route does not say.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
@@ -32,6 +33,8 @@
             faults.range("route.attempts", attempts.into(), 1, MAX_ATTEMPTS);
         }
         let timeout = span(&mut faults, "route.timeout", body.timeout.as_ref(), DEFAULT_TIMEOUT);
+        let target = body.target.as_ref();
+        let target = target.and_then(|text| faults.take("route.target", text::parse_span(text)));
         let sticky = body.sticky.as_ref();
         let sticky =
             sticky.and_then(|text| faults.take("route.sticky", StickyKey::try_from(text.as_str())));
@@ -47,6 +50,7 @@
             services,
             split,
             timeout,
+            target,
             attempts: body.attempts,
             idempotence: body.idempotence.unwrap_or_default(),
             criticality: body.criticality.unwrap_or_default(),
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -13,6 +13,7 @@
 mod snapshots;
 
 pub use distribution::{
-    ConfigSource, Distribution, DistributionCounters, DistributionSettings, Fetch, LogBatch, LogReadError,
+    ConfigSource, Distribution, DistributionCounters, DistributionSettings, Fetch, LogBatch,
+    LogReadError,
 };
 pub use messages::{PeerRequest, PeerResponse};
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -72,6 +72,8 @@
     pub idempotent: bool,
     /// When the call ends whatever happens.
     pub deadline: Mono,
+    /// When an answer is wanted; [`Mono::NEVER`] where the route does not say.
+    pub aim: Mono,
     /// When the route's own limit for a call ends, whatever the caller would wait for.
     pub timeout_at: Mono,
     /// Attempts of this call before this one.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,7 +10,10 @@
 
 pub use call::{Attempt, AttemptId, CallHead, Choice, Hop, Next, Outcome, Refusal, RefusalKind};
 pub use router::{
-    RetryLimits, Router, RouterCounters, RouterMode, RouterSettings, ServerInfo, ServerLoad, VersionSplit,
+    RetryLimits, Router, RouterCounters, RouterMode, RouterSettings, ServerInfo, ServerLoad,
+    VersionSplit,
+};
+pub use slots::{
+    Admission, CallId, CallNeeds, QueueOrder, Ran, Slots, SlotsCounters, SlotsSettings,
 };
-pub use slots::{Admission, CallId, QueueOrder, Ran, Slots, SlotsCounters, SlotsSettings};
 pub use table::{RouteIndex, RouteTable, ServiceIndex, ServiceLimits, ServiceRetries, TableFault};
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -15,7 +15,8 @@
 
 use cyclamen_declarations::Idempotence;
 use cyclamen_types::{
-    ConfigVersion, FailureDomain, FastMap, FastSet, Mono, Now, RegionName, RouteName, ServerName, ServiceName, VersionName,
+    ConfigVersion, FailureDomain, FastMap, FastSet, Mono, Now, RegionName, RouteName, ServerName,
+    ServiceName, VersionName,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -301,6 +302,7 @@
         let start = Start {
             service,
             deadline: head.deadline.min(now + route.timeout),
+            aim: route.target.map_or(Mono::NEVER, |target| now + target),
             timeout_at: now + route.timeout,
             arrived: 0,
             idempotent: idempotent(route.idempotence, head.method),
@@ -351,6 +353,7 @@
             service: server.info.service.clone(),
             version,
             route: start.route.name.clone(),
+            aim: start.aim,
             timeout_at: start.timeout_at,
             criticality: start.route.criticality,
             idempotent: start.idempotent,
@@ -442,6 +445,7 @@
         let start = Start {
             arrived,
             service: last.service.clone(),
+            aim: last.aim,
             timeout_at: last.timeout_at,
             deadline: last.deadline,
             idempotent: last.idempotent,
@@ -476,6 +480,7 @@
 struct Start {
     route: Arc<CompiledRoute>,
     service: ServiceName,
+    aim: Mono,
     timeout_at: Mono,
     arrived: u32,
     draw: Draw,
--- a/crates/routing/src/slots/holds.rs
+++ b/crates/routing/src/slots/holds.rs
@@ -3,33 +3,51 @@
 use std::time::Duration;
 
 use cyclamen_declarations::Criticality;
+use cyclamen_types::{FastMap, RouteName};
 
 use crate::slots::queue::{CLASSES, rank};
 
 /// Weight of a new hold time in the moving averages.
 const GAIN: f64 = 0.1;
 
-/// Moving averages of hold times, by class and over all.
+/// Moving averages of hold times, by class, by route and over all.
 #[derive(Debug, Default)]
 pub(super) struct HoldTimes {
     classes: [Average; CLASSES.len()],
+    routes: FastMap<RouteName, Average>,
     all: Average,
 }
 
+/// Routes whose hold times are kept at most.
+const ROUTES_KEPT: usize = 4_096;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Average {
     seconds: Option<f64>,
 }
 
 impl HoldTimes {
-    pub(super) fn learn(&mut self, criticality: Criticality, held: Duration) {
+    pub(super) fn learn(
+        &mut self,
+        criticality: Criticality,
+        route: Option<&RouteName>,
+        held: Duration,
+    ) {
         self.classes[rank(criticality)].learn(held);
         self.all.learn(held);
+        let Some(route) = route else {
+            return;
+        };
+        if self.routes.len() >= ROUTES_KEPT && !self.routes.contains_key(route) {
+            self.routes.clear();
+        }
+        self.routes.entry(route.clone()).or_default().learn(held);
     }
 
-    /// That of a class; zero while none is known.
-    pub(super) fn of(&self, criticality: Criticality) -> Duration {
-        self.classes[rank(criticality)].get()
+    /// That of a route where one is known, else of a class; zero while none is known.
+    pub(super) fn of(&self, criticality: Criticality, route: Option<&RouteName>) -> Duration {
+        let known = route.and_then(|route| self.routes.get(route));
+        known.unwrap_or(&self.classes[rank(criticality)]).get()
     }
 
     /// That of all calls; zero while none is known.
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cyclamen_declarations::Criticality;
-use cyclamen_types::{FastMap, Mono, Now};
+use cyclamen_types::{FastMap, Mono, Now, RouteName};
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +27,12 @@
 /// Longest hint of when to come back.
 const LONGEST_HINT: Duration = Duration::from_secs(5);
 
+/// How much longer than usual a call may hold its slot and still be answered as wanted.
+const HOLD_MARGIN: f64 = 1.5;
+
+/// How much longer than the queue tells a call waits that all others go before.
+const LATE_MARGIN: f64 = 1.5;
+
 /// Of this many slots, bulk calls leave one to the others.
 const BULK_LEAVES_ONE_IN: u32 = 4;
 
@@ -50,6 +56,26 @@
     pub adaptive: bool,
 }
 
+/// What a call asks of the slots.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallNeeds {
+    /// What goes first when slots are short.
+    pub criticality: Criticality,
+    /// Its route, where hold times are to be known by route.
+    pub route: Option<RouteName>,
+    /// When an answer is wanted; [`Mono::NEVER`] for a call that waits like any other.
+    pub aim: Mono,
+    /// When its caller gives up.
+    pub deadline: Mono,
+}
+
+impl CallNeeds {
+    /// The needs of a call that is not wanted at a certain time.
+    pub fn new(criticality: Criticality, deadline: Mono) -> Self {
+        Self { criticality, route: None, aim: Mono::NEVER, deadline }
+    }
+}
+
 /// What becomes of a call that arrives.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -83,10 +109,20 @@
     pub peak: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Running {
     since: Mono,
     criticality: Criticality,
+    route: Option<RouteName>,
+}
+
+/// How a call may wait.
+#[derive(Clone, Copy, Debug)]
+enum Wait {
+    /// In time to be answered as wanted.
+    InTime(Waiting),
+    /// Behind all that are in time.
+    Late(Waiting),
 }
 
 /// The slots of one backend server.
@@ -95,6 +131,8 @@
     settings: SlotsSettings,
     limit: AdaptiveLimit,
     running: FastMap<CallId, Running>,
+    /// The routes of calls that wait.
+    waiting_routes: FastMap<CallId, RouteName>,
     bulk: u32,
     queue: Queue,
     holds: HoldTimes,
@@ -109,6 +147,7 @@
             limit: AdaptiveLimit::new(settings.slots),
             settings,
             running: FastMap::default(),
+            waiting_routes: FastMap::default(),
             bulk: 0,
             queue: Queue::default(),
             holds: HoldTimes::default(),
@@ -129,29 +168,39 @@
         &mut self,
         now: Now,
         call: CallId,
-        criticality: Criticality,
-        deadline: Mono,
+        needs: &CallNeeds,
         evicted: &mut Vec<CallId>,
     ) -> Admission {
         let now = now.mono;
-        if let Some(refusal) = self.refusal(now, criticality, deadline) {
+        let criticality = needs.criticality;
+        if let Some(refusal) = self.refusal(now, needs) {
             self.counters.refused += 1;
             return Admission::Refused(refusal);
         }
-        if self.queue.ahead_of(criticality) == 0 && self.fits(criticality) {
-            self.start(now, call, criticality);
+        if self.runs_at_once(criticality) {
+            self.start(now, call, criticality, needs.route.clone());
             return Admission::Run;
         }
+        let Some(wait) = self.wait(now, call, needs) else {
+            self.counters.refused += 1;
+            return Admission::Refused(self.overloaded());
+        };
         if self.full() {
             let Some(out) = self.queue.evict_below(criticality, self.settings.order) else {
                 self.counters.refused += 1;
                 return Admission::Refused(self.overloaded());
             };
             self.counters.refused += 1;
+            self.waiting_routes.remove(&out);
             evicted.push(out);
         }
-        let until = now + self.patience(now, criticality, deadline);
-        self.queue.push(criticality, Waiting { call, until });
+        match wait {
+            Wait::InTime(waiting) => self.queue.push(criticality, waiting),
+            Wait::Late(waiting) => self.queue.push_late(criticality, waiting),
+        }
+        if let Some(route) = &needs.route {
+            self.waiting_routes.insert(call, route.clone());
+        }
         Admission::Queued
     }
 
@@ -160,12 +209,13 @@
         let now = now.mono;
         let Some(running) = self.running.remove(&call) else {
             self.queue.remove(call);
+            self.waiting_routes.remove(&call);
             return Vec::new();
         };
         if running.criticality == Criticality::Bulk {
             self.bulk -= 1;
         }
-        self.learn(now, running, ran);
+        self.learn(now, &running, ran);
         self.start_waiting(now)
     }
 
@@ -173,6 +223,9 @@
     pub fn expire(&mut self, now: Now) -> Vec<CallId> {
         let mut expired = Vec::new();
         self.queue.expire(now.mono, &mut expired);
+        for call in &expired {
+            self.waiting_routes.remove(call);
+        }
         self.counters.refused += expired.len() as u64;
         expired
     }
@@ -230,26 +283,39 @@
         self.waiting() >= self.settings.queue
     }
 
-    /// The refusal of a call that cannot be run in time, whatever happens.
-    fn refusal(&self, now: Mono, criticality: Criticality, deadline: Mono) -> Option<Refusal> {
+    /// The refusal of a call that cannot be run, whatever happens.
+    fn refusal(&self, now: Mono, needs: &CallNeeds) -> Option<Refusal> {
         if self.draining {
             return Some(draining());
         }
-        if deadline <= now {
-            return Some(expired());
-        }
-        if self.queue.ahead_of(criticality) == 0 && self.fits(criticality) {
-            return None;
-        }
-        let patience = self.patience(now, criticality, deadline);
-        let ahead = self.queue.ahead_of(criticality);
-        (self.wait_behind(ahead) > patience).then(|| self.overloaded())
+        (needs.deadline <= now).then(expired)
+    }
+
+    fn runs_at_once(&self, criticality: Criticality) -> bool {
+        self.queue.ahead_of(criticality, Mono::NEVER) == 0 && self.fits(criticality)
     }
 
-    /// How long a call may wait and still be done by its deadline.
-    fn patience(&self, now: Mono, criticality: Criticality, deadline: Mono) -> Duration {
-        let left = deadline.since(now).saturating_sub(self.holds.of(criticality));
-        left.min(self.settings.queue_wait)
+    /// How a call that finds no slot may wait; `None` when it would wait in vain.
+    fn wait(&self, now: Mono, call: CallId, needs: &CallNeeds) -> Option<Wait> {
+        let hold = self.holds.of(needs.criticality, needs.route.as_ref());
+        if needs.aim == Mono::NEVER {
+            let patience = needs.deadline.since(now).saturating_sub(hold);
+            let patience = patience.min(self.settings.queue_wait);
+            let ahead = self.queue.ahead_of(needs.criticality, Mono::NEVER);
+            let until = now + patience;
+            let waiting = Waiting { call, until, in_time: Mono::NEVER };
+            return (self.wait_behind(ahead) <= patience).then_some(Wait::InTime(waiting));
+        }
+        let latest = needs.deadline - hold;
+        let in_time = needs.aim - hold.mul_f64(HOLD_MARGIN);
+        let ahead = self.queue.ahead_of(needs.criticality, in_time);
+        if now + self.wait_behind(ahead) <= in_time {
+            let until = latest.min(in_time + self.settings.queue_wait);
+            return Some(Wait::InTime(Waiting { call, until, in_time }));
+        }
+        let until = latest.min(now + self.settings.queue_wait);
+        let start = now + self.wait_behind(self.queue.len()).mul_f64(LATE_MARGIN);
+        (start <= until).then_some(Wait::Late(Waiting { call, until, in_time }))
     }
 
     fn overloaded(&self) -> Refusal {
@@ -273,11 +339,17 @@
         shared || self.bulk < bulk_limit(limit)
     }
 
-    fn start(&mut self, now: Mono, call: CallId, criticality: Criticality) {
+    fn start(
+        &mut self,
+        now: Mono,
+        call: CallId,
+        criticality: Criticality,
+        route: Option<RouteName>,
+    ) {
         if criticality == Criticality::Bulk {
             self.bulk += 1;
         }
-        self.running.insert(call, Running { since: now, criticality });
+        self.running.insert(call, Running { since: now, criticality, route });
         self.limit.observe(self.running());
         self.counters.run += 1;
         self.counters.peak = self.counters.peak.max(self.running.len() as u64);
@@ -286,24 +358,42 @@
     fn start_waiting(&mut self, now: Mono) -> Vec<CallId> {
         let mut run = Vec::new();
         for criticality in CLASSES {
-            while self.fits(criticality) {
-                let Some(next) = self.queue.pop(criticality, self.settings.order) else {
-                    break;
-                };
-                if next.until <= now {
-                    // It is left to `expire`, which tells its caller.
-                    self.queue.push(criticality, next);
-                    break;
-                }
-                self.start(now, next.call, criticality);
-                run.push(next.call);
-            }
+            self.start_class(now, criticality, Queue::pop, &mut run);
+        }
+        for criticality in CLASSES {
+            let pop =
+                |queue: &mut Queue, _: Mono, criticality, order| queue.pop_late(criticality, order);
+            self.start_class(now, criticality, pop, &mut run);
         }
         run
     }
 
-    fn learn(&mut self, now: Mono, running: Running, ran: Ran) {
-        self.holds.learn(running.criticality, now.since(running.since));
+    /// Starts calls of a class that `pop` takes out of the queue, while they fit.
+    fn start_class(
+        &mut self,
+        now: Mono,
+        criticality: Criticality,
+        pop: impl Fn(&mut Queue, Mono, Criticality, QueueOrder) -> Option<Waiting>,
+        run: &mut Vec<CallId>,
+    ) {
+        while self.fits(criticality) {
+            let Some(next) = pop(&mut self.queue, now, criticality, self.settings.order) else {
+                return;
+            };
+            if next.until <= now {
+                // It is left to `expire`, which tells its caller.
+                self.queue.push_late(criticality, next);
+                return;
+            }
+            let route = self.waiting_routes.remove(&next.call);
+            self.start(now, next.call, criticality, route);
+            run.push(next.call);
+        }
+    }
+
+    fn learn(&mut self, now: Mono, running: &Running, ran: Ran) {
+        let held = now.since(running.since);
+        self.holds.learn(running.criticality, running.route.as_ref(), held);
         if running.criticality == Criticality::Bulk || !self.settings.adaptive {
             return;
         }
--- a/crates/routing/src/slots/queue.rs
+++ b/crates/routing/src/slots/queue.rs
@@ -1,4 +1,6 @@
-//! The calls that wait for a slot, by criticality.
+//! The calls that wait for a slot: by criticality, and within it those first whose time to be
+//! answered as wanted runs out first. Calls that can no longer make that time wait behind all
+//! others.
 
 use std::collections::VecDeque;
 
@@ -11,7 +13,7 @@
 pub(super) const CLASSES: [Criticality; 3] =
     [Criticality::Critical, Criticality::Normal, Criticality::Bulk];
 
-/// Which of two waiting calls of one class goes first.
+/// Which of two waiting calls of one class and time goes first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum QueueOrder {
     /// The one that came first.
@@ -27,12 +29,18 @@
     pub(super) call: CallId,
     /// When it stops waiting.
     pub(super) until: Mono,
+    /// Until when it can start and still be answered as wanted; [`Mono::NEVER`] for a call without
+    /// such a time.
+    pub(super) in_time: Mono,
 }
 
 /// The calls that wait.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
-    classes: [VecDeque<Waiting>; CLASSES.len()],
+    /// Calls that can still be answered as wanted, by the end of that time.
+    in_time: [VecDeque<Waiting>; CLASSES.len()],
+    /// Calls that cannot.
+    late: [VecDeque<Waiting>; CLASSES.len()],
 }
 
 /// The place of a class in [`CLASSES`].
@@ -46,36 +54,63 @@
 
 impl Queue {
     pub(super) fn len(&self) -> usize {
-        self.classes.iter().map(VecDeque::len).sum()
+        self.in_time.iter().chain(&self.late).map(VecDeque::len).sum()
     }
 
-    /// Calls that go before a new one of this class.
-    pub(super) fn ahead_of(&self, criticality: Criticality) -> usize {
-        self.classes[..=rank(criticality)].iter().map(VecDeque::len).sum()
+    /// Calls that go before a new one of this class that has to start by `in_time`.
+    pub(super) fn ahead_of(&self, criticality: Criticality, in_time: Mono) -> usize {
+        let rank = rank(criticality);
+        let above: usize = self.in_time[..rank].iter().map(VecDeque::len).sum();
+        above + self.in_time[rank].partition_point(|waiting| waiting.in_time <= in_time)
     }
 
+    /// Adds a call that can be answered as wanted.
     pub(super) fn push(&mut self, criticality: Criticality, waiting: Waiting) {
-        self.classes[rank(criticality)].push_back(waiting);
+        let class = &mut self.in_time[rank(criticality)];
+        let place = class.partition_point(|other| other.in_time <= waiting.in_time);
+        class.insert(place, waiting);
     }
 
-    /// The next call of a class.
-    pub(super) fn pop(&mut self, criticality: Criticality, order: QueueOrder) -> Option<Waiting> {
-        let class = &mut self.classes[rank(criticality)];
-        match order {
-            QueueOrder::OldestFirst => class.pop_front(),
-            QueueOrder::NewestFirst => class.pop_back(),
+    /// Adds a call that cannot.
+    pub(super) fn push_late(&mut self, criticality: Criticality, waiting: Waiting) {
+        self.late[rank(criticality)].push_back(waiting);
+    }
+
+    /// The next call of a class that can be answered as wanted; those that have missed their time
+    /// are put behind.
+    pub(super) fn pop(
+        &mut self,
+        now: Mono,
+        criticality: Criticality,
+        order: QueueOrder,
+    ) -> Option<Waiting> {
+        let rank = rank(criticality);
+        while self.in_time[rank].front().is_some_and(|first| first.in_time < now) {
+            self.late[rank].extend(self.in_time[rank].pop_front());
         }
+        take(&mut self.in_time[rank], order)
+    }
+
+    /// The next call of a class that has missed its time.
+    pub(super) fn pop_late(
+        &mut self,
+        criticality: Criticality,
+        order: QueueOrder,
+    ) -> Option<Waiting> {
+        take(&mut self.late[rank(criticality)], order)
     }
 
-    /// Makes way for a call of this class: takes out one of the lowest class below it, the one
-    /// that would go last.
+    /// Makes way for a call of this class: takes out one that is late, or one of the lowest class
+    /// below it; of these the one that would go last.
     pub(super) fn evict_below(
         &mut self,
         criticality: Criticality,
         order: QueueOrder,
     ) -> Option<CallId> {
         let first_below = rank(criticality) + 1;
-        for class in self.classes[first_below..].iter_mut().rev() {
+        let late = self.late.iter_mut().rev();
+        let below = self.in_time[first_below..].iter_mut().rev();
+        for class in late.chain(below) {
             let last = match order {
                 QueueOrder::OldestFirst => class.pop_back(),
                 QueueOrder::NewestFirst => class.pop_front(),
@@ -89,7 +124,7 @@
 
     /// Takes a call out; false when it does not wait.
     pub(super) fn remove(&mut self, call: CallId) -> bool {
-        for class in &mut self.classes {
+        for class in self.in_time.iter_mut().chain(&mut self.late) {
             let before = class.len();
             class.retain(|waiting| waiting.call != call);
             if class.len() < before {
@@ -101,7 +136,7 @@
 
     /// Takes out all calls whose wait ends by `now`.
     pub(super) fn expire(&mut self, now: Mono, out: &mut Vec<CallId>) {
-        for class in &mut self.classes {
+        for class in self.in_time.iter_mut().chain(&mut self.late) {
             class.retain(|waiting| {
                 let expired = waiting.until <= now;
                 if expired {
@@ -114,7 +149,19 @@
 
     /// When the next wait ends.
     pub(super) fn next_expiry(&self) -> Mono {
-        let waits = self.classes.iter().flatten().map(|waiting| waiting.until);
-        waits.min().unwrap_or(Mono::NEVER)
+        let waiting = self.in_time.iter().chain(&self.late).flatten();
+        waiting.map(|waiting| waiting.until).min().unwrap_or(Mono::NEVER)
+    }
+}
+
+/// The next call of those that end their time alike, in this order.
+fn take(class: &mut VecDeque<Waiting>, order: QueueOrder) -> Option<Waiting> {
+    match order {
+        QueueOrder::OldestFirst => class.pop_front(),
+        QueueOrder::NewestFirst => {
+            let first = class.front()?.in_time;
+            let alike = class.partition_point(|waiting| waiting.in_time <= first);
+            class.remove(alike - 1)
+        }
     }
 }
--- a/crates/routing/src/table/build.rs
+++ b/crates/routing/src/table/build.rs
@@ -79,6 +79,7 @@
         attempts: route.attempts,
         split: route.split.clone(),
         timeout: route.timeout,
+        target: route.target,
         idempotence: route.idempotence,
         criticality: route.criticality,
         sticky: route.sticky.clone(),
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -70,6 +70,7 @@
     pub(crate) attempts: Option<u32>,
     pub(crate) split: Vec<WeightedVersion>,
     pub(crate) timeout: Duration,
+    pub(crate) target: Option<Duration>,
     pub(crate) idempotence: Idempotence,
     pub(crate) criticality: Criticality,
     pub(crate) sticky: Option<StickyKey>,
--- a/crates/routing/tests/calls_once.rs
+++ b/crates/routing/tests/calls_once.rs
@@ -10,8 +10,8 @@
 
 use common::{DOORS, at, head, router, server};
 use cyclamen_routing::{
-    Admission, Attempt, AttemptId, CallId, Next, Outcome, QueueOrder, Ran, RefusalKind, Router,
-    ServerInfo, Slots, SlotsSettings, VersionSplit,
+    Admission, Attempt, AttemptId, CallId, CallNeeds, Next, Outcome, QueueOrder, Ran, RefusalKind,
+    Router, ServerInfo, Slots, SlotsSettings, VersionSplit,
 };
 use proptest::prelude::*;
 
@@ -110,7 +110,7 @@
             queue: 0,
             queue_wait: Duration::from_millis(50),
             adaptive: true,
-        order: QueueOrder::OldestFirst,
+            order: QueueOrder::OldestFirst,
         };
         let slots = servers.iter().map(|s| (s.name.to_string(), Slots::new(settings))).collect();
         Self {
@@ -139,8 +139,8 @@
     fn arrive(&mut self, attempt: Attempt, call: usize) {
         let slots = self.slots.get_mut(attempt.server.as_str()).expect("a known server");
         let id = CallId(attempt.id.0);
-        let admission =
-            slots.admit(at(self.now), id, attempt.criticality, attempt.deadline, &mut Vec::new());
+        let needs = CallNeeds::new(attempt.criticality, attempt.deadline);
+        let admission = slots.admit(at(self.now), id, &needs, &mut Vec::new());
         if admission == Admission::Run {
             self.flying.push((attempt, call));
             return;
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -7,7 +7,7 @@
 use common::at;
 use cyclamen_declarations::Criticality;
 use cyclamen_routing::{
-    Admission, CallId, QueueOrder, Ran, Refusal, RefusalKind, Slots, SlotsSettings,
+    Admission, CallId, CallNeeds, QueueOrder, Ran, Refusal, RefusalKind, Slots, SlotsSettings,
 };
 use cyclamen_types::Mono;
 use proptest::prelude::*;
@@ -27,7 +27,7 @@
 }
 
 fn admit(slots: &mut Slots, micros: u64, call: u64, class: Criticality) -> Admission {
-    slots.admit(at(micros), CallId(call), class, Mono::NEVER, &mut Vec::new())
+    slots.admit(at(micros), CallId(call), &CallNeeds::new(class, Mono::NEVER), &mut Vec::new())
 }
 
 fn refusal(admission: Admission) -> Refusal {
@@ -71,7 +71,8 @@
     admit(&mut slots, 0, 1, Bulk);
     admit(&mut slots, 0, 2, Bulk);
     let mut evicted = Vec::new();
-    let admission = slots.admit(at(1), CallId(3), Critical, Mono::NEVER, &mut evicted);
+    let admission =
+        slots.admit(at(1), CallId(3), &CallNeeds::new(Critical, Mono::NEVER), &mut evicted);
     assert_eq!(admission, Admission::Queued);
     assert_eq!(evicted, [CallId(2)]);
     let refused = refusal(admit(&mut slots, 1, 4, Bulk));
@@ -102,9 +103,19 @@
     let refused = refusal(admit(&mut slots, 100_000, 4, Normal));
     assert_eq!(refused.kind, RefusalKind::Overloaded);
     assert!(refused.retry_after.is_some_and(|after| after >= Duration::from_millis(200)));
-    let soon = slots.admit(at(100_000), CallId(5), Critical, Mono(150_000), &mut Vec::new());
+    let soon = slots.admit(
+        at(100_000),
+        CallId(5),
+        &CallNeeds::new(Critical, Mono(150_000)),
+        &mut Vec::new(),
+    );
     assert_eq!(refusal(soon).kind, RefusalKind::Overloaded);
-    let late = slots.admit(at(100_000), CallId(6), Critical, Mono(99_999), &mut Vec::new());
+    let late = slots.admit(
+        at(100_000),
+        CallId(6),
+        &CallNeeds::new(Critical, Mono(99_999)),
+        &mut Vec::new(),
+    );
     assert_eq!(refusal(late).kind, RefusalKind::Expired);
 }
 
@@ -113,7 +124,7 @@
     let mut slots = slots(1, 10);
     admit(&mut slots, 0, 0, Normal);
     admit(&mut slots, 0, 1, Normal);
-    slots.admit(at(0), CallId(2), Normal, Mono(50_000), &mut Vec::new());
+    slots.admit(at(0), CallId(2), &CallNeeds::new(Normal, Mono(50_000)), &mut Vec::new());
     assert_eq!(slots.next_expiry(), Mono(50_000));
     assert_eq!(slots.expire(at(50_000)), [CallId(2)]);
     assert_eq!(slots.next_expiry(), Mono(200_000));
@@ -208,7 +219,7 @@
             match step {
                 Step::Admit(class, patience) => {
                     let deadline = Mono(now + patience);
-                    match slots.admit(at(now), call, class, deadline, &mut heard) {
+                    match slots.admit(at(now), call, &CallNeeds::new(class, deadline), &mut heard) {
                         Admission::Run => running.push(call),
                         Admission::Queued => waiting.push(call),
                         Admission::Refused(_) => prop_assert!(heard.is_empty()),
