--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -101,6 +101,7 @@
             route: self.attempt.route.clone(),
             address,
             criticality: self.attempt.criticality,
+            origin: self.plane.caller_service.clone(),
             aim: self.attempt.aim,
             deadline: self.attempt.deadline,
         };
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cyclamen_port::CallHeaders;
+use cyclamen_types::ServiceName;
 use http::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
     PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -71,6 +72,12 @@
     Some(Duration::from_millis(millis))
 }
 
+/// The service beside whose server a call began, as the daemon there said.
+pub(super) fn origin(names: &CallHeaders, headers: &HeaderMap) -> Option<ServiceName> {
+    let value = headers.get(names.caller_service.as_ref()?)?.to_str().ok()?;
+    ServiceName::try_from(value).ok()
+}
+
 /// Tells the next hop how long the caller still waits.
 pub(super) fn set_deadline(names: &CallHeaders, headers: &mut HeaderMap, left: Duration) {
     let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -8,7 +8,7 @@
 use cyclamen_declarations::Criticality;
 use cyclamen_port::CallHeaders;
 use cyclamen_routing::{Admission, CallId, CallNeeds, Outcome, Ran, Refusal, RefusalKind};
-use cyclamen_types::{Mono, RouteName, ServerName};
+use cyclamen_types::{Mono, RouteName, ServerName, ServiceName};
 use cyclamenmoor::Served;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
@@ -33,6 +33,8 @@
     pub(super) route: RouteName,
     pub(super) address: SocketAddr,
     pub(super) criticality: Criticality,
+    /// The service beside whose server the call began, where that is known.
+    pub(super) origin: Option<ServiceName>,
     /// When an answer is wanted.
     pub(super) aim: Mono,
     pub(super) deadline: Mono,
@@ -117,6 +119,7 @@
         route: claim.route.clone(),
         address,
         criticality: claim.criticality,
+        origin: headers::origin(&plane.headers, req.headers()),
         aim: claim.wanted.map_or(Mono::NEVER, |wanted| plane.mono() + wanted),
         deadline: plane.mono() + claim.left,
     };
@@ -223,6 +226,7 @@
     let needs = CallNeeds {
         criticality: call.criticality,
         route: Some(call.route.clone()),
+        origin: call.origin.clone(),
         aim: call.aim,
         deadline: call.deadline,
     };
--- a/crates/daemon/src/store/link.rs
+++ b/crates/daemon/src/store/link.rs
@@ -14,10 +14,10 @@
 use crate::store::View;
 
 /// Longest wait of a read for a record.
-const LONG_POLL: Duration = Duration::from_secs(10);
+const LONG_POLL: Duration = Duration::from_secs(25);
 
 /// Pause between two reads, so that configurations in quick succession come together.
-const READ_PAUSE: Duration = Duration::from_millis(300);
+const READ_PAUSE: Duration = Duration::from_millis(700);
 
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -48,8 +48,6 @@
 /// Where a server may be chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Want {
-    /// Neither doubtful nor ejected, with room.
-    Room,
     /// Neither doubtful nor ejected.
     Sound,
     /// Any that takes calls.
@@ -134,8 +132,8 @@
         true
     }
 
-    /// Chooses a server: sound ones with room before others, of these the one at which the call is
-    /// expected to end first.
+    /// Chooses a server: sound ones before others, of these the one at which the call is expected
+    /// to end first.
     pub(super) fn choose(
         &mut self,
         now: Mono,
@@ -165,7 +163,7 @@
         rng: &mut SmallRng,
     ) -> Option<(ServerIndex, Choice)> {
         let group = self.group(service, version)?;
-        for want in [Want::Room, Want::Sound, Want::Any] {
+        for want in [Want::Sound, Want::Any] {
             self.collect(now, &group.all, want, tried, candidates);
             if !candidates.is_empty() {
                 return Some(self.quickest(now, candidates, bytes, rng));
@@ -197,7 +195,6 @@
         for index in tier {
             let server = &self.servers[*index];
             let fits = match want {
-                Want::Room => self.sound(now, server) && server.has_room(now),
                 Want::Sound => self.sound(now, server),
                 Want::Any => true,
             };
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -139,15 +139,6 @@
         self.ejected_until > now
     }
 
-    /// Whether a call sent now would likely find a slot.
-    pub(super) fn has_room(&self, now: Mono) -> bool {
-        if self.full_until > now {
-            return false;
-        }
-        let limit = self.fresh_report(now).map_or(self.info.slots, |report| report.load.limit);
-        self.load(now) < limit
-    }
-
     /// What is known of it for a call placed now; `hoped_hold` stands in for what is not, in
     /// seconds.
     pub(super) fn prospect(
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -5,12 +5,13 @@
 
 mod holds;
 mod limit;
+mod nested;
 mod queue;
 
 use std::time::Duration;
 
 use cyclamen_declarations::Criticality;
-use cyclamen_types::{FastMap, Mono, Now, RouteName};
+use cyclamen_types::{FastMap, Mono, Now, RouteName, ServiceName};
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +19,7 @@
 use crate::router::ServerLoad;
 use crate::slots::holds::HoldTimes;
 use crate::slots::limit::AdaptiveLimit;
+use crate::slots::nested::NestedRoutes;
 pub use crate::slots::queue::QueueOrder;
 use crate::slots::queue::{CLASSES, Queue, Waiting};
 
@@ -63,6 +65,8 @@
     pub criticality: Criticality,
     /// Its route, where hold times are to be known by route.
     pub route: Option<RouteName>,
+    /// The service beside whose server it began, where that is known.
+    pub origin: Option<ServiceName>,
     /// When an answer is wanted; [`Mono::NEVER`] for a call that waits like any other.
     pub aim: Mono,
     /// When its caller gives up.
@@ -72,7 +76,7 @@
 impl CallNeeds {
     /// The needs of a call that is not wanted at a certain time.
     pub fn new(criticality: Criticality, deadline: Mono) -> Self {
-        Self { criticality, route: None, aim: Mono::NEVER, deadline }
+        Self { criticality, route: None, origin: None, aim: Mono::NEVER, deadline }
     }
 }
 
@@ -136,6 +140,7 @@
     bulk: u32,
     queue: Queue,
     holds: HoldTimes,
+    nested: NestedRoutes,
     draining: bool,
     counters: SlotsCounters,
 }
@@ -151,6 +156,7 @@
             bulk: 0,
             queue: Queue::default(),
             holds: HoldTimes::default(),
+            nested: NestedRoutes::default(),
             draining: false,
             counters: SlotsCounters::default(),
         }
@@ -172,7 +178,8 @@
         evicted: &mut Vec<CallId>,
     ) -> Admission {
         let now = now.mono;
-        let criticality = needs.criticality;
+        let nested = self.is_nested(needs);
+        let criticality = if nested { Criticality::Critical } else { needs.criticality };
         if let Some(refusal) = self.refusal(now, needs) {
             self.counters.refused += 1;
             return Admission::Refused(refusal);
@@ -181,7 +188,11 @@
             self.start(now, call, criticality, needs.route.clone());
             return Admission::Run;
         }
-        let Some(wait) = self.wait(now, call, needs) else {
+        let wait = match nested {
+            true => self.nested_wait(now, call, needs),
+            false => self.wait(now, call, needs),
+        };
+        let Some(wait) = wait else {
             self.counters.refused += 1;
             return Admission::Refused(self.overloaded());
         };
@@ -295,6 +306,23 @@
         self.queue.ahead_of(criticality, Mono::NEVER) == 0 && self.fits(criticality)
     }
 
+    /// Whether a call is one that a backend server made while it ran another.
+    fn is_nested(&mut self, needs: &CallNeeds) -> bool {
+        match (&needs.route, &needs.origin) {
+            (Some(route), Some(origin)) => self.nested.observe(route, origin),
+            _ => false,
+        }
+    }
+
+    /// How a nested call may wait: for as long as the call around it can use its answer.
+    fn nested_wait(&self, now: Mono, call: CallId, needs: &CallNeeds) -> Option<Wait> {
+        let hold = self.holds.of(Criticality::Critical, needs.route.as_ref());
+        let until = needs.deadline - hold;
+        let ahead = self.queue.ahead_of(Criticality::Critical, until);
+        let waiting = Waiting { call, until, in_time: until };
+        (now + self.wait_behind(ahead) <= until).then_some(Wait::InTime(waiting))
+    }
+
     /// How a call that finds no slot may wait; `None` when it would wait in vain.
     fn wait(&self, now: Mono, call: CallId, needs: &CallNeeds) -> Option<Wait> {
         let hold = self.holds.of(needs.criticality, needs.route.as_ref());
--- /dev/null
+++ b/crates/routing/src/slots/nested.rs
@@ -0,0 +1,68 @@
+//! Which routes carry calls that backend servers make while they run a call themselves.
+//!
+//! Such a call holds a slot elsewhere for as long as it waits, so it goes before new work: refused,
+//! it wastes what was already done for the call around it. Callers send their calls to daemons
+//! beside servers of all services; a route whose calls all begin beside servers of one service, at
+//! a backend server that other routes reach from several, is called by those servers.
+
+use cyclamen_types::{FastMap, RouteName, ServiceName};
+
+/// Calls of a route after which it can be told.
+const TOLD_AFTER: u32 = 40;
+
+/// Calls after which older ones count half.
+const HALVED_AT: u32 = 400;
+
+/// Routes kept at most.
+const ROUTES_KEPT: usize = 4_096;
+
+/// Where the calls of a route began.
+#[derive(Debug, Default)]
+struct Origins {
+    services: FastMap<ServiceName, u32>,
+    calls: u32,
+}
+
+/// Where the calls of all routes at one backend server began.
+#[derive(Debug, Default)]
+pub(super) struct NestedRoutes {
+    routes: FastMap<RouteName, Origins>,
+    /// Routes whose calls began beside servers of several services.
+    mixed: u32,
+}
+
+impl NestedRoutes {
+    /// A call of a route came that began beside a server of `service`; tells whether the route is
+    /// one of nested calls.
+    pub(super) fn observe(&mut self, route: &RouteName, service: &ServiceName) -> bool {
+        if self.routes.len() >= ROUTES_KEPT && !self.routes.contains_key(route) {
+            self.routes.clear();
+            self.mixed = 0;
+        }
+        let origins = self.routes.entry(route.clone()).or_default();
+        let was_mixed = origins.services.len() > 1;
+        *origins.services.entry(service.clone()).or_default() += 1;
+        origins.calls += 1;
+        if origins.calls >= HALVED_AT {
+            origins.halve();
+        }
+        let mixed = origins.services.len() > 1;
+        let nested = !mixed && origins.calls >= TOLD_AFTER;
+        match (was_mixed, mixed) {
+            (false, true) => self.mixed += 1,
+            (true, false) => self.mixed -= 1,
+            (true, true) | (false, false) => {}
+        }
+        nested && self.mixed > 0
+    }
+}
+
+impl Origins {
+    fn halve(&mut self) {
+        for calls in self.services.values_mut() {
+            *calls /= 2;
+        }
+        self.services.retain(|_, calls| *calls > 0);
+        self.calls = self.services.values().sum();
+    }
+}
