--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod logging;
 pub mod metrics;
 mod peers;
+pub mod reload;
 mod run;
 pub mod settings;
 mod shared;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -16,6 +16,7 @@
 use crate::lines::Lines;
 use crate::logging;
 use crate::metrics::Metrics;
+use crate::reload::{self, Reloaded, SettingsFile};
 use crate::run::{self, StartError};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -26,12 +27,14 @@
 /// How often metrics are sampled, and the state looked at though nothing told of a change.
 const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Runs a daemon until `stop` ends, then stops it gracefully.
+/// Runs a daemon until `stop` ends, then stops it gracefully. Its settings file, where it has one,
+/// is read again when asked.
 ///
 /// # Errors
 /// A port in use, or an address that this machine does not have.
 pub async fn run_until(
     settings: Settings,
+    file: Option<SettingsFile>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
     let metrics = Metrics::new(&settings);
@@ -49,8 +52,20 @@
         }
     };
     tell(Belief::Started { incarnation: shared.read(|i| i.membership().me().incarnation.0) });
+    let told = |reloaded: &Reloaded| {
+        tell(Belief::Reloaded { outcome: reloaded.sentence().into() });
+    };
+    let reloads = async {
+        match file {
+            Some(file) => reload::watch(file, told).await,
+            None => std::future::pending().await,
+        }
+        // Without a file to look at the daemon goes on as it is.
+        std::future::pending::<()>().await;
+    };
     tokio::select! {
         () = stop => {}
+        () = reloads => {}
         () = watch(shared.clone(), metrics, lines.clone()) => {}
     }
     info!("stopping: new calls are refused, calls in flight end");
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use argh::{EarlyExit, FromArgs};
+use cyclamen_daemon::reload::SettingsFile;
 use cyclamen_daemon::settings::{ProcessSettings, RawSettings, SettingsFaults};
 use cyclamen_daemon::{StartError, logging, run_until};
 use tokio::runtime::Builder;
@@ -82,18 +83,21 @@
             return ExitCode::from(START_STATUS);
         }
     };
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, path))
 }
 
-async fn serve(settings: ProcessSettings) -> ExitCode {
-    let signals = match StopSignals::listen() {
+async fn serve(settings: ProcessSettings, path: &Path) -> ExitCode {
+    let hup = signal(SignalKind::hangup());
+    let signals = match StopSignals::listen().and_then(|signals| Ok((signals, hup?))) {
         Ok(signals) => signals,
         Err(error) => {
             eprintln!("cyclamend: no signals: {error}; look at the limits of this process");
             return ExitCode::from(START_STATUS);
         }
     };
-    match run_until(settings.daemon, signals.received()).await {
+    let (signals, hup) = signals;
+    let file = SettingsFile { path: path.into(), hup };
+    match run_until(settings.daemon, Some(file), signals.received()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("cyclamend: {error}");
--- /dev/null
+++ b/crates/decisions/tests/lines.rs
@@ -0,0 +1,131 @@
+//! Lines there and back, what is left out, and what they explain.
+
+use cyclamen_decisions::{
+    AttemptEnd, Belief, CallDecision, CallEnd, Decision, Line, LineBudget, LineKind, Sampling,
+    SlotAnswer, explain,
+};
+use cyclamen_types::Mono;
+
+fn call(at_ms: u64, instance: &str, decision: CallDecision) -> Line {
+    let decision = Decision::Call { call: "c-1".into(), decision };
+    Line { at_ms, instance: instance.into(), decision }
+}
+
+fn belief(at_ms: u64, instance: &str, belief: Belief) -> Line {
+    Line { at_ms, instance: instance.into(), decision: Decision::Belief(belief) }
+}
+
+fn placed(attempt: u32) -> CallDecision {
+    CallDecision::Placed {
+        attempt,
+        route: "doors".into(),
+        config: 12,
+        service: "dvere".into(),
+        version: "v1".into(),
+        server: "dvere-1".into(),
+        load: 4,
+        expected_ms: 93.5,
+        told_ms_ago: Some(12),
+        runner_up: Some("dvere-2".into()),
+        left_ms: 1_180,
+    }
+}
+
+fn attempted(attempt: u32, end: AttemptEnd) -> CallDecision {
+    CallDecision::Attempted { attempt, server: "dvere-1".into(), end, took_ms: 3.5 }
+}
+
+fn slot(answer: SlotAnswer) -> CallDecision {
+    let (running, waiting, limit, left_ms) = (13, 9, 13, 1_170);
+    CallDecision::Slot { server: "dvere-1".into(), answer, running, waiting, limit, left_ms }
+}
+
+fn ended(end: CallEnd, status: u16) -> CallDecision {
+    let come_back_ms = (end == CallEnd::Refused).then_some(240);
+    CallDecision::Ended { end, status, reason: None, come_back_ms, took_ms: 9.0 }
+}
+
+#[test]
+fn line_there_and_back() {
+    let lines = [
+        call(1, "a", placed(1)),
+        call(2, "b", slot(SlotAnswer::Expired)),
+        call(3, "a", attempted(1, AttemptEnd::Answered(500))),
+        call(4, "a", ended(CallEnd::Refused, 503)),
+        belief(5, "a", Belief::Ready { ready: true }),
+        belief(6, "a", Belief::Stopping),
+    ];
+    for line in lines {
+        assert_eq!(Line::parse(&line.to_text()), Some(line.clone()), "{}", line.to_text());
+    }
+    assert_eq!(Line::parse(r#"{"level":"INFO","message":"of another kind"}"#), None);
+}
+
+#[test]
+fn explain_overload_over_both_daemons() {
+    let lines = [
+        call(14, "a", ended(CallEnd::Refused, 503)),
+        call(10, "a", placed(1)),
+        call(12, "b", slot(SlotAnswer::Refused)),
+        call(13, "a", attempted(1, AttemptEnd::NoSlot)),
+        belief(9, "b", Belief::Config { version: 12 }),
+        belief(9, "c", Belief::Config { version: 12 }),
+    ];
+    insta::assert_debug_snapshot!(explain("c-1", &lines));
+}
+
+#[test]
+fn explain_each_end() {
+    let cases = [
+        (attempted(1, AttemptEnd::Answered(200)), ended(CallEnd::Answered, 200)),
+        (attempted(1, AttemptEnd::Answered(500)), ended(CallEnd::Answered, 500)),
+        (attempted(1, AttemptEnd::TimedOut), ended(CallEnd::Unknown, 502)),
+        (attempted(1, AttemptEnd::Broken), ended(CallEnd::Unknown, 502)),
+        (attempted(1, AttemptEnd::NotConnected), ended(CallEnd::Refused, 503)),
+        (placed(1), ended(CallEnd::Refused, 503)),
+        (placed(1), ended(CallEnd::NoRoute, 404)),
+    ];
+    let mut causes = Vec::new();
+    for (attempt, end) in cases {
+        let explained = explain("c-1", &[call(1, "a", attempt), call(2, "a", end)]);
+        causes.push(explained.cause.expect("a cause"));
+    }
+    insta::assert_debug_snapshot!(causes);
+    assert_eq!(explain("c-2", &[call(1, "a", placed(1))]).cause, None);
+}
+
+#[test]
+fn sampling_alike_everywhere() {
+    let (a, b) = (Sampling::new(50), Sampling::new(50));
+    let ids: Vec<String> = (0..10_000).map(|number| format!("call-{number}")).collect();
+    let taken = ids.iter().filter(|id| a.takes(id.as_bytes())).count();
+    assert!((100..300).contains(&taken), "{taken} of 10,000 at one in 50");
+    assert!(ids.iter().all(|id| a.takes(id.as_bytes()) == b.takes(id.as_bytes())));
+    assert!(!Sampling::new(0).takes(b"any"));
+}
+
+#[test]
+fn budget_bounds_and_counts() {
+    let mut budget = LineBudget::new(100);
+    let mut taken = 0;
+    for number in 0..10_000 {
+        taken += u64::from(budget.takes(Mono(number * 100), LineKind::Failure, 3)) * 3;
+    }
+    assert!(taken <= 200, "{taken} lines in a second at 100 a second");
+    assert!(budget.takes(Mono(1_000_000), LineKind::Belief, 1), "beliefs keep a part");
+    let omitted = budget.take_omitted().expect("lines were left out");
+    assert_eq!(omitted.failures + taken, 30_000);
+    assert_eq!(budget.take_omitted(), None);
+}
+
+#[test]
+fn budget_samples_leave_half() {
+    let mut budget = LineBudget::new(100);
+    let samples = (0..200).filter(|_| budget.takes(Mono(0), LineKind::Sample, 1)).count();
+    assert_eq!(samples, 50);
+    let failures = (0..200).filter(|_| budget.takes(Mono(0), LineKind::Failure, 1)).count();
+    assert_eq!(failures, 40);
+    budget.unwritten(2);
+    let omitted = budget.take_omitted().expect("lines were left out");
+    assert_eq!((omitted.samples, omitted.failures, omitted.unwritten), (150, 160, 2));
+}
