Close silent connections by timeouts of our own; test what callers get under overload

Calls that had missed their time waited 200 ms more before they were refused (overload_refuses_early failed with 500 ms, then 313 ms).

Change: connections between daemons, to backend servers and from callers have keep-alive probes and a limit for unacknowledged bytes; opening one takes 400 ms at most. A call that misses its time waits 50 ms more.

--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod respond;
 mod serve;
+mod silence;
 mod trail;
 
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -18,12 +18,13 @@
 
 use crate::calls::body::OutBody;
 use crate::calls::plane::Plane;
+use crate::calls::silence;
 
 /// Connections that one backend server takes at most.
 pub(super) const SERVER_CONNECTIONS: usize = 130;
 
 /// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A connection that was idle for longer is not used again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -168,8 +169,7 @@
             Err(_) if until < patience => return Err(SendFailure::Unsent),
             Ok(Err(_)) | Err(_) => return Err(SendFailure::NotConnected),
         };
-        // Without it, small calls wait for the other side's acknowledgement.
-        let _ = stream.set_nodelay(true);
+        silence::guard(&stream);
         let shaken = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = shaken.map_err(|_| SendFailure::NotConnected)?;
         tokio::spawn(drive(connection, permit));
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -19,7 +19,7 @@
 use crate::calls::body::AnswerBody;
 use crate::calls::hop::HopError;
 use crate::calls::plane::Plane;
-use crate::calls::{edge, host, pipeline};
+use crate::calls::{edge, host, pipeline, silence};
 
 /// Longest time for the head of a call to arrive, and for a connection to stay idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
@@ -145,8 +145,7 @@
     mut phase: watch::Receiver<Phase>,
     door: Door,
 ) {
-    // Without it, small answers wait for the other side's acknowledgement.
-    let _ = stream.set_nodelay(true);
+    silence::guard(&stream);
     if door == Door::Callers {
         match pipeline::serve(&plane, stream, &mut phase, HEAD_TIMEOUT).await {
             pipeline::Served::Closed => {}
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -32,6 +32,9 @@
 /// How much longer than usual a call may hold its slot and still be answered as wanted.
 const HOLD_MARGIN: f64 = 1.5;
 
+/// How much longer a call may wait that has missed its time while it waited.
+const LATE_GRACE: Duration = Duration::from_millis(50);
+
 /// How much longer than the queue tells a call waits that all others go before.
 const LATE_MARGIN: f64 = 1.5;
 
@@ -335,10 +338,12 @@
             return (self.wait_behind(ahead) <= patience).then_some(Wait::InTime(waiting));
         }
         let latest = needs.deadline - hold;
-        let in_time = needs.aim - hold.mul_f64(HOLD_MARGIN);
+        let known = hold.mul_f64(HOLD_MARGIN);
+        let margin = if hold.is_zero() { needs.aim.since(now) / 2 } else { known };
+        let in_time = needs.aim - margin;
         let ahead = self.queue.ahead_of(needs.criticality, in_time);
         if now + self.wait_behind(ahead) <= in_time {
-            let until = latest.min(in_time + self.settings.queue_wait);
+            let until = latest.min(in_time + LATE_GRACE);
             return Some(Wait::InTime(Waiting { call, until, in_time }));
         }
         let until = latest.min(now + self.settings.queue_wait);
