Bound how long a silent connection to the store keeps a configuration away

A daemon cut off from 1 s to 13 s answered 404 at 16.22 s for a route of the version acknowledged at 13.31 s. Its read waited up to 25 s on a connection that was silent since the cut; the keep-alive probes did not close it, and the sender's own repetition came 2.6 s after the cut had ended.

Ruled out: the pauses between failed reads (there was none; no call had failed).

Change: a read waits 1.5 s and its answer 1 s at most, so that a silent connection is given up after 2.5 s, less than the 3 s after which a daemon counts as in touch.

Cost: about 0.45 reads a second and daemon while nothing changes.

--- a/crates/daemon/src/store/link.rs
+++ b/crates/daemon/src/store/link.rs
@@ -13,8 +13,9 @@
 use crate::shared::Shared;
 use crate::store::View;
 
-/// Longest wait of a read for a record.
-const LONG_POLL: Duration = Duration::from_secs(25);
+/// Longest wait of a read for a record. With the timeout of a call it bounds how long a connection
+/// that went silent keeps a configuration from this daemon.
+const LONG_POLL: Duration = Duration::from_millis(1_500);
 
 /// Pause between two reads, so that configurations in quick succession come together.
 const READ_PAUSE: Duration = Duration::from_millis(700);
