--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -179,6 +179,11 @@
         &self.router
     }
 
+    /// Whether the configuration comes from a log, which some daemons read for the others.
+    pub fn reads_log(&self) -> bool {
+        self.settings.distribution.source == ConfigSource::Log
+    }
+
     /// Whether this daemon is ready for new callers.
     pub fn ready(&self) -> bool {
         self.distribution.ready() && !self.stopping
--- a/crates/daemon/src/calls/trail.rs
+++ b/crates/daemon/src/calls/trail.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_decisions::{AttemptEnd, CallDecision, CallEnd, LineKind, SlotAnswer};
 use cyclamen_routing::{Attempt, Outcome, Refusal, RefusalKind, ServerLoad};
-use cyclamen_types::{Mono, ServerName};
+use cyclamen_types::{Mono, ServerName, Wall};
 use http::{HeaderMap, StatusCode};
 
 use crate::calls::plane::Plane;
@@ -18,7 +18,8 @@
     plane: Plane,
     call: Arc<str>,
     began: Mono,
-    decisions: Vec<CallDecision>,
+    /// Each with the time at which it was made.
+    decisions: Vec<(Wall, CallDecision)>,
     sampled: bool,
     ended: bool,
 }
@@ -41,7 +42,7 @@
     /// A backend server was chosen.
     pub(super) fn placed(&mut self, attempt: &Attempt) {
         let choice = &attempt.choice;
-        self.decisions.push(CallDecision::Placed {
+        self.push(CallDecision::Placed {
             attempt: attempt.earlier + 1,
             route: attempt.route.as_str().into(),
             config: attempt.config.0,
@@ -67,7 +68,7 @@
         let took_ms = self.since(began);
         let server = server.as_str().into();
         let end = attempt_end(outcome);
-        self.decisions.push(CallDecision::Attempted { attempt: number, server, end, took_ms });
+        self.push(CallDecision::Attempted { attempt: number, server, end, took_ms });
     }
 
     /// The daemon beside a server answered whether the call gets a slot.
@@ -82,13 +83,13 @@
         let server = server.as_str().into();
         let left_ms = whole_millis(self.plane.left(deadline));
         let slot = CallDecision::Slot { server, answer, running, waiting, limit, left_ms };
-        self.decisions.push(slot);
+        self.push(slot);
     }
 
     /// The call ended at the server beside this daemon, or got no slot there.
     pub(super) fn ran(mut self, server: &ServerName, end: AttemptEnd, began: Mono) {
         let took_ms = self.since(began);
-        self.decisions.push(CallDecision::Ran { server: server.as_str().into(), end, took_ms });
+        self.push(CallDecision::Ran { server: server.as_str().into(), end, took_ms });
         let good = matches!(end, AttemptEnd::Answered(status) if status < 500);
         self.write(good);
     }
@@ -116,7 +117,7 @@
     ) {
         let took_ms = self.since(self.began);
         let status = status.as_u16();
-        self.decisions.push(CallDecision::Ended { end, status, reason, come_back_ms, took_ms });
+        self.push(CallDecision::Ended { end, status, reason, come_back_ms, took_ms });
         self.write(good);
     }
 
@@ -134,11 +135,16 @@
         let Some(lines) = &self.plane.lines else {
             return;
         };
-        lines.call(self.plane.shared.now(), kind, &self.call, std::mem::take(&mut self.decisions));
+        lines.call(self.plane.mono(), kind, &self.call, std::mem::take(&mut self.decisions));
+    }
+
+    fn push(&mut self, decision: CallDecision) {
+        self.decisions.push((self.plane.wall(), decision));
     }
 
     fn attempts(&self) -> usize {
-        let placed = |decision: &&CallDecision| matches!(decision, CallDecision::Placed { .. });
+        let placed =
+            |(_, decision): &&(Wall, CallDecision)| matches!(decision, CallDecision::Placed { .. });
         self.decisions.iter().filter(placed).count()
     }
 
@@ -156,7 +162,7 @@
         let end = AttemptEnd::Cancelled;
         let attempt = u32::try_from(self.attempts()).unwrap_or(u32::MAX);
         let server = "".into();
-        self.decisions.push(CallDecision::Attempted { attempt, server, end, took_ms });
+        self.push(CallDecision::Attempted { attempt, server, end, took_ms });
         self.write(false);
     }
 }
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -126,7 +126,7 @@
         let me = membership.me();
         Self {
             ready: instance.ready(),
-            relay: membership.relays(&me.domain).contains(&me.instance),
+            relay: instance.reads_log() && membership.relays(&me.domain).contains(&me.instance),
             version: instance.table().version(),
             moves: instance.moves().statuses(),
             members: membership.members(),
--- a/crates/daemon/src/lines.rs
+++ b/crates/daemon/src/lines.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cyclamen_decisions::{Belief, CallDecision, Decision, Line, LineBudget, LineKind, Sampling};
-use cyclamen_types::{InstanceName, Now};
+use cyclamen_types::{InstanceName, Mono, Now, Wall};
 
 use crate::bounded_writer::BoundedWriter;
 
@@ -52,17 +52,23 @@
     /// Writes a change of belief.
     pub fn belief(&self, now: Now, belief: Belief) {
         if self.budget().takes(now.mono, LineKind::Belief, 1) {
-            self.put(now, Decision::Belief(belief));
+            self.put(now.wall, Decision::Belief(belief));
         }
     }
 
-    /// Writes decisions about a call, all or none.
-    pub fn call(&self, now: Now, kind: LineKind, call: &Arc<str>, decisions: Vec<CallDecision>) {
-        if !self.budget().takes(now.mono, kind, decisions.len() as u64) {
+    /// Writes decisions about a call, each under the time at which it was made; all or none.
+    pub fn call(
+        &self,
+        now: Mono,
+        kind: LineKind,
+        call: &Arc<str>,
+        decisions: Vec<(Wall, CallDecision)>,
+    ) {
+        if !self.budget().takes(now, kind, decisions.len() as u64) {
             return;
         }
-        for decision in decisions {
-            self.put(now, Decision::Call { call: Arc::clone(call), decision });
+        for (at, decision) in decisions {
+            self.put(at, Decision::Call { call: Arc::clone(call), decision });
         }
     }
 
@@ -83,11 +89,11 @@
             beliefs: omitted.beliefs,
             unwritten: omitted.unwritten,
         };
-        self.put(now, Decision::Belief(belief));
+        self.put(now.wall, Decision::Belief(belief));
     }
 
-    fn put(&self, now: Now, decision: Decision) {
-        let line = Line { at_ms: now.wall.0, instance: Arc::clone(&self.0.instance), decision };
+    fn put(&self, at: Wall, decision: Decision) {
+        let line = Line { at_ms: at.0, instance: Arc::clone(&self.0.instance), decision };
         self.0.writer.put(line.to_text());
     }
 
--- a/crates/decisions/src/explain.rs
+++ b/crates/decisions/src/explain.rs
@@ -110,10 +110,10 @@
         _ => None,
     });
     let end = own.iter().rev().find_map(|(_, decision)| match decision {
-        CallDecision::Ended { end, status, .. } => Some((*end, *status)),
+        CallDecision::Ended { end, status, reason, .. } => Some((*end, *status, reason.clone())),
         _ => None,
     });
-    let Some((end, status)) = end else {
+    let Some((end, status, reason)) = end else {
         return (!own.is_empty()).then(|| {
             "no line tells how it ended: its daemon ended first, the caller left, or the line was \
              left out (look for `omitted` lines)"
@@ -146,9 +146,10 @@
             )
         }
         (CallEnd::Refused, Some((end, server)), _) => format!("its last attempt at {server} {end}"),
-        (CallEnd::Refused, None, _) => {
-            "no backend server could take it, so no attempt was made; it was not run".into()
-        }
+        (CallEnd::Refused, None, _) => match reason {
+            Some(reason) => format!("no attempt was made: {reason}"),
+            None => "no backend server could take it, so no attempt was made".into(),
+        },
     })
 }
 
--- a/crates/decisions/tests/lines.rs
+++ b/crates/decisions/tests/lines.rs
@@ -42,7 +42,8 @@
 
 fn ended(end: CallEnd, status: u16) -> CallDecision {
     let come_back_ms = (end == CallEnd::Refused).then_some(240);
-    CallDecision::Ended { end, status, reason: None, come_back_ms, took_ms: 9.0 }
+    let reason = (end == CallEnd::Refused).then(|| "no backend server takes calls".into());
+    CallDecision::Ended { end, status, reason, come_back_ms, took_ms: 9.0 }
 }
 
 #[test]
