--- a/crates/daemon/src/calls/pipeline.rs
+++ b/crates/daemon/src/calls/pipeline.rs
@@ -72,6 +72,7 @@
 }
 
 /// What woke a connection.
+#[expect(clippy::large_enum_variant, reason = "one at a time, and most are answers")]
 enum Woken {
     Read(std::io::Result<usize>),
     Answered(Option<Response<AnswerBody>>),
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -3,7 +3,7 @@
 //! A file with faults changes nothing. What a running daemon was started with stays in force until
 //! its next start, which the line says.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
 use log::{info, warn};
@@ -87,10 +87,10 @@
     }
 }
 
-fn read(path: &PathBuf) -> Result<ProcessSettings, SettingsFaults> {
+fn read(path: &Path) -> Result<ProcessSettings, SettingsFaults> {
     RawSettings::read(path)?.try_into()
 }
 
-fn changed_at(path: &PathBuf) -> Option<SystemTime> {
+fn changed_at(path: &Path) -> Option<SystemTime> {
     std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
--- a/crates/daemon/src/store/verdicts.rs
+++ b/crates/daemon/src/store/verdicts.rs
@@ -23,7 +23,7 @@
         // A later order has replaced it, so nobody waits for this verdict.
         return Ok(id.declared);
     };
-    let newest = link.store.newest(Topic::Status).await.map_err(append_error)?;
+    let newest = link.store.newest(Topic::Status).await.map_err(|error| append_error(&error))?;
     for recorded in newest.records.iter().filter_map(moves::decode) {
         link.view().take_recorded(recorded);
     }
@@ -58,11 +58,11 @@
             Ok(())
         }
         Ok(Appended::Behind) => Err(AppendError::Busy),
-        Err(error) => Err(append_error(error)),
+        Err(error) => Err(append_error(&error)),
     }
 }
 
-fn append_error(error: StoreError) -> AppendError {
+fn append_error(error: &StoreError) -> AppendError {
     match error {
         StoreError::Refused(_) => AppendError::Busy,
         StoreError::Unanswered(_) | StoreError::Trimmed | StoreError::Malformed(_) => {
--- a/crates/declarations/src/checked.rs
+++ b/crates/declarations/src/checked.rs
@@ -33,6 +33,7 @@
 }
 
 /// What an entry does.
+#[expect(clippy::large_enum_variant, reason = "changes are few, and most entries put something")]
 #[derive(Clone, Debug, PartialEq)]
 pub enum EntryAction {
     /// Adds or replaces the declaration.
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -25,7 +25,7 @@
 use crate::call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal};
 use crate::router::budget::RetryBudget;
 pub use crate::router::budget::RetryLimits;
-use crate::router::pool::ServerPool;
+use crate::router::pool::{ServerPool, Wanted};
 use crate::router::server::Health;
 pub use crate::router::server::ServerLoad;
 use crate::router::versions::{Draw, PPM, VersionChoice};
@@ -336,7 +336,8 @@
         let chosen = match self.mode {
             RouterMode::Full => {
                 let bytes = self.sizes.get(&start.route.name).copied().unwrap_or_default();
-                self.pool.choose(now, service, &version, tried, bytes, &mut self.rng)
+                let wanted = Wanted { service, version: &version, tried, bytes };
+                self.pool.choose(now, &wanted, &mut self.rng)
             }
             RouterMode::Baseline => self.pool.any(service, &version, &mut self.rng),
         };
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -45,6 +45,17 @@
     seen_before: bool,
 }
 
+/// What a call wants of a server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted<'a> {
+    pub(super) service: &'a ServiceName,
+    pub(super) version: &'a VersionName,
+    /// Servers that the call was at before.
+    pub(super) tried: &'a FastSet<ServerName>,
+    /// Bytes that the answer is expected to have.
+    pub(super) bytes: f64,
+}
+
 /// Where a server may be chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Want {
@@ -137,17 +148,14 @@
     pub(super) fn choose(
         &mut self,
         now: Mono,
-        service: &ServiceName,
-        version: &VersionName,
-        tried: &FastSet<ServerName>,
-        bytes: f64,
+        wanted: &Wanted<'_>,
         rng: &mut SmallRng,
     ) -> Option<(ServerIndex, Choice)> {
-        if !self.has(service, version) {
+        if !self.has(wanted.service, wanted.version) {
             return None;
         }
         let mut candidates = std::mem::take(&mut self.candidates);
-        let chosen = self.choose_from(now, service, version, tried, bytes, &mut candidates, rng);
+        let chosen = self.choose_from(now, wanted, &mut candidates, rng);
         self.candidates = candidates;
         chosen
     }
@@ -155,18 +163,15 @@
     fn choose_from(
         &self,
         now: Mono,
-        service: &ServiceName,
-        version: &VersionName,
-        tried: &FastSet<ServerName>,
-        bytes: f64,
+        wanted: &Wanted<'_>,
         candidates: &mut Vec<ServerIndex>,
         rng: &mut SmallRng,
     ) -> Option<(ServerIndex, Choice)> {
-        let group = self.group(service, version)?;
+        let group = self.group(wanted.service, wanted.version)?;
         for want in [Want::Sound, Want::Any] {
-            self.collect(now, &group.all, want, tried, candidates);
+            self.collect(now, &group.all, want, wanted.tried, candidates);
             if !candidates.is_empty() {
-                return Some(self.quickest(now, candidates, bytes, rng));
+                return Some(self.quickest(now, candidates, wanted.bytes, rng));
             }
         }
         None
