Wait longer for the store where others will tell of a later configuration

Change: a read waits at random between 1.5 s and 0.6 s for each daemon known (25 s at most), and is given up with its connection as soon as gossip tells that another daemon holds a later configuration. `behind_once_another_holds_more` fails without the notice; a lone daemon still waits 1.5 s (`config_through_silent_connections`).

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -40,6 +40,8 @@
     pub(crate) sequence: u64,
     pub(crate) stopping: bool,
     told_ready: bool,
+    /// The latest configuration of which it was told that others hold it.
+    told_behind: ConfigVersion,
     pub(crate) table_faults: u64,
     /// The topology that the router was last told; `None` when it has to be told anew.
     topology: Option<u64>,
@@ -83,6 +85,7 @@
             sequence: 0,
             stopping: false,
             told_ready: false,
+            told_behind: ConfigVersion::NONE,
             table_faults: 0,
             topology: None,
             adopted: Some(ConfigVersion::NONE),
@@ -97,7 +100,7 @@
     pub fn handle(&mut self, now: Now, event: Event, out: &mut Effects) {
         match event {
             Event::Wakeup => self.wakeup(now, out),
-            Event::Datagram { from, bytes } => self.on_datagram(now, from, &bytes),
+            Event::Datagram { from, bytes } => self.on_datagram(now, from, &bytes, out),
             Event::LogRead(answer) => self.on_log(now, answer),
             Event::PeerAnswer { from, response } => self.on_peer(now, from, response),
             Event::Appended { ticket, result } => self.on_appended(now, ticket, &result),
@@ -118,6 +121,11 @@
         true
     }
 
+    /// Whether another daemon was heard to hold a later configuration of the store.
+    pub fn behind(&self) -> bool {
+        !self.reads_log() && self.membership.best_version() > self.ledger.version()
+    }
+
     /// Adds addresses of other members to join by.
     pub fn add_peers(&mut self, now: Now, peers: &[SocketAddr], out: &mut Effects) {
         self.membership.add_seeds(now, peers);
@@ -211,7 +219,7 @@
         self.moves.tick(now, &slots, &mut self.moves_out);
     }
 
-    fn on_datagram(&mut self, now: Now, from: SocketAddr, bytes: &[u8]) {
+    fn on_datagram(&mut self, now: Now, from: SocketAddr, bytes: &[u8], out: &mut Effects) {
         let Ok(received) = self.membership.on_datagram(now, from, bytes, &mut self.outgoing) else {
             return;
         };
@@ -224,6 +232,16 @@
             }
         }
         self.distribution.heard(now, &self.ledger, &self.membership);
+        self.notice_behind(out);
+    }
+
+    /// Wakes whoever reads the store when a later configuration is heard of than ever before.
+    fn notice_behind(&mut self, out: &mut Effects) {
+        let best = self.membership.best_version();
+        if self.behind() && best > self.told_behind {
+            self.told_behind = best;
+            out.push(Effect::Changed);
+        }
     }
 
     fn fold_rider(&mut self, now: Now, rider: &Rider) {
--- a/crates/cyclamenmoor/tests/store.rs
+++ b/crates/cyclamenmoor/tests/store.rs
@@ -12,7 +12,7 @@
 use cyclamen_membership::{Addresses, MemberRecord, MembershipSettings, MeshKey, ServerState};
 use cyclamen_routing::{CallHead, RefusalKind};
 use cyclamen_types::{ConfigVersion, Incarnation, Mono, Now, Offset, Wall};
-use cyclamenmoor::{Announcement, AnnouncementOrder, Instance, InstanceSettings};
+use cyclamenmoor::{Announcement, AnnouncementOrder, Effect, Event, Instance, InstanceSettings};
 
 const START: u64 = 1_000_000;
 
@@ -25,10 +25,14 @@
 }
 
 fn instance() -> Instance {
-    let addresses = Addresses { calls: address(1), peer: address(2), admin: address(3) };
+    named("a", 2, Vec::new())
+}
+
+fn named(name: &str, port: u16, seeds: Vec<SocketAddr>) -> Instance {
+    let addresses = Addresses { calls: address(1), peer: address(port), admin: address(3) };
     let settings = InstanceSettings {
         me: MemberRecord {
-            instance: "a".parse().unwrap(),
+            instance: name.parse().unwrap(),
             incarnation: Incarnation(START),
             domain: "praha-a".parse().unwrap(),
             region: "cz-stred".parse().unwrap(),
@@ -40,7 +44,7 @@
             suspicion: Duration::from_secs(3),
             datagram_bytes: 1_200,
             bytes_per_second: 2_048,
-            seeds: Vec::new(),
+            seeds,
             key: MeshKey([7; 32]),
         },
         distribution: DistributionSettings {
@@ -251,3 +255,37 @@
     instance.withdraw(at(5), &name, Some(5), &mut Vec::new()).unwrap();
     assert_eq!(state(&instance, "s-1"), Some(ServerState::Ready), "a late word of the first life");
 }
+
+/// Hands the datagrams that an instance sends to another one, and those back.
+fn talk(millis: u64, from: &mut Instance, to: &mut Instance) -> Vec<Effect> {
+    let mut out = Vec::new();
+    from.handle(at(millis), Event::Wakeup, &mut out);
+    let mut heard = Vec::new();
+    for effect in out {
+        let Effect::Send(datagram) = effect else {
+            continue;
+        };
+        let event = Event::Datagram { from: address(9), bytes: datagram.bytes };
+        to.handle(at(millis), event, &mut heard);
+    }
+    heard
+}
+
+#[test]
+fn behind_once_another_holds_more() {
+    let mut a = named("a", 2, vec![address(4)]);
+    let mut b = named("b", 4, vec![address(2)]);
+    a.adopt(at(1), config(3, None), &mut Vec::new());
+    b.adopt(at(1), config(3, None), &mut Vec::new());
+    talk(10, &mut a, &mut b);
+    assert!(!b.behind());
+    a.adopt(at(20), config(5, None), &mut Vec::new());
+    let mut woken = false;
+    for millis in (1_000..9_000).step_by(250) {
+        woken |= talk(millis, &mut a, &mut b).contains(&Effect::Changed);
+    }
+    assert!(b.behind() && woken);
+    assert!(!a.behind());
+    b.adopt(at(9_500), config(5, None), &mut Vec::new());
+    assert!(!b.behind());
+}
--- a/crates/daemon/src/store/link.rs
+++ b/crates/daemon/src/store/link.rs
@@ -7,15 +7,21 @@
 use cyclamen_platform::{members, moves, orders};
 use cyclamen_port::StoredMember;
 use cyclamen_types::Offset;
+use cyclamenmoor::Instance;
 use log::{error, info, warn};
 use rand::Rng;
 
 use crate::shared::Shared;
 use crate::store::View;
 
-/// Longest wait of a read for a record. With the timeout of a call it bounds how long a connection
-/// that went silent keeps a configuration from this daemon.
-const LONG_POLL: Duration = Duration::from_millis(1_500);
+/// Bounds of the wait of a read for a record. A connection that went silent keeps a configuration
+/// from this daemon until the wait is over, or until another daemon is heard to hold it.
+const SHORTEST_POLL: Duration = Duration::from_millis(1_500);
+const LONGEST_POLL: Duration = Duration::from_secs(25);
+
+/// What each daemon known adds to the longest wait: where all connections go silent at once, one
+/// of the daemons soon reads anew and the others hear of it.
+const POLL_PER_MEMBER: Duration = Duration::from_millis(600);
 
 /// Pause between two reads, so that configurations in quick succession come together.
 const READ_PAUSE: Duration = Duration::from_millis(700);
@@ -73,6 +79,25 @@
         }
     }
 
+    /// How long a read waits: at random, so that daemons do not all wait on silent connections.
+    fn patience(&self) -> Duration {
+        let members = self.shared.read(|instance| instance.membership().reachable());
+        let members = u32::try_from(members).unwrap_or(u32::MAX);
+        let longest = POLL_PER_MEMBER.saturating_mul(members).clamp(SHORTEST_POLL, LONGEST_POLL);
+        rand::rng().random_range(SHORTEST_POLL..=longest)
+    }
+
+    /// Ends once another daemon is heard to hold a later configuration.
+    async fn behind(&self) {
+        let mut changed = self.shared.changed();
+        while !self.shared.read(Instance::behind) {
+            if changed.changed().await.is_err() {
+                // Without an instance nobody reads any more.
+                return std::future::pending().await;
+            }
+        }
+    }
+
     /// Reads everything that the store holds for this daemon; returns where to read on.
     async fn read_whole(&self) -> Result<Offset, StoreError> {
         let Newest { records, end } = self.store.newest(Topic::Orders).await?;
@@ -85,8 +110,17 @@
         Ok(end)
     }
 
+    /// Reads what came since; waits for it, unless another daemon holds it already.
     async fn read_on(&self, from: Offset) -> Result<Offset, StoreError> {
-        let Read { records, next } = self.store.read(Topic::Orders, from, LONG_POLL).await?;
+        let waiting = self.store.read(Topic::Orders, from, self.patience());
+        let read = tokio::select! {
+            read = waiting => read,
+            () = self.behind() => {
+                // The wait is given up with its connection, which may have gone silent.
+                self.store.read(Topic::Orders, from, Duration::ZERO).await
+            }
+        };
+        let Read { records, next } = read?;
         if !records.is_empty() {
             self.take_orders(&records, next);
             self.put_in_force();
