--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -279,6 +279,10 @@
 fn read_metrics(mut section: Section<'_>) -> MetricsAddresses {
     let statsd = section.optional("statsd", values::destination);
     let text = section.optional("text", values::own_address);
+    if !section.has("statsd") && !section.has("text") {
+        let remedy = "write `statsd: IP:PORT`, `text: IP:PORT`, or both";
+        section.own_fault(Misfit::new("neither a receiver nor an address to serve at", remedy));
+    }
     section.end();
     MetricsAddresses { statsd, text }
 }
--- a/crates/daemon/src/settings/section.rs
+++ b/crates/daemon/src/settings/section.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Whether a key is there.
+    pub(super) fn has(&self, key: &str) -> bool {
+        self.map.is_some_and(|map| map.get(key).is_some_and(|value| !value.is_null()))
+    }
+
     /// The items of a list, each with its place; an absent list is empty.
     pub(super) fn items(&mut self, key: &'static str) -> Vec<(String, &'a Value)> {
         let Some(value) = self.take(key) else {
--- a/crates/declarations/src/routes.rs
+++ b/crates/declarations/src/routes.rs
@@ -140,43 +140,40 @@
 }
 
 fn split(faults: &mut Faults, bodies: Vec<WeightBody>) -> Vec<WeightedVersion> {
-    let mut split: Vec<WeightedVersion> = Vec::new();
-    let given = bodies.len();
-    for (i, body) in bodies.into_iter().enumerate() {
-        let place = format!("route.split[{i}]");
-        match WeightedVersion::try_from(body) {
-            Ok(weighted) if split.iter().any(|w| w.version == weighted.version) => {
-                faults.push(&place, Problem::Twice(weighted.version.to_string()));
-            }
-            Ok(weighted) => split.push(weighted),
-            Err(inner) => faults.push_within(&place, inner),
-        }
-    }
-    let whole = given > 0 && split.len() == given;
-    if whole && split.iter().all(|weighted| weighted.weight == 0) {
-        faults.push("route.split", Problem::NoWeight);
-    }
-    split
+    weighted(faults, "route.split", bodies, |w: &WeightedVersion| (w.version.as_str(), w.weight))
 }
 
 fn services(faults: &mut Faults, bodies: Vec<ServiceWeightBody>) -> Vec<WeightedService> {
-    let mut services: Vec<WeightedService> = Vec::new();
+    weighted(faults, "route.services", bodies, |w: &WeightedService| (w.service.as_str(), w.weight))
+}
+
+/// Checks a list of names with weights: each name once, and one of them with a weight.
+fn weighted<B, W>(
+    faults: &mut Faults,
+    place: &str,
+    bodies: Vec<B>,
+    parts: impl Fn(&W) -> (&str, u32),
+) -> Vec<W>
+where
+    W: TryFrom<B, Error = Faults>,
+{
+    let mut list: Vec<W> = Vec::new();
     let given = bodies.len();
     for (i, body) in bodies.into_iter().enumerate() {
-        let place = format!("route.services[{i}]");
-        match WeightedService::try_from(body) {
-            Ok(weighted) if services.iter().any(|w| w.service == weighted.service) => {
-                faults.push(&place, Problem::Twice(weighted.service.to_string()));
+        let place = format!("{place}[{i}]");
+        match W::try_from(body) {
+            Ok(new) if list.iter().any(|known| parts(known).0 == parts(&new).0) => {
+                faults.push(&place, Problem::Twice(parts(&new).0.into()));
             }
-            Ok(weighted) => services.push(weighted),
+            Ok(new) => list.push(new),
             Err(inner) => faults.push_within(&place, inner),
         }
     }
-    let whole = given > 0 && services.len() == given;
-    if whole && services.iter().all(|weighted| weighted.weight == 0) {
-        faults.push("route.services", Problem::NoWeight);
+    let whole = given > 0 && list.len() == given;
+    if whole && list.iter().all(|known| parts(known).1 == 0) {
+        faults.push(place, Problem::NoWeight);
     }
-    services
+    list
 }
 
 impl TryFrom<ServiceWeightBody> for WeightedService {
