Let a new version take all calls for a while before a short move is done

The first daemon to see all calls on the new version appended "done" up to 0.6 s later, before its failures had shown; the old servers then stop, and nothing can be taken back.

Ruled out: the stepped clocks; stages of all daemons were within 0.8 s of each other.

Change: "done" waits until the new version has had all calls for two of the shortest times at a stage (1.28 s of a move of 16 s). short_good_is_done_in_time_and_not_at_once failed before (done 0.5 s after all calls) and passes now, for 20 daemons; the move is still done before its time.

--- a/crates/moves/src/ladder.rs
+++ b/crates/moves/src/ladder.rs
@@ -60,6 +60,9 @@
 /// Parts of the time of a short move that it stays at a stage at least.
 const SHORT_DWELL_PARTS: u32 = 25;
 
+/// Shortest times at a stage for which the new version of a short move takes all calls.
+const ALONE_DWELLS: u32 = 2;
+
 /// Time slots between the start and the planned end of the watch.
 const SLOTS: u64 = 48;
 
@@ -85,6 +88,12 @@
     if is_short(declared) { span(declared) / SHORT_DWELL_PARTS } else { SHORTEST_DWELL }
 }
 
+/// How long the new version has to take all calls before the move is done. The old version's
+/// backend servers may stop then, so a fault that shows under load has to have shown.
+pub fn alone(declared: &Move) -> Duration {
+    if is_short(declared) { dwell(declared) * ALONE_DWELLS } else { Duration::ZERO }
+}
+
 /// When the schedule allows a stage.
 pub fn entry(declared: &Move, stage: u8) -> Wall {
     let percent = rung(declared, stage).entry_percent;
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -355,7 +355,9 @@
     }
     let all_done = || {
         let since = ladder::slot(&active.declared, now.wall).saturating_sub(1);
-        active.at() == MoveStage::Watched && active.evidence.all_at_last_stage(since)
+        active.at() == MoveStage::Watched
+            && now.mono.since(active.entered) >= ladder::alone(&active.declared)
+            && active.evidence.all_at_last_stage(since)
     };
     if active.conviction.is_none() && !all_done() {
         return;
