--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use cyclamen_moves::{CallSample, MoveStatus};
-use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal, RouterMode, ServerLoad};
+use cyclamen_routing::{
+    Attempt, CallHead, HeardLoad, Next, Outcome, Refusal, RouterMode, ServerLoad,
+};
 use cyclamen_types::{MoveName, Now, RouteName, ServerName};
 
 use crate::event::Effects;
@@ -108,6 +110,19 @@
         self.router.observe_load(now, server, load);
     }
 
+    /// What is known of the loads of other servers of the service of one beside this daemon.
+    pub fn tell_loads(&mut self, now: Now, beside: &ServerName) -> Vec<HeardLoad> {
+        let Some(service) = self.beside.get(beside).map(|server| server.service.clone()) else {
+            return Vec::new();
+        };
+        self.router.tell_loads(now, &service, beside)
+    }
+
+    /// Learns from the loads that another daemon told of.
+    pub fn hear_loads(&mut self, now: Now, loads: &[HeardLoad]) {
+        self.router.hear_loads(now, loads);
+    }
+
     /// Changes how calls are decided; for measurements.
     pub fn set_router_mode(&mut self, mode: RouterMode) {
         self.router.set_mode(mode);
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -126,6 +126,17 @@
         !self.reads_log() && self.membership.best_version() > self.ledger.version()
     }
 
+    /// Whether this daemon reads the store for its failure domain, so that others hear from it.
+    pub fn reads_store(&self, now: Now) -> bool {
+        let me = self.membership.me();
+        !self.membership.settled(now) || self.membership.relays(&me.domain).contains(&me.instance)
+    }
+
+    /// Notes that the store answered this daemon.
+    pub fn store_answered(&mut self, now: Now) {
+        self.membership.log_answered(now);
+    }
+
     /// Adds addresses of other members to join by.
     pub fn add_peers(&mut self, now: Now, peers: &[SocketAddr], out: &mut Effects) {
         self.membership.add_seeds(now, peers);
--- a/crates/cyclamenmoor/src/servers.rs
+++ b/crates/cyclamenmoor/src/servers.rs
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub(crate) struct Beside {
     pub(crate) slots: Slots,
-    service: ServiceName,
+    pub(crate) service: ServiceName,
     announced_slots: u32,
     address: SocketAddr,
     order: Option<AnnouncementOrder>,
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -13,6 +13,7 @@
 use http_body::Body;
 use tokio::time::Instant;
 
+use crate::calls::around::ServicesAround;
 use crate::calls::body::{AnswerBody, OutBody};
 use crate::calls::headers;
 use crate::calls::hop::{CALL_HEADER, HopAnswer, HopCall, HopNumber, HopOutcome};
@@ -24,6 +25,8 @@
 pub(super) struct Try {
     plane: Plane,
     attempt: Attempt,
+    /// The services around the call.
+    around: ServicesAround,
     finished: bool,
 }
 
@@ -43,8 +46,8 @@
 
 impl Try {
     /// An attempt that the instance has just chosen.
-    pub(super) fn start(plane: &Plane, attempt: Attempt) -> Self {
-        Self { plane: plane.clone(), attempt, finished: false }
+    pub(super) fn start(plane: &Plane, attempt: Attempt, around: ServicesAround) -> Self {
+        Self { plane: plane.clone(), attempt, around, finished: false }
     }
 
     /// What was decided.
@@ -52,6 +55,11 @@
         &self.attempt
     }
 
+    /// The services around the call.
+    pub(super) fn around(&self) -> &ServicesAround {
+        &self.around
+    }
+
     /// Which attempt of the call this is, from 1.
     pub(super) fn number(&self) -> u32 {
         self.attempt.earlier + 1
@@ -98,6 +106,8 @@
     async fn make_here(&self, address: SocketAddr, req: Request<OutBody>) -> Ended {
         let call = HostCall {
             server: self.attempt.server.clone(),
+            service: self.attempt.service.clone(),
+            around: self.around.clone(),
             route: self.attempt.route.clone(),
             address,
             criticality: self.attempt.criticality,
@@ -131,6 +141,7 @@
         let Some(answer) = self.plane.seal.open_answer(number, status, headers) else {
             return Ended::without(Outcome::Reset);
         };
+        self.plane.shared.with(|instance, now, _| instance.hear_loads(now, &answer.others));
         Ended::there(&answer, exchange, until)
     }
 
@@ -142,7 +153,8 @@
         let aim = self.attempt.aim;
         let wanted = (aim != Mono::NEVER).then(|| self.plane.left(aim));
         let criticality = self.attempt.criticality;
-        let call = HopCall { server, route, number, left, wanted, criticality };
+        let around = self.around.clone();
+        let call = HopCall { server, route, number, left, wanted, criticality, around };
         let header = self.plane.seal.seal_call(self.plane.wall(), &call, req)?;
         req.headers_mut().insert(HeaderName::from_static(CALL_HEADER), header);
         Some(())
--- a/crates/daemon/src/calls/edge.rs
+++ b/crates/daemon/src/calls/edge.rs
@@ -61,7 +61,8 @@
     let caller = plane.caller_service.as_ref().map(ServiceName::as_str);
     headers::set_own(&mut parts.headers, plane.headers.caller_service.as_ref(), caller);
     let limit = plane.shared.read(|instance| instance.table().limits(&attempt.service).body_bytes);
-    let first = Try::start(&plane, attempt);
+    let around = plane.around(&parts.headers);
+    let first = Try::start(&plane, attempt, around);
     if limit.is_some_and(|bytes| !body.limit(bytes)) {
         return answer::rejected(Rejection::TooLarge);
     }
@@ -145,6 +146,7 @@
             trail.attempted(number, &server, ended.outcome, began);
         }
         may_have_run |= !ended.outcome.not_run();
+        let current_around = current.around().clone();
         let (next, end) = current.finish(&ended);
         if body.too_large() && next != Next::Deliver {
             return answer::rejected(Rejection::GrewTooLarge);
@@ -161,7 +163,8 @@
             }
             Next::Refuse(refusal) => return refuse(plane, arrived, trail, &refusal),
             Next::Retry(attempt, pause) => {
-                current = Try::start(plane, attempt);
+                let around = current_around;
+                current = Try::start(plane, attempt, around);
                 if !body.repeatable() {
                     return refuse(plane, arrived, trail, &unrepeatable(may_have_run));
                 }
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -1,9 +1,11 @@
 //! The sealed headers between daemons: only a holder of the mesh key can make them.
 //!
 //! A call carries [`CALL_HEADER`]: backend server, route, number of the hop, time left,
-//! criticality, wall clock, and a keyed hash over these, the method and the target. An answer carries
-//! [`ANSWER_HEADER`]: the same number, how the call ended, load, and a keyed hash over these and
-//! the status.
+//! criticality, the services around it, wall clock, and a keyed hash over these, the method and the target. An answer carries
+//! [`ANSWER_HEADER`]: the same number, how the call ended, load, loads of other servers, and a keyed
+//! hash over these and the status.
+
+mod text;
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -11,11 +13,13 @@
 
 use cyclamen_declarations::Criticality;
 use cyclamen_membership::MeshKey;
-use cyclamen_routing::ServerLoad;
+use cyclamen_routing::{HeardLoad, ServerLoad};
 use cyclamen_types::{FastSet, RouteName, ServerName, Wall};
 use derive_more::Display;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 
+use crate::calls::around::ServicesAround;
+
 /// The header of a call from another daemon.
 pub(super) const CALL_HEADER: &str = "x-cyclamen-hop";
 
@@ -45,6 +49,8 @@
     /// Time left until an answer is wanted, where the route says.
     pub(super) wanted: Option<Duration>,
     pub(super) criticality: Criticality,
+    /// The services whose running calls it was made for.
+    pub(super) around: ServicesAround,
 }
 
 /// How a call ended beside the backend server.
@@ -66,11 +72,13 @@
 }
 
 /// What the daemon beside the backend server says with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct HopAnswer {
     pub(super) outcome: HopOutcome,
     pub(super) retry_after: Duration,
     pub(super) load: ServerLoad,
+    /// What it knows of other servers of the service.
+    pub(super) others: Vec<HeardLoad>,
 }
 
 /// Why a call counts as a caller's.
@@ -123,10 +131,12 @@
         call: &HopCall,
         req: &Request<B>,
     ) -> Option<HeaderValue> {
-        let HopCall { server, route, number, left, wanted, criticality } = call;
+        let HopCall { server, route, number, left, wanted, criticality, around } = call;
+        let around = text::write_services(around);
         let left = left.as_millis();
         let wanted = wanted.map_or(-1, |wanted| i64::try_from(wanted.as_millis()).unwrap_or(-1));
-        let claim = format!("v1 {server} {route} {number} {left} {wanted} {criticality} {now}");
+        let claim =
+            format!("v2 {server} {route} {number} {left} {wanted} {criticality} {around} {now}");
         let hash = self.hash(&[b"call", claim.as_bytes(), &target(req)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
     }
@@ -137,7 +147,7 @@
         let text = header.to_str().map_err(|_| HopError::Forged)?;
         let (claim, hash) = text.rsplit_once(' ').ok_or(HopError::Forged)?;
         self.check(hash, &[b"call", claim.as_bytes(), &target(req)]).ok_or(HopError::Forged)?;
-        let (call, at) = parse_call(claim).ok_or(HopError::Forged)?;
+        let (call, at) = text::parse_call(claim).ok_or(HopError::Forged)?;
         let skew = now.since(at).max(at.since(now));
         if skew > CLOCK_TOLERANCE || !self.first_time(now, call.number) {
             return Err(HopError::Repeated(call));
@@ -152,10 +162,10 @@
         status: StatusCode,
         answer: &HopAnswer,
     ) -> Option<HeaderValue> {
-        let HopAnswer { outcome, retry_after, load } = answer;
+        let HopAnswer { outcome, retry_after, load, others } = answer;
         let retry = retry_after.as_millis();
-        let ServerLoad { running, waiting, limit, hold_us } = load;
-        let claim = format!("v1 {outcome} {retry} {running} {waiting} {limit} {hold_us}");
+        let (load, others) = (text::write_load(load), text::write_loads(others));
+        let claim = format!("v2 {outcome} {retry} {load} {others}");
         let hash = self.hash(&[b"answer", claim.as_bytes(), &answer_target(number, status)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
     }
@@ -170,7 +180,7 @@
         let text = headers.get(ANSWER_HEADER)?.to_str().ok()?;
         let (claim, hash) = text.rsplit_once(' ')?;
         self.check(hash, &[b"answer", claim.as_bytes(), &answer_target(number, status)])?;
-        parse_answer(claim)
+        text::parse_answer(claim)
     }
 
     /// Whether a number is seen for the first time; it is remembered.
@@ -214,53 +224,5 @@
     format!("{} {path}", req.method()).into_bytes()
 }
 
-fn parse_call(claim: &str) -> Option<(HopCall, Wall)> {
-    let mut fields = claim.split(' ');
-    if fields.next()? != "v1" {
-        return None;
-    }
-    let server = ServerName::try_from(fields.next()?).ok()?;
-    let route = RouteName::try_from(fields.next()?).ok()?;
-    let number = HopNumber(fields.next()?.parse().ok()?);
-    let left = Duration::from_millis(fields.next()?.parse().ok()?);
-    let wanted: i64 = fields.next()?.parse().ok()?;
-    let wanted = u64::try_from(wanted).ok().map(Duration::from_millis);
-    let criticality = parse_criticality(fields.next()?)?;
-    let at = Wall(fields.next()?.parse().ok()?);
-    Some((HopCall { server, route, number, left, wanted, criticality }, at))
-}
-
-fn parse_answer(claim: &str) -> Option<HopAnswer> {
-    let mut fields = claim.split(' ');
-    if fields.next()? != "v1" {
-        return None;
-    }
-    let outcome = parse_outcome(fields.next()?)?;
-    let retry_after = Duration::from_millis(fields.next()?.parse().ok()?);
-    let running = fields.next()?.parse().ok()?;
-    let waiting = fields.next()?.parse().ok()?;
-    let limit = fields.next()?.parse().ok()?;
-    let hold_us = fields.next()?.parse().ok()?;
-    let load = ServerLoad { running, waiting, limit, hold_us };
-    Some(HopAnswer { outcome, retry_after, load })
-}
-
-fn parse_criticality(text: &str) -> Option<Criticality> {
-    let all = [Criticality::Bulk, Criticality::Normal, Criticality::Critical];
-    all.into_iter().find(|criticality| criticality.to_string() == text)
-}
-
-fn parse_outcome(text: &str) -> Option<HopOutcome> {
-    let all = [
-        HopOutcome::Ran,
-        HopOutcome::Full,
-        HopOutcome::Shed,
-        HopOutcome::Down,
-        HopOutcome::Unknown,
-        HopOutcome::Late,
-    ];
-    all.into_iter().find(|outcome| outcome.to_string() == text)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/src/calls/hop/tests.rs
+++ b/crates/daemon/src/calls/hop/tests.rs
@@ -4,7 +4,7 @@
 
 use cyclamen_declarations::Criticality;
 use cyclamen_membership::MeshKey;
-use cyclamen_routing::ServerLoad;
+use cyclamen_routing::{HeardLoad, ServerLoad};
 use cyclamen_types::Wall;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 
@@ -24,6 +24,7 @@
         left: Duration::from_millis(250),
         wanted: Some(Duration::from_millis(100)),
         criticality: Criticality::Critical,
+        around: ["dvere", "zavady"].map(|name| name.try_into().expect("a name")).into(),
     }
 }
 
@@ -81,6 +82,11 @@
         outcome: HopOutcome::Full,
         retry_after: Duration::from_millis(30),
         load: ServerLoad { running: 6, waiting: 2, limit: 6, hold_us: 9_000 },
+        others: vec![HeardLoad {
+            server: "dvere-2".try_into().expect("a name"),
+            load: ServerLoad { running: 1, waiting: 0, limit: 13, hold_us: 4_000 },
+            age: Duration::from_millis(1_700),
+        }],
     };
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let mut headers = HeaderMap::new();
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -7,12 +7,13 @@
 use cyclamen_decisions::SlotAnswer;
 use cyclamen_declarations::Criticality;
 use cyclamen_port::CallHeaders;
-use cyclamen_routing::{Admission, CallId, CallNeeds, Outcome, Ran, Refusal, RefusalKind};
+use cyclamen_routing::{Admission, Around, CallId, CallNeeds, Outcome, Ran, Refusal, RefusalKind};
 use cyclamen_types::{Mono, RouteName, ServerName, ServiceName};
-use cyclamenmoor::Served;
+use cyclamenmoor::{Instance, Served};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 
+use crate::calls::around::{RunningId, ServicesAround};
 use crate::calls::body::{AnswerBody, CallBody, OutBody};
 use crate::calls::headers;
 use crate::calls::hop::{ANSWER_HEADER, HopAnswer, HopCall, HopOutcome};
@@ -30,6 +31,9 @@
 /// A call for a backend server beside this daemon.
 pub(super) struct HostCall {
     pub(super) server: ServerName,
+    pub(super) service: ServiceName,
+    /// The services whose running calls it was made for.
+    pub(super) around: ServicesAround,
     pub(super) route: RouteName,
     pub(super) address: SocketAddr,
     pub(super) criticality: Criticality,
@@ -77,6 +81,9 @@
     route: RouteName,
     call: CallId,
     ran: Ran,
+    /// Keeps the request id among those that run here. A call that made calls of its own says
+    /// nothing about the speed of its server.
+    running: Option<RunningId>,
 }
 
 impl SlotGuard {
@@ -108,14 +115,17 @@
     claim: HopCall,
     req: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let address = plane
-        .shared
-        .read(|instance| instance.server_beside(&claim.server).map(|record| record.address));
-    let Some(address) = address else {
+    let beside = |instance: &Instance| {
+        let record = instance.server_beside(&claim.server)?;
+        Some((record.address, record.service.clone()))
+    };
+    let Some((address, service)) = plane.shared.read(beside) else {
         return reply(&plane, &claim, HostEnd::Down);
     };
     let call = HostCall {
         server: claim.server.clone(),
+        service,
+        around: claim.around.clone(),
         route: claim.route.clone(),
         address,
         criticality: claim.criticality,
@@ -165,6 +175,10 @@
     };
     let started = plane.mono();
     let request_id = req.headers().get(&plane.headers.request_id).cloned();
+    if plane.headers.nested_calls_keep_id {
+        let start = |id| plane.running.start(id, slot.call.0, &call.around, &call.service);
+        slot.running = request_id.clone().map(start);
+    }
     let until = plane.until(call.deadline);
     let sent = plane.servers.send(call.address, req, until).await;
     let latency = plane.mono().since(started);
@@ -195,6 +209,7 @@
         return HostEnd::Unknown;
     }
     slot.ran = match exchange.response.status() {
+        _ if slot.running.as_ref().is_some_and(RunningId::calls_on) => Ran::Unmeasured,
         StatusCode::SERVICE_UNAVAILABLE => Ran::Shed(latency),
         _ => Ran::Answered(latency),
     };
@@ -227,6 +242,10 @@
         criticality: call.criticality,
         route: Some(call.route.clone()),
         origin: call.origin.clone(),
+        around: Around {
+            depth: u8::try_from(call.around.len()).unwrap_or(u8::MAX),
+            same_service: call.around.contains(&call.service),
+        },
         aim: call.aim,
         deadline: call.deadline,
     };
@@ -242,6 +261,7 @@
         route: call.route.clone(),
         call: id,
         ran: Ran::Unmeasured,
+        running: None,
     };
     if admission == Admission::Run {
         return (SlotAnswer::Run, Ok(slot));
@@ -321,8 +341,10 @@
         }
         HostEnd::Unknown | HostEnd::Late => empty(StatusCode::BAD_GATEWAY),
     };
-    let load = plane.shared.read(|instance| instance.load(&claim.server));
-    let answer = HopAnswer { outcome, retry_after, load };
+    let (load, others) = plane.shared.with(|instance, now, _| {
+        (instance.load(&claim.server), instance.tell_loads(now, &claim.server))
+    });
+    let answer = HopAnswer { outcome, retry_after, load, others };
     if let Some(header) = plane.seal.seal_answer(claim.number, response.status(), &answer) {
         response.headers_mut().insert(HeaderName::from_static(ANSWER_HEADER), header);
     }
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -5,6 +5,7 @@
 //! with a sealed [`hop`] header. All decisions are the instance's.
 
 mod answer;
+mod around;
 mod attempt;
 mod body;
 mod edge;
--- a/crates/daemon/src/calls/plane.rs
+++ b/crates/daemon/src/calls/plane.rs
@@ -8,11 +8,13 @@
 use cyclamen_routing::CallId;
 use cyclamen_types::{Mono, ServiceName, Wall};
 use derive_more::Deref;
+use http::HeaderMap;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::call_metrics::CallMetrics;
 use crate::calls::Observers;
+use crate::calls::around::{RunningIds, ServicesAround};
 use crate::calls::hop::HopSeal;
 use crate::calls::pool::Pool;
 use crate::lines::Lines;
@@ -47,6 +49,8 @@
     pub(super) daemons: Pool,
     /// One permit for each byte of a body that may be held.
     pub(super) held_bytes: Arc<Semaphore>,
+    /// What runs on backend servers beside this daemon.
+    pub(super) running: RunningIds,
     last_call: AtomicU64,
     caller_connections: usize,
 }
@@ -64,6 +68,7 @@
             servers: Pool::new(crate::calls::pool::SERVER_CONNECTIONS),
             daemons: Pool::new(DAEMON_CONNECTIONS),
             held_bytes: Arc::new(Semaphore::new(HELD_BYTES)),
+            running: RunningIds::default(),
             last_call: AtomicU64::new(0),
             caller_connections: connections,
         }))
@@ -73,6 +78,15 @@
         CallId(self.last_call.fetch_add(1, Ordering::Relaxed) + 1)
     }
 
+    /// The services around a call with these headers.
+    pub(super) fn around(&self, headers: &HeaderMap) -> ServicesAround {
+        if !self.headers.nested_calls_keep_id {
+            return ServicesAround::default();
+        }
+        let id = headers.get(&self.headers.request_id);
+        id.map(|id| self.running.around(id)).unwrap_or_default()
+    }
+
     pub(super) fn caller_connections(&self) -> usize {
         self.caller_connections
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::shared::Shared;
+use crate::store::Link;
 
 /// Largest frame, in bytes.
 const FRAME_BYTES: u32 = 16 * 1024 * 1024;
@@ -24,13 +25,18 @@
 const HASH_BYTES: usize = 32;
 
 /// Answers peers until the task is dropped.
-pub(crate) async fn serve(shared: Shared, listener: TcpListener, key: MeshKey) {
+pub(crate) async fn serve(
+    shared: Shared,
+    store: Option<Link>,
+    listener: TcpListener,
+    key: MeshKey,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let exchange = answer(shared.clone(), stream, key.clone());
+        let exchange = answer(shared.clone(), store.clone(), stream, key.clone());
         tokio::spawn(tokio::time::timeout(EXCHANGE_TIMEOUT, exchange));
     }
 }
@@ -58,9 +64,17 @@
     }
 }
 
-async fn answer(shared: Shared, mut stream: TcpStream, key: MeshKey) -> Option<()> {
+async fn answer(
+    shared: Shared,
+    store: Option<Link>,
+    mut stream: TcpStream,
+    key: MeshKey,
+) -> Option<()> {
     let request: PeerRequest = read_frame(&mut stream, &key).await?;
-    let response = shared.with(|instance, now, _| instance.serve(now, &request));
+    let response = match (&request, &store) {
+        (PeerRequest::Stored { from }, Some(link)) => link.copies().since(*from),
+        _ => shared.with(|instance, now, _| instance.serve(now, &request)),
+    };
     let held = matches!(response, PeerResponse::Snapshot { .. });
     let _transfer = held.then(|| Transfer(shared.clone()));
     write_frame(&mut stream, &response, &key).await
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -139,7 +139,8 @@
         tasks.spawn(store::introduce(link.clone(), me));
     }
     tasks.spawn(gossip::receive(shared.clone(), Arc::clone(&carrier.socket)));
-    tasks.spawn(peers::serve(shared.clone(), peer_listener, settings.mesh_key.clone()));
+    let key = settings.mesh_key.clone();
+    tasks.spawn(peers::serve(shared.clone(), carrier.store.clone(), peer_listener, key));
     tasks.spawn(fetch::carry(carrier, rx));
     tasks.spawn(gossip::keep_time(shared.clone()));
     Ok(Running { shared, addresses, calls, admin, tasks })
@@ -186,7 +187,7 @@
 fn link(settings: &Settings, shared: &Shared) -> Option<Link> {
     let platform = settings.platform.as_ref()?;
     let view = View::new(settings.instance.clone());
-    Some(Link::new(shared.clone(), Store::new(platform.store), view))
+    Some(Link::new(shared.clone(), Store::new(platform.store), settings.mesh_key.clone(), view))
 }
 
 fn instance_settings(
--- a/crates/daemon/src/store/link.rs
+++ b/crates/daemon/src/store/link.rs
@@ -3,6 +3,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cyclamen_distribution::{PeerRequest, PeerResponse};
+use cyclamen_membership::{MeshKey, Peer};
 use cyclamen_platform::{Newest, NewestRecord, Read, Store, StoreError, Topic};
 use cyclamen_platform::{members, moves, orders};
 use cyclamen_port::StoredMember;
@@ -11,28 +13,48 @@
 use log::{error, info, warn};
 use rand::Rng;
 
+use crate::peers;
 use crate::shared::Shared;
 use crate::store::View;
+use crate::store::copies::{self, Copies};
 
 /// Bounds of the wait of a read for a record. A connection that went silent keeps a configuration
 /// from this daemon until the wait is over, or until another daemon is heard to hold it.
 const SHORTEST_POLL: Duration = Duration::from_millis(1_500);
 const LONGEST_POLL: Duration = Duration::from_secs(25);
 
-/// What each daemon known adds to the longest wait: where all connections go silent at once, one
-/// of the daemons soon reads anew and the others hear of it.
-const POLL_PER_MEMBER: Duration = Duration::from_millis(600);
+/// What each daemon that reads the store adds to the longest wait: where all connections go silent
+/// at once, one of them soon reads anew and the others hear of it.
+const POLL_PER_READER: Duration = Duration::from_millis(600);
 
 /// Pause between two reads, so that configurations in quick succession come together.
-const READ_PAUSE: Duration = Duration::from_millis(700);
+const READ_PAUSE: Duration = Duration::from_millis(200);
+
+/// Daemons of the own failure domain that a later configuration is asked of before the store is read for it.
+const COPY_TRIES: u32 = 3;
+
+/// Pause between two such daemons, in which those of the own failure domain come to hold it.
+const COPY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest time for a daemon to answer what it read of the store.
+const COPY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time without an answer of the store to any daemon after which daemons look for themselves.
+const STORE_SILENCE: Duration = Duration::from_secs(5);
+
+/// Time over which a fleet spreads what each of its daemons decides alike, per daemon.
+const SPREAD_PER_MEMBER: Duration = Duration::from_millis(50);
+
+/// How often a daemon that hears from others looks whether it has to read the store itself.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
 
 /// Bounds of the pause after a failed call; it doubles with each failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
-/// Looks for other daemons in the store after the start: one at once, the others for those that
-/// started at the same moment.
-const MEMBER_LOOKS: u32 = 2;
+/// Looks for other daemons in the store after the start: one at once, the others where nobody was
+/// met, for those that started at the same moment.
+const MEMBER_LOOKS: u32 = 3;
 
 /// Pause between two looks for other daemons.
 const MEMBER_PAUSE: Duration = Duration::from_secs(1);
@@ -42,13 +64,20 @@
 pub(crate) struct Link {
     pub(crate) shared: Shared,
     pub(crate) store: Store,
+    key: MeshKey,
     view: Arc<Mutex<View>>,
+    copies: Arc<Mutex<Copies>>,
 }
 
 impl Link {
     /// Nothing read yet.
-    pub(crate) fn new(shared: Shared, store: Store, view: View) -> Self {
-        Self { shared, store, view: Arc::new(Mutex::new(view)) }
+    pub(crate) fn new(shared: Shared, store: Store, key: MeshKey, view: View) -> Self {
+        Self { shared, store, key, view: Arc::new(Mutex::new(view)), copies: Arc::default() }
+    }
+
+    /// What was read of the store, for other daemons.
+    pub(crate) fn copies(&self) -> MutexGuard<'_, Copies> {
+        self.copies.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn view(&self) -> MutexGuard<'_, View> {
@@ -68,6 +97,7 @@
     }
 
     fn take_orders(&self, records: &[NewestRecord], end: Offset) {
+        self.copies().take(records, end);
         let mut decoded = Vec::new();
         for record in newest_of_each(records) {
             decoded.push((record.offset, orders::decode(record)));
@@ -81,9 +111,9 @@
 
     /// How long a read waits: at random, so that daemons do not all wait on silent connections.
     fn patience(&self) -> Duration {
-        let members = self.shared.read(|instance| instance.membership().reachable());
-        let members = u32::try_from(members).unwrap_or(u32::MAX);
-        let longest = POLL_PER_MEMBER.saturating_mul(members).clamp(SHORTEST_POLL, LONGEST_POLL);
+        let readers = self.shared.read(|instance| instance.membership().readers());
+        let readers = u32::try_from(readers).unwrap_or(u32::MAX);
+        let longest = POLL_PER_READER.saturating_mul(readers).clamp(SHORTEST_POLL, LONGEST_POLL);
         rand::rng().random_range(SHORTEST_POLL..=longest)
     }
 
@@ -101,15 +131,93 @@
     /// Reads everything that the store holds for this daemon; returns where to read on.
     async fn read_whole(&self) -> Result<Offset, StoreError> {
         let Newest { records, end } = self.store.newest(Topic::Orders).await?;
-        let status = self.store.newest(Topic::Status).await?;
-        for recorded in status.records.iter().filter_map(moves::decode) {
-            self.view().take_recorded(recorded);
+        if records.iter().any(orders::is_move) {
+            let status = self.store.newest(Topic::Status).await?;
+            for recorded in status.records.iter().filter_map(moves::decode) {
+                self.view().take_recorded(recorded);
+            }
         }
         self.take_orders(&records, end);
         self.put_in_force();
         Ok(end)
     }
 
+    /// Waits until another daemon is heard to hold more, and takes it from there; reads the store
+    /// where nobody else seems to, or gives it.
+    async fn hear(&self, from: Offset) -> Result<Offset, StoreError> {
+        let heard = tokio::select! {
+            () = self.behind() => true,
+            () = self.called_for() => false,
+        };
+        if heard {
+            for _ in 0..COPY_TRIES {
+                if let Some(next) = self.copy(from).await {
+                    return Ok(next);
+                }
+                tokio::time::sleep(COPY_PAUSE).await;
+            }
+        }
+        let read = self.store.read(Topic::Orders, from, Duration::ZERO).await?;
+        self.answered();
+        Ok(self.take_read(&read))
+    }
+
+    /// Ends once this daemon has to read the store: for its failure domain, or because the store
+    /// was not heard to answer anybody for a while.
+    async fn called_for(&self) {
+        let members = self.shared.read(|instance| instance.membership().reachable());
+        let spread = SPREAD_PER_MEMBER.saturating_mul(u32::try_from(members).unwrap_or(u32::MAX));
+        let patience = STORE_SILENCE + spread.mul_f64(rand::rng().random_range(0.0..=1.0));
+        let began = self.shared.now().mono;
+        loop {
+            tokio::time::sleep(LOOK_PERIOD).await;
+            let now = self.shared.now();
+            let (reads, contact) = self
+                .shared
+                .read(|instance| (instance.reads_store(now), instance.membership().log_contact()));
+            if reads || now.mono.since(contact.unwrap_or(began)) >= patience {
+                return;
+            }
+        }
+    }
+
+    /// Asks a daemon of the own failure domain that holds more for what it read of the store; `None` when it has nothing.
+    async fn copy(&self, from: Offset) -> Option<Offset> {
+        let peer = self.shared.read(|instance| {
+            let mine = instance.ledger().version();
+            let domain = &instance.membership().me().domain;
+            let holds_more = |peer: &Peer<'_>| {
+                peer.domain == domain && peer.held.is_some_and(|held| held.version > mine)
+            };
+            instance.membership().choose_peer(&mut rand::rng(), holds_more)
+        })?;
+        let request = PeerRequest::Stored { from };
+        let asking = peers::ask(peer, &request, &self.key);
+        let answer = tokio::time::timeout(COPY_TIMEOUT, asking).await.ok()?;
+        let Some(PeerResponse::Stored { records, next }) = answer else {
+            return None;
+        };
+        if next <= from {
+            return None;
+        }
+        let records = records.into_iter().map(copies::original).collect();
+        Some(self.take_read(&Read { records, next }))
+    }
+
+    /// Puts in force what was read; returns where to read on.
+    fn take_read(&self, read: &Read) -> Offset {
+        if !read.records.is_empty() {
+            self.take_orders(&read.records, read.next);
+            self.put_in_force();
+        }
+        read.next
+    }
+
+    /// Notes that the store answered.
+    fn answered(&self) {
+        self.shared.with(|instance, now, _| instance.store_answered(now));
+    }
+
     /// Reads what came since; waits for it, unless another daemon holds it already.
     async fn read_on(&self, from: Offset) -> Result<Offset, StoreError> {
         let waiting = self.store.read(Topic::Orders, from, self.patience());
@@ -120,12 +228,9 @@
                 self.store.read(Topic::Orders, from, Duration::ZERO).await
             }
         };
-        let Read { records, next } = read?;
-        if !records.is_empty() {
-            self.take_orders(&records, next);
-            self.put_in_force();
-        }
-        Ok(next)
+        let read = read?;
+        self.answered();
+        Ok(self.take_read(&read))
     }
 }
 
@@ -135,8 +240,11 @@
     let mut next = None;
     loop {
         let read = match next {
-            Some(from) => link.read_on(from).await,
             None => link.read_whole().await,
+            Some(from) if link.shared.read(|i| i.reads_store(link.shared.now())) => {
+                link.read_on(from).await
+            }
+            Some(from) => link.hear(from).await,
         };
         match read {
             Ok(offset) => {
@@ -158,8 +266,9 @@
     while let Err(error) = link.store.append(Topic::Members, name, &record, None).await {
         tokio::time::sleep(contact.failed(&error)).await;
     }
+    let alone = || link.shared.read(|instance| instance.membership().reachable() <= 1);
     let mut looks = 0;
-    while looks < MEMBER_LOOKS {
+    while looks == 0 || (looks < MEMBER_LOOKS && alone()) {
         match link.store.newest(Topic::Members).await {
             Ok(newest) => {
                 looks += 1;
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -339,6 +339,8 @@
                 ledger.install_snapshot(&text);
                 self.take_word(now, from, held, ready);
             }
+            // Only the reader of a store asks for what was read of it, and takes the answer itself.
+            Some(PeerResponse::Stored { .. }) => self.fresh.forget(from),
         }
         self.fresh.judge(now, ledger.version());
         Vec::new()
@@ -347,7 +349,13 @@
     /// Answers a peer. Each answer that carries a snapshot holds a transfer until
     /// [`Distribution::served`].
     pub fn serve(&mut self, _now: Now, request: &PeerRequest, ledger: &Ledger) -> PeerResponse {
-        let PeerRequest::Catchup { held } = *request;
+        let held = match *request {
+            PeerRequest::Catchup { held } => held,
+            // What was read of a store is kept by its reader, which answers by itself.
+            PeerRequest::Stored { from } => {
+                return PeerResponse::Stored { records: Vec::new(), next: from };
+            }
+        };
         let (mine, ready) = (ledger.version(), self.fresh.ready());
         if held >= mine {
             return PeerResponse::Records { records: Vec::new(), held: mine, ready };
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -16,4 +16,4 @@
     ConfigSource, Distribution, DistributionCounters, DistributionSettings, Fetch, LogBatch,
     LogReadError,
 };
-pub use messages::{PeerRequest, PeerResponse};
+pub use messages::{PeerRequest, PeerResponse, StoredRecord};
--- a/crates/distribution/src/messages.rs
+++ b/crates/distribution/src/messages.rs
@@ -1,7 +1,7 @@
 //! Requests between daemons over TCP, encoded with postcard.
 
 use cyclamen_ledger::LogRecord;
-use cyclamen_types::ConfigVersion;
+use cyclamen_types::{ConfigVersion, Offset};
 use serde::{Deserialize, Serialize};
 
 /// What a daemon asks of a peer.
@@ -12,6 +12,22 @@
         /// What the asking daemon holds.
         held: ConfigVersion,
     },
+    /// What the peer read of the store, from an offset on.
+    Stored {
+        /// The first offset wanted.
+        from: Offset,
+    },
+}
+
+/// A record of the store as a daemon read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredRecord {
+    /// Its key.
+    pub key: String,
+    /// Its value, as the platform encodes it.
+    pub value: Vec<u8>,
+    /// Where it stands.
+    pub offset: Offset,
 }
 
 /// What the peer answers.
@@ -36,6 +52,14 @@
         /// Whether the peer is ready for callers.
         ready: bool,
     },
+    /// The newest record of each key of the store that stands at the offset asked for or later.
+    Stored {
+        /// The records, in order.
+        records: Vec<StoredRecord>,
+        /// The offset after the last one that the peer read; nothing was read where it is not
+        /// above the offset asked for.
+        next: Offset,
+    },
     /// Too many transfers; come back later.
     Busy {
         /// When to come back, in milliseconds.
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cyclamen_types::{FailureDomain, InstanceName, Now};
+use cyclamen_types::{FailureDomain, FastMap, InstanceName, Now};
 use rand::Rng;
 
 use crate::membership::Membership;
@@ -45,6 +45,17 @@
         ranked.into_iter().map(|(_, instance)| instance.clone()).collect()
     }
 
+    /// How many live members read the log, over all failure domains.
+    pub fn readers(&self) -> usize {
+        let mut per_domain: FastMap<&FailureDomain, usize> = FastMap::default();
+        for (_, known) in self.roster.iter() {
+            if known.state == MemberState::Alive {
+                *per_domain.entry(&known.record.domain).or_default() += 1;
+            }
+        }
+        per_domain.values().map(|members| (*members).min(RELAYS_PER_DOMAIN)).sum()
+    }
+
     /// A live member that `suits`, at random; one of this failure domain if there is one.
     pub fn choose_peer(
         &self,
--- a/crates/port/src/headers.rs
+++ b/crates/port/src/headers.rs
@@ -17,6 +17,8 @@
     pub proof: Option<HeaderName>,
     /// On an answer: the backend server did not run the call.
     pub not_run: Option<HeaderName>,
+    /// Whether backend servers make calls of their own under the request id of the call they run.
+    pub nested_calls_keep_id: bool,
     /// Whether callers read fractions of seconds in the time to come back.
     pub fractional_retry_after: bool,
 }
@@ -30,6 +32,7 @@
             target_server: None,
             proof: None,
             not_run: None,
+            nested_calls_keep_id: true,
             fractional_retry_after: false,
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,10 +10,10 @@
 
 pub use call::{Attempt, AttemptId, CallHead, Choice, Hop, Next, Outcome, Refusal, RefusalKind};
 pub use router::{
-    RetryLimits, Router, RouterCounters, RouterMode, RouterSettings, ServerInfo, ServerLoad,
-    VersionSplit,
+    HeardLoad, RetryLimits, Router, RouterCounters, RouterMode, RouterSettings, ServerInfo,
+    ServerLoad, VersionSplit,
 };
 pub use slots::{
-    Admission, CallId, CallNeeds, QueueOrder, Ran, Slots, SlotsCounters, SlotsSettings,
+    Admission, Around, CallId, CallNeeds, QueueOrder, Ran, Slots, SlotsCounters, SlotsSettings,
 };
 pub use table::{RouteIndex, RouteTable, ServiceIndex, ServiceLimits, ServiceRetries, TableFault};
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -19,6 +19,7 @@
     ServiceName, VersionName,
 };
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
@@ -27,10 +28,16 @@
 pub use crate::router::budget::RetryLimits;
 use crate::router::pool::{ServerPool, Wanted};
 use crate::router::server::Health;
-pub use crate::router::server::ServerLoad;
+pub use crate::router::server::{HeardLoad, ServerLoad};
 use crate::router::versions::{Draw, PPM, VersionChoice};
 use crate::table::{CompiledRoute, RouteTable};
 
+/// Loads of other servers that go with an answer to another daemon.
+const TOLD_LOADS: usize = 4;
+
+/// Loads older than this are not passed on.
+const TOLD_AGE: Duration = Duration::from_secs(3);
+
 /// Weight of one more size in what is known of a route.
 const SIZE_GAIN: f64 = 0.1;
 
@@ -253,6 +260,28 @@
         }
     }
 
+    /// What this daemon knows of the loads of some servers of a service, `but` one, for a daemon
+    /// that hears of each of them too seldom to place its calls well.
+    pub fn tell_loads(
+        &mut self,
+        now: Now,
+        service: &ServiceName,
+        but: &ServerName,
+    ) -> Vec<HeardLoad> {
+        let others = self.pool.of_service(service).filter(|server| server.name() != but);
+        let known = others.filter_map(|server| server.tell_load(now.mono, TOLD_AGE));
+        known.choose_multiple(&mut self.rng, TOLD_LOADS)
+    }
+
+    /// Learns from the loads that another daemon told of.
+    pub fn hear_loads(&mut self, now: Now, loads: &[HeardLoad]) {
+        for heard in loads {
+            if let Some(server) = self.pool.find_mut(&heard.server) {
+                server.hear_load(now.mono, heard);
+            }
+        }
+    }
+
     /// Learns how many bytes a call of a route and its answer have.
     pub fn observe_size(&mut self, route: &RouteName, bytes: u64) {
         let bytes = bytes as f64;
--- a/crates/routing/src/router/placing.rs
+++ b/crates/routing/src/router/placing.rs
@@ -20,7 +20,7 @@
 const CROWDED_FROM: f64 = 0.6;
 
 /// How much longer a call takes at a server whose slots are all in use.
-const CROWDED_FACTOR: f64 = 0.4;
+const CROWDED_FACTOR: f64 = 1.0;
 
 /// How much a server that fails all its calls is worse than one that fails none.
 const FAILURE_FACTOR: f64 = 8.0;
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -177,6 +177,12 @@
         None
     }
 
+    /// The servers of a service that take calls.
+    pub(super) fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &Server> {
+        let versions = self.groups.get(service).into_iter().flat_map(FastMap::values);
+        versions.flat_map(|group| &group.all).map(|index| &self.servers[*index])
+    }
+
     /// Chooses uniformly among all servers of a version.
     pub(super) fn any(
         &self,
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -38,8 +38,12 @@
 /// Longest time out of choice.
 const LONGEST_EJECTION: Duration = Duration::from_secs(60);
 
-/// A report of load older than this says nothing.
-const LOAD_MEMORY: Duration = Duration::from_secs(1);
+/// For how long a report of load holds as it is. Of many servers each is heard of seldom, and a
+/// busy one must not pass for empty in between.
+const LOAD_MEMORY: Duration = Duration::from_secs(2);
+
+/// Time in which an older report loses most of its say.
+const LOAD_FADING: Duration = Duration::from_secs(3);
 
 /// The load that a backend server's own daemon reported with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,6 +58,17 @@
     pub hold_us: u64,
 }
 
+/// The load of a backend server as another daemon heard of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeardLoad {
+    /// The backend server.
+    pub server: ServerName,
+    /// What it carried.
+    pub load: ServerLoad,
+    /// How long ago.
+    pub age: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Report {
     load: ServerLoad,
@@ -202,6 +217,23 @@
         }
     }
 
+    /// Learns from the load that another daemon heard of, where it is newer.
+    pub(super) fn hear_load(&mut self, now: Mono, heard: &HeardLoad) {
+        let at = now - heard.age;
+        if self.report.is_some_and(|known| known.at >= at) {
+            return;
+        }
+        self.report = Some(Report { load: heard.load, at, mine: self.in_flight });
+    }
+
+    /// The load to tell other daemons of; `None` when what is known is older than `longest`.
+    pub(super) fn tell_load(&self, now: Mono, longest: Duration) -> Option<HeardLoad> {
+        let report = self.report?;
+        let age = now.since(report.at);
+        let (server, load) = (self.info.name.clone(), report.load);
+        (age < longest).then_some(HeardLoad { server, load, age })
+    }
+
     /// Learns from the end of an attempt.
     pub(super) fn learn(&mut self, now: Mono, outcome: Outcome, latency: Duration) -> Health {
         if let Some(failed) = outcome.failed() {
@@ -277,10 +309,6 @@
         (-age / LATENCY_MEMORY.as_secs_f64()).exp()
     }
 
-    fn fresh_report(&self, now: Mono) -> Option<&Report> {
-        self.report.as_ref().filter(|report| now.since(report.at) < LOAD_MEMORY)
-    }
-
     /// Age of what the daemon beside it last told.
     pub(super) fn told_ago(&self, now: Mono) -> Option<Duration> {
         self.report.map(|report| now.since(report.at))
@@ -288,10 +316,13 @@
 
     /// Calls at the server as far as this router can tell.
     pub(super) fn load(&self, now: Mono) -> u32 {
-        let Some(report) = self.fresh_report(now) else {
+        let Some(report) = &self.report else {
             return self.in_flight;
         };
         let since = self.in_flight.saturating_sub(report.mine);
-        (report.load.running + report.load.waiting + since).max(self.in_flight)
+        let faded = now.since(report.at).saturating_sub(LOAD_MEMORY).as_secs_f64();
+        let weight = (-faded / LOAD_FADING.as_secs_f64()).exp();
+        let told = f64::from(report.load.running + report.load.waiting) * weight;
+        (told.round() as u32 + since).max(self.in_flight)
     }
 }
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod nested;
 mod queue;
+mod returning;
 
 use std::time::Duration;
 
@@ -21,7 +22,8 @@
 use crate::slots::limit::AdaptiveLimit;
 use crate::slots::nested::NestedRoutes;
 pub use crate::slots::queue::QueueOrder;
-use crate::slots::queue::{CLASSES, Queue, Waiting};
+use crate::slots::queue::{CLASSES, Place, Queue, Waiting};
+use crate::slots::returning::Returning;
 
 /// Shortest hint of when to come back.
 const SHORTEST_HINT: Duration = Duration::from_millis(5);
@@ -61,6 +63,15 @@
     pub adaptive: bool,
 }
 
+/// The running calls that a call was made for, as far as they are known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Around {
+    /// How many they are.
+    pub depth: u8,
+    /// Whether one of them is a call of the same service.
+    pub same_service: bool,
+}
+
 /// What a call asks of the slots.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallNeeds {
@@ -70,6 +81,8 @@
     pub route: Option<RouteName>,
     /// The service beside whose server it began, where that is known.
     pub origin: Option<ServiceName>,
+    /// The running calls that it was made for.
+    pub around: Around,
     /// When an answer is wanted; [`Mono::NEVER`] for a call that waits like any other.
     pub aim: Mono,
     /// When its caller gives up.
@@ -79,7 +92,8 @@
 impl CallNeeds {
     /// The needs of a call that is not wanted at a certain time.
     pub fn new(criticality: Criticality, deadline: Mono) -> Self {
-        Self { criticality, route: None, origin: None, aim: Mono::NEVER, deadline }
+        let around = Around::default();
+        Self { criticality, route: None, origin: None, around, aim: Mono::NEVER, deadline }
     }
 }
 
@@ -121,6 +135,7 @@
     since: Mono,
     criticality: Criticality,
     route: Option<RouteName>,
+    around: Around,
 }
 
 /// How a call may wait.
@@ -144,6 +159,7 @@
     queue: Queue,
     holds: HoldTimes,
     nested: NestedRoutes,
+    returning: Returning,
     draining: bool,
     counters: SlotsCounters,
 }
@@ -160,6 +176,7 @@
             queue: Queue::default(),
             holds: HoldTimes::default(),
             nested: NestedRoutes::default(),
+            returning: Returning::default(),
             draining: false,
             counters: SlotsCounters::default(),
         }
@@ -181,14 +198,15 @@
         evicted: &mut Vec<CallId>,
     ) -> Admission {
         let now = now.mono;
-        let nested = self.is_nested(needs);
+        let nested = needs.around.depth > 0 || self.is_nested(needs);
         let criticality = if nested { Criticality::Critical } else { needs.criticality };
         if let Some(refusal) = self.refusal(now, needs) {
             self.counters.refused += 1;
             return Admission::Refused(refusal);
         }
-        if self.runs_at_once(criticality) {
-            self.start(now, call, criticality, needs.route.clone());
+        let place = Place { criticality, around: needs.around };
+        if self.runs_at_once(place) {
+            self.start(now, call, place, needs.route.clone());
             return Admission::Run;
         }
         let wait = match nested {
@@ -229,6 +247,7 @@
         if running.criticality == Criticality::Bulk {
             self.bulk -= 1;
         }
+        self.returning.finish(running.around);
         self.learn(now, &running, ran);
         self.start_waiting(now)
     }
@@ -305,8 +324,8 @@
         (needs.deadline <= now).then(expired)
     }
 
-    fn runs_at_once(&self, criticality: Criticality) -> bool {
-        self.queue.ahead_of(criticality, Mono::NEVER) == 0 && self.fits(criticality)
+    fn runs_at_once(&self, place: Place) -> bool {
+        self.queue.ahead_of(place, Mono::NEVER) == 0 && self.fits(place)
     }
 
     /// Whether a call is one that a backend server made while it ran another.
@@ -317,38 +336,48 @@
         }
     }
 
-    /// How a nested call may wait: for as long as the call around it can use its answer.
+    /// How a nested call may wait: for as long as the call around it can use its answer. One that
+    /// waits for slots which calls around others of its service hold gives up sooner, so that not
+    /// all of them wait for each other.
     fn nested_wait(&self, now: Mono, call: CallId, needs: &CallNeeds) -> Option<Wait> {
         let hold = self.holds.of(Criticality::Critical, needs.route.as_ref());
-        let until = needs.deadline - hold;
-        let ahead = self.queue.ahead_of(Criticality::Critical, until);
-        let waiting = Waiting { call, until, in_time: until };
+        let around = needs.around;
+        let latest = needs.deadline - hold;
+        let until = match around.same_service {
+            true => latest.min(now + self.settings.queue_wait),
+            false => latest,
+        };
+        let place = Place { criticality: Criticality::Critical, around };
+        let ahead = self.queue.ahead_of(place, until);
+        let waiting = Waiting { call, around, until, in_time: until };
         (now + self.wait_behind(ahead) <= until).then_some(Wait::InTime(waiting))
     }
 
     /// How a call that finds no slot may wait; `None` when it would wait in vain.
     fn wait(&self, now: Mono, call: CallId, needs: &CallNeeds) -> Option<Wait> {
         let hold = self.holds.of(needs.criticality, needs.route.as_ref());
+        let around = needs.around;
+        let place = Place { criticality: needs.criticality, around };
         if needs.aim == Mono::NEVER {
             let patience = needs.deadline.since(now).saturating_sub(hold);
             let patience = patience.min(self.settings.queue_wait);
-            let ahead = self.queue.ahead_of(needs.criticality, Mono::NEVER);
+            let ahead = self.queue.ahead_of(place, Mono::NEVER);
             let until = now + patience;
-            let waiting = Waiting { call, until, in_time: Mono::NEVER };
+            let waiting = Waiting { call, around, until, in_time: Mono::NEVER };
             return (self.wait_behind(ahead) <= patience).then_some(Wait::InTime(waiting));
         }
         let latest = needs.deadline - hold;
         let known = hold.mul_f64(HOLD_MARGIN);
         let margin = if hold.is_zero() { needs.aim.since(now) / 2 } else { known };
         let in_time = needs.aim - margin;
-        let ahead = self.queue.ahead_of(needs.criticality, in_time);
+        let ahead = self.queue.ahead_of(place, in_time);
         if now + self.wait_behind(ahead) <= in_time {
             let until = latest.min(in_time + LATE_GRACE);
-            return Some(Wait::InTime(Waiting { call, until, in_time }));
+            return Some(Wait::InTime(Waiting { call, around, until, in_time }));
         }
         let until = latest.min(now + self.settings.queue_wait);
         let start = now + self.wait_behind(self.queue.len()).mul_f64(LATE_MARGIN);
-        (start <= until).then_some(Wait::Late(Waiting { call, until, in_time }))
+        (start <= until).then_some(Wait::Late(Waiting { call, around, until, in_time }))
     }
 
     fn overloaded(&self) -> Refusal {
@@ -363,26 +392,22 @@
         self.holds.of_all().mul_f64(turns).min(LONGEST_HINT)
     }
 
-    fn fits(&self, criticality: Criticality) -> bool {
+    fn fits(&self, place: Place) -> bool {
         let limit = self.limit.get();
-        if self.running() >= limit {
+        if self.running() >= limit || !self.returning.leaves_room(place.around, limit) {
             return false;
         }
-        let shared = criticality != Criticality::Bulk || !self.settings.adaptive;
+        let shared = place.criticality != Criticality::Bulk || !self.settings.adaptive;
         shared || self.bulk < bulk_limit(limit)
     }
 
-    fn start(
-        &mut self,
-        now: Mono,
-        call: CallId,
-        criticality: Criticality,
-        route: Option<RouteName>,
-    ) {
+    fn start(&mut self, now: Mono, call: CallId, place: Place, route: Option<RouteName>) {
+        let Place { criticality, around } = place;
         if criticality == Criticality::Bulk {
             self.bulk += 1;
         }
-        self.running.insert(call, Running { since: now, criticality, route });
+        self.returning.start(around);
+        self.running.insert(call, Running { since: now, criticality, route, around });
         self.limit.observe(self.running());
         self.counters.run += 1;
         self.counters.peak = self.counters.peak.max(self.running.len() as u64);
@@ -391,37 +416,40 @@
     fn start_waiting(&mut self, now: Mono) -> Vec<CallId> {
         let mut run = Vec::new();
         for criticality in CLASSES {
-            self.start_class(now, criticality, Queue::pop, &mut run);
+            while let Some(next) = self.queue.first(now, criticality, self.settings.order) {
+                if !self.start_next(now, criticality, next, &mut run) {
+                    break;
+                }
+            }
         }
         for criticality in CLASSES {
-            let pop =
-                |queue: &mut Queue, _: Mono, criticality, order| queue.pop_late(criticality, order);
-            self.start_class(now, criticality, pop, &mut run);
+            while let Some(next) = self.queue.first_late(criticality, self.settings.order) {
+                if !self.start_next(now, criticality, next, &mut run) {
+                    break;
+                }
+            }
         }
         run
     }
 
-    /// Starts calls of a class that `pop` takes out of the queue, while they fit.
-    fn start_class(
+    /// Starts a call that waits, if it fits; whether the one behind it may follow.
+    fn start_next(
         &mut self,
         now: Mono,
         criticality: Criticality,
-        pop: impl Fn(&mut Queue, Mono, Criticality, QueueOrder) -> Option<Waiting>,
+        next: Waiting,
         run: &mut Vec<CallId>,
-    ) {
-        while self.fits(criticality) {
-            let Some(next) = pop(&mut self.queue, now, criticality, self.settings.order) else {
-                return;
-            };
-            if next.until <= now {
-                // It is left to `expire`, which tells its caller.
-                self.queue.push_late(criticality, next);
-                return;
-            }
-            let route = self.waiting_routes.remove(&next.call);
-            self.start(now, next.call, criticality, route);
-            run.push(next.call);
+    ) -> bool {
+        let place = Place { criticality, around: next.around };
+        // One whose wait is over is left to `expire`, which tells its caller.
+        if next.until <= now || !self.fits(place) {
+            return false;
         }
+        self.queue.remove(next.call);
+        let route = self.waiting_routes.remove(&next.call);
+        self.start(now, next.call, place, route);
+        run.push(next.call);
+        true
     }
 
     fn learn(&mut self, now: Mono, running: &Running, ran: Ran) {
--- a/crates/routing/src/slots/queue.rs
+++ b/crates/routing/src/slots/queue.rs
@@ -2,12 +2,13 @@
 //! answered as wanted runs out first. Calls that can no longer make that time wait behind all
 //! others.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 use cyclamen_declarations::Criticality;
 use cyclamen_types::Mono;
 
-use crate::slots::CallId;
+use crate::slots::{Around, CallId};
 
 /// All classes, the one that goes first in front.
 pub(super) const CLASSES: [Criticality; 3] =
@@ -23,10 +24,19 @@
     NewestFirst,
 }
 
+/// Where a call stands among those that want a slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place {
+    pub(super) criticality: Criticality,
+    pub(super) around: Around,
+}
+
 /// A call that waits.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
     pub(super) call: CallId,
+    /// What it was made for: of a class, the one with most around it goes first.
+    pub(super) around: Around,
     /// When it stops waiting.
     pub(super) until: Mono,
     /// Until when it can start and still be answered as wanted; [`Mono::NEVER`] for a call without
@@ -58,16 +68,17 @@
     }
 
     /// Calls that go before a new one of this class that has to start by `in_time`.
-    pub(super) fn ahead_of(&self, criticality: Criticality, in_time: Mono) -> usize {
-        let rank = rank(criticality);
+    pub(super) fn ahead_of(&self, place: Place, in_time: Mono) -> usize {
+        let rank = rank(place.criticality);
         let above: usize = self.in_time[..rank].iter().map(VecDeque::len).sum();
-        above + self.in_time[rank].partition_point(|waiting| waiting.in_time <= in_time)
+        let key = order_key(place.around, in_time);
+        above + self.in_time[rank].partition_point(|waiting| waiting.key() <= key)
     }
 
     /// Adds a call that can be answered as wanted.
     pub(super) fn push(&mut self, criticality: Criticality, waiting: Waiting) {
         let class = &mut self.in_time[rank(criticality)];
-        let place = class.partition_point(|other| other.in_time <= waiting.in_time);
+        let place = class.partition_point(|other| other.key() <= waiting.key());
         class.insert(place, waiting);
     }
 
@@ -77,8 +88,8 @@
     }
 
     /// The next call of a class that can be answered as wanted; those that have missed their time
-    /// are put behind.
-    pub(super) fn pop(
+    /// are put behind. It stays in the queue.
+    pub(super) fn first(
         &mut self,
         now: Mono,
         criticality: Criticality,
@@ -88,16 +99,16 @@
         while self.in_time[rank].front().is_some_and(|first| first.in_time < now) {
             self.late[rank].extend(self.in_time[rank].pop_front());
         }
-        take(&mut self.in_time[rank], order)
+        first(&self.in_time[rank], order)
     }
 
-    /// The next call of a class that has missed its time.
-    pub(super) fn pop_late(
-        &mut self,
+    /// The next call of a class that has missed its time. It stays in the queue.
+    pub(super) fn first_late(
+        &self,
         criticality: Criticality,
         order: QueueOrder,
     ) -> Option<Waiting> {
-        take(&mut self.late[rank(criticality)], order)
+        first(&self.late[rank(criticality)], order)
     }
 
     /// Makes way for a call of this class: takes out one that is late, or one of the lowest class
@@ -154,14 +165,26 @@
     }
 }
 
+impl Waiting {
+    fn key(&self) -> (Reverse<u8>, Mono) {
+        order_key(self.around, self.in_time)
+    }
+}
+
+/// Of the calls of a class, those with most around them go first, then those whose time runs out
+/// first.
+fn order_key(around: Around, in_time: Mono) -> (Reverse<u8>, Mono) {
+    (Reverse(around.depth), in_time)
+}
+
 /// The next call of those that end their time alike, in this order.
-fn take(class: &mut VecDeque<Waiting>, order: QueueOrder) -> Option<Waiting> {
+fn first(class: &VecDeque<Waiting>, order: QueueOrder) -> Option<Waiting> {
     match order {
-        QueueOrder::OldestFirst => class.pop_front(),
+        QueueOrder::OldestFirst => class.front().copied(),
         QueueOrder::NewestFirst => {
-            let first = class.front()?.in_time;
-            let alike = class.partition_point(|waiting| waiting.in_time <= first);
-            class.remove(alike - 1)
+            let key = class.front()?.key();
+            let alike = class.partition_point(|waiting| waiting.key() <= key);
+            class.get(alike - 1).copied()
         }
     }
 }
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -7,7 +7,9 @@
 
 use common::at;
 use cyclamen_declarations::Criticality;
-use cyclamen_routing::{Admission, CallId, CallNeeds, QueueOrder, Ran, Slots, SlotsSettings};
+use cyclamen_routing::{
+    Admission, Around, CallId, CallNeeds, QueueOrder, Ran, Slots, SlotsSettings,
+};
 use cyclamen_types::Mono;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -78,6 +80,7 @@
             criticality: load.criticality,
             route: Some(load.route.try_into().expect("a name")),
             origin: Some(load.origin.try_into().expect("a name")),
+            around: Around::default(),
             aim: if aims { Mono(came + load.aim * MILLI) } else { Mono::NEVER },
             deadline: Mono(came + load.deadline * MILLI),
         };
