Send idempotent calls again over connections that a server forgot; copy configurations compressed; tell evidence before news of members

(2) A relay on a 15 Mbit/s link sent the whole configuration to each daemon of its domain. Reports of evidence were the last of all gossip, behind the news of members.

Change: a call that may run twice is sent again over a new connection when a reused one breaks without an answer; calls that may run once keep away from connections that rested, for 10 s after that. What follows such a repeat never counts as not run. Copies between daemons are compressed once a version.

--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -19,7 +19,7 @@
 use crate::calls::hop::{CALL_HEADER, HopAnswer, HopCall, HopNumber, HopOutcome};
 use crate::calls::host::{self, HostCall, HostEnd};
 use crate::calls::plane::Plane;
-use crate::calls::pool::{Exchange, SendFailure};
+use crate::calls::pool::{Exchange, SendAgain, SendFailure};
 
 /// An attempt under way. Dropped, it counts as cancelled by the caller.
 pub(super) struct Try {
@@ -111,6 +111,7 @@
             route: self.attempt.route.clone(),
             address,
             criticality: self.attempt.criticality,
+            idempotent: self.attempt.idempotent,
             origin: self.plane.caller_service.clone(),
             aim: self.attempt.aim,
             deadline: self.attempt.deadline,
@@ -126,7 +127,7 @@
         if self.sign(number, &mut req).is_none() {
             return Ended::without(Outcome::NotConnected);
         }
-        let exchange = match self.plane.daemons.send(address, req, until).await {
+        let exchange = match self.plane.daemons.send(address, req, until, SendAgain::Never).await {
             Ok(exchange) => exchange,
             Err(SendFailure::NotConnected) => return Ended::without(Outcome::NotConnected),
             Err(SendFailure::Unsent) => {
@@ -153,8 +154,16 @@
         let aim = self.attempt.aim;
         let wanted = (aim != Mono::NEVER).then(|| self.plane.left(aim));
         let criticality = self.attempt.criticality;
-        let around = self.around.clone();
-        let call = HopCall { server, route, number, left, wanted, criticality, around };
+        let call = HopCall {
+            server,
+            route,
+            number,
+            left,
+            wanted,
+            criticality,
+            idempotent: self.attempt.idempotent,
+            around: self.around.clone(),
+        };
         let header = self.plane.seal.seal_call(self.plane.wall(), &call, req)?;
         req.headers_mut().insert(HeaderName::from_static(CALL_HEADER), header);
         Some(())
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -1,7 +1,7 @@
 //! The sealed headers between daemons: only a holder of the mesh key can make them.
 //!
 //! A call carries [`CALL_HEADER`]: backend server, route, number of the hop, time left,
-//! criticality, the services around it, wall clock, and a keyed hash over these, the method and the target. An answer carries
+//! criticality, whether it is idempotent, the services around it, wall clock, and a keyed hash over these, the method and the target. An answer carries
 //! [`ANSWER_HEADER`]: the same number, how the call ended, load, loads of other servers, and a keyed
 //! hash over these and the status.
 
@@ -49,6 +49,8 @@
     /// Time left until an answer is wanted, where the route says.
     pub(super) wanted: Option<Duration>,
     pub(super) criticality: Criticality,
+    /// Whether it may run twice.
+    pub(super) idempotent: bool,
     /// The services whose running calls it was made for.
     pub(super) around: ServicesAround,
 }
@@ -131,12 +133,13 @@
         call: &HopCall,
         req: &Request<B>,
     ) -> Option<HeaderValue> {
-        let HopCall { server, route, number, left, wanted, criticality, around } = call;
+        let HopCall { server, route, number, left, wanted, criticality, idempotent, around } = call;
         let around = text::write_services(around);
         let left = left.as_millis();
         let wanted = wanted.map_or(-1, |wanted| i64::try_from(wanted.as_millis()).unwrap_or(-1));
-        let claim =
-            format!("v2 {server} {route} {number} {left} {wanted} {criticality} {around} {now}");
+        let claim = format!(
+            "v2 {server} {route} {number} {left} {wanted} {criticality} {idempotent} {around} {now}"
+        );
         let hash = self.hash(&[b"call", claim.as_bytes(), &target(req)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
     }
--- a/crates/daemon/src/calls/hop/tests.rs
+++ b/crates/daemon/src/calls/hop/tests.rs
@@ -24,6 +24,7 @@
         left: Duration::from_millis(250),
         wanted: Some(Duration::from_millis(100)),
         criticality: Criticality::Critical,
+        idempotent: true,
         around: ["dvere", "zavady"].map(|name| name.try_into().expect("a name")).into(),
     }
 }
--- a/crates/daemon/src/calls/hop/text.rs
+++ b/crates/daemon/src/calls/hop/text.rs
@@ -40,9 +40,11 @@
     let wanted: i64 = fields.next()?.parse().ok()?;
     let wanted = u64::try_from(wanted).ok().map(Duration::from_millis);
     let criticality = parse_criticality(fields.next()?)?;
+    let idempotent = fields.next()?.parse().ok()?;
     let around = parse_services(fields.next()?)?;
     let at = Wall(fields.next()?.parse().ok()?);
-    Some((HopCall { server, route, number, left, wanted, criticality, around }, at))
+    let call = HopCall { server, route, number, left, wanted, criticality, idempotent, around };
+    Some((call, at))
 }
 
 pub(super) fn parse_answer(claim: &str) -> Option<HopAnswer> {
--- a/crates/daemon/src/calls/host.rs
+++ b/crates/daemon/src/calls/host.rs
@@ -18,7 +18,7 @@
 use crate::calls::headers;
 use crate::calls::hop::{ANSWER_HEADER, HopAnswer, HopCall, HopOutcome};
 use crate::calls::plane::Plane;
-use crate::calls::pool::{Exchange, SendFailure};
+use crate::calls::pool::{Exchange, SendAgain, SendFailure};
 use crate::calls::trail::{Trail, attempt_end};
 use crate::shared::SlotTurn;
 
@@ -37,6 +37,8 @@
     pub(super) route: RouteName,
     pub(super) address: SocketAddr,
     pub(super) criticality: Criticality,
+    /// Whether it may run twice.
+    pub(super) idempotent: bool,
     /// The service beside whose server the call began, where that is known.
     pub(super) origin: Option<ServiceName>,
     /// When an answer is wanted.
@@ -129,6 +131,7 @@
         route: claim.route.clone(),
         address,
         criticality: claim.criticality,
+        idempotent: claim.idempotent,
         origin: headers::origin(&plane.headers, req.headers()),
         aim: claim.wanted.map_or(Mono::NEVER, |wanted| plane.mono() + wanted),
         deadline: plane.mono() + claim.left,
@@ -180,7 +183,8 @@
         slot.running = request_id.clone().map(start);
     }
     let until = plane.until(call.deadline);
-    let sent = plane.servers.send(call.address, req, until).await;
+    let again = if call.idempotent { SendAgain::Allowed } else { SendAgain::Never };
+    let sent = plane.servers.send(call.address, req, until, again).await;
     let latency = plane.mono().since(started);
     plane.metrics.ran(latency);
     if let Some(served) = served(&sent, latency) {
@@ -203,7 +207,7 @@
     }
     if plane.headers.not_run.as_ref().is_some_and(|name| answer.contains_key(name)) {
         slot.ran = Ran::Shed(latency);
-        return HostEnd::Shed(SOON);
+        return if exchange.repeated { HostEnd::Unknown } else { HostEnd::Shed(SOON) };
     }
     if status.is_success() && !proven(&plane.headers, answer) {
         return HostEnd::Unknown;
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -1,7 +1,10 @@
 //! Connections to backend servers and other daemons: bounded, reused, opened ahead.
 //!
-//! A call is sent once. Where a connection closed before the call was taken by it, the call goes
-//! over another one; that is certain to be safe, since not a byte of it was written.
+//! Where a connection closed before a call was taken by it, the call goes over another one; that
+//! is certain to be safe, since not a byte of it was written. A backend server may also forget a
+//! connection that rests without a word, and what is sent next on it is lost: an idempotent call
+//! is then sent again over a new connection, and calls that may run once keep away from
+//! connections that rested, for a while.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -29,6 +32,12 @@
 /// A connection that was idle for longer is not used again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// For how long a target that forgot a connection is taken to forget more of them.
+const FORGETFUL_FOR: Duration = Duration::from_secs(10);
+
+/// A connection that rested for less is not forgotten by such a target.
+const SHORT_REST: Duration = Duration::from_millis(100);
+
 /// Connections kept open ahead of calls to each backend server beside the daemon.
 const OPEN_AHEAD: usize = 2;
 
@@ -48,6 +57,17 @@
     address: SocketAddr,
     open: Arc<Semaphore>,
     idle: Mutex<Vec<Idle>>,
+    /// When a connection that had rested last broke without an answer.
+    forgot: Mutex<Option<Instant>>,
+}
+
+/// Whether a call may be sent again that a resting connection may have lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SendAgain {
+    /// It is idempotent.
+    Allowed,
+    /// It may run once.
+    Never,
 }
 
 struct Idle {
@@ -68,6 +88,8 @@
     pub(super) lease: Lease,
     /// Whether the connection was opened for it.
     pub(super) cold: bool,
+    /// Whether it was sent before, over a connection that broke: it may have run then.
+    pub(super) repeated: bool,
 }
 
 /// Why there is no answer.
@@ -89,33 +111,46 @@
         Self(Arc::new(Inner { per_target, targets: Mutex::default() }))
     }
 
-    /// Sends a call once and waits for the head of its answer until `until`.
+    /// Sends a call and waits for the head of its answer until `until`.
     pub(super) async fn send(
         &self,
         to: SocketAddr,
         mut req: Request<OutBody>,
         until: Instant,
+        again: SendAgain,
     ) -> Result<Exchange, SendFailure> {
         let target = self.target(to);
+        let mut repeats = false;
         loop {
-            let mut lease = match target.idle_lease() {
+            let idle = if repeats { None } else { target.idle_lease(again) };
+            let mut lease = match idle {
                 Some(lease) => lease,
+                // The call may have run over the connection that broke.
+                None if repeats => target.connect(until).await.map_err(|_| SendFailure::Reset)?,
                 None => target.connect(until).await?,
             };
+            let copy = if lease.cold { None } else { copy_of(&req, again) };
             let sent = tokio::time::timeout_at(until, lease.sender.try_send_request(req)).await;
             let mut failed = match sent {
                 Ok(Ok(response)) => {
                     let cold = lease.cold;
-                    return Ok(Exchange { response, lease, cold });
+                    return Ok(Exchange { response, lease, cold, repeated: repeats });
                 }
                 Ok(Err(failed)) => failed,
                 Err(_) => return Err(SendFailure::TimedOut),
             };
             let Some(unsent) = failed.take_message() else {
-                return Err(SendFailure::Reset);
+                if lease.cold {
+                    return Err(SendFailure::Reset);
+                }
+                target.note_forgetful();
+                req = copy.ok_or(SendFailure::Reset)?;
+                repeats = true;
+                continue;
             };
             if lease.cold {
-                return Err(SendFailure::NotConnected);
+                let nothing = if repeats { SendFailure::Reset } else { SendFailure::NotConnected };
+                return Err(nothing);
             }
             req = unsent;
         }
@@ -146,20 +181,34 @@
         let mut targets = lock(&self.0.targets);
         let target = targets.entry(address).or_insert_with(|| {
             let open = Arc::new(Semaphore::new(self.0.per_target));
-            Arc::new(Target { address, open, idle: Mutex::default() })
+            Arc::new(Target { address, open, idle: Mutex::default(), forgot: Mutex::default() })
         });
         Arc::clone(target)
     }
 }
 
 impl Target {
-    fn idle_lease(self: &Arc<Self>) -> Option<Lease> {
+    /// The connection that rested for the shortest time, where one suits the call.
+    fn idle_lease(self: &Arc<Self>, again: SendAgain) -> Option<Lease> {
+        let longest = match again {
+            SendAgain::Never if self.forgetful() => SHORT_REST,
+            SendAgain::Never | SendAgain::Allowed => IDLE_TIMEOUT,
+        };
         let mut idle = lock(&self.idle);
-        let place = idle.iter().rposition(|idle| idle.usable() && idle.sender.is_ready())?;
+        let suits = |idle: &Idle| idle.usable() && idle.since.elapsed() < longest;
+        let place = idle.iter().rposition(|idle| suits(idle) && idle.sender.is_ready())?;
         let sender = idle.remove(place).sender;
         Some(Lease { target: Arc::clone(self), sender, cold: false })
     }
 
+    fn note_forgetful(&self) {
+        *lock(&self.forgot) = Some(Instant::now());
+    }
+
+    fn forgetful(&self) -> bool {
+        lock(&self.forgot).is_some_and(|at| at.elapsed() < FORGETFUL_FOR)
+    }
+
     async fn connect(self: &Arc<Self>, until: Instant) -> Result<Lease, SendFailure> {
         let permit = Arc::clone(&self.open).try_acquire_owned().map_err(|_| SendFailure::Unsent)?;
         let patience = Instant::now() + CONNECT_TIMEOUT;
@@ -177,6 +226,21 @@
     }
 }
 
+/// A call to send again, where it may be and its body is at hand.
+fn copy_of(req: &Request<OutBody>, again: SendAgain) -> Option<Request<OutBody>> {
+    let OutBody::Held(body) = req.body() else {
+        return None;
+    };
+    if again == SendAgain::Never {
+        return None;
+    }
+    let mut copy = Request::new(OutBody::Held(body.clone()));
+    *copy.method_mut() = req.method().clone();
+    *copy.uri_mut() = req.uri().clone();
+    *copy.headers_mut() = req.headers().clone();
+    Some(copy)
+}
+
 async fn drive(
     connection: http1::Connection<TokioIo<TcpStream>, OutBody>,
     permit: OwnedSemaphorePermit,
--- a/crates/daemon/src/store/link.rs
+++ b/crates/daemon/src/store/link.rs
@@ -31,13 +31,13 @@
 const READ_PAUSE: Duration = Duration::from_millis(200);
 
 /// Daemons of the own failure domain that a later configuration is asked of before the store is read for it.
-const COPY_TRIES: u32 = 3;
+const COPY_TRIES: u32 = 2;
 
 /// Pause between two such daemons, in which those of the own failure domain come to hold it.
-const COPY_PAUSE: Duration = Duration::from_millis(150);
+const COPY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest time for a daemon to answer what it read of the store.
-const COPY_TIMEOUT: Duration = Duration::from_millis(400);
+const COPY_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time without an answer of the store to any daemon after which daemons look for themselves.
 const STORE_SILENCE: Duration = Duration::from_secs(5);
@@ -200,8 +200,15 @@
         if next <= from {
             return None;
         }
-        let records = records.into_iter().map(copies::original).collect();
-        Some(self.take_read(&Read { records, next }))
+        match copies::originals(records) {
+            Ok(records) => Some(self.take_read(&Read { records, next })),
+            Err(error) => {
+                warn!(
+                    "what another daemon read of the store is damaged ({error}): the next is asked"
+                );
+                None
+            }
+        }
     }
 
     /// Puts in force what was read; returns where to read on.
--- a/crates/distribution/src/messages.rs
+++ b/crates/distribution/src/messages.rs
@@ -24,8 +24,8 @@
 pub struct StoredRecord {
     /// Its key.
     pub key: String,
-    /// Its value, as the platform encodes it.
-    pub value: Vec<u8>,
+    /// Its value, as the platform encodes it, compressed (deflate).
+    pub packed: Vec<u8>,
     /// Where it stands.
     pub offset: Offset,
 }
--- a/crates/membership/src/budget.rs
+++ b/crates/membership/src/budget.rs
@@ -24,7 +24,7 @@
     News,
     /// Records, which peers can pull as well.
     Records,
-    /// Riders that can wait.
+    /// Messages that only carry reports, where nothing else goes out.
     Bulk,
 }
 
--- a/crates/membership/src/hot.rs
+++ b/crates/membership/src/hot.rs
@@ -23,10 +23,11 @@
     Urgent,
     /// At once, but whoever misses them can pull them.
     Records,
+    /// Before members and backend servers, which digests repair: reports of evidence, of which a
+    /// verdict within seconds is made, also while many members come and go.
+    Reports,
     /// With every datagram: members and backend servers.
     Soon,
-    /// As bytes allow.
-    Bulk,
 }
 
 /// What a piece of news is about. Newer news about the same replaces older.
@@ -64,7 +65,7 @@
         let urgency = match rider.kind {
             RiderKind::Conviction => Urgency::Urgent,
             RiderKind::Records => Urgency::Records,
-            RiderKind::Evidence => Urgency::Bulk,
+            RiderKind::Evidence => Urgency::Reports,
         };
         self.insert(Topic::Rider(id), urgency, Some(rider), limit);
     }
@@ -83,7 +84,7 @@
 
     /// Whether reports of evidence wait.
     pub(crate) fn has_reports(&self) -> bool {
-        self.news.values().any(|news| news.urgency == Urgency::Bulk)
+        self.news.values().any(|news| news.urgency == Urgency::Reports)
     }
 
     /// How many pieces of news there are.
@@ -114,8 +115,8 @@
         if urgency == Urgency::Records {
             self.shed(RECORDS_LIMIT, |news| news.urgency == Urgency::Records);
         }
-        if urgency == Urgency::Bulk {
-            self.shed(EVIDENCE_LIMIT, |news| news.urgency == Urgency::Bulk);
+        if urgency == Urgency::Reports {
+            self.shed(EVIDENCE_LIMIT, |news| news.urgency == Urgency::Reports);
         }
         self.shed(NEWS_LIMIT, |_| true);
     }
--- a/crates/membership/src/sending.rs
+++ b/crates/membership/src/sending.rs
@@ -137,8 +137,7 @@
             let spend = match urgency {
                 Urgency::Urgent => Spend::Urgent,
                 Urgency::Records => Spend::Records,
-                Urgency::Soon => Spend::News,
-                Urgency::Bulk => Spend::Bulk,
+                Urgency::Reports | Urgency::Soon => Spend::News,
             };
             let Some(item) = self.news_item(&topic) else {
                 self.hot.forget(&topic);
