--- a/crates/cyclamenmoor/src/servers.rs
+++ b/crates/cyclamenmoor/src/servers.rs
@@ -227,7 +227,14 @@
 
     /// What a backend server beside this daemon carries now.
     pub fn load(&self, server: &ServerName) -> ServerLoad {
-        self.beside.get(server).map(|beside| beside.slots.load()).unwrap_or_default()
+        let Some(beside) = self.beside.get(server) else {
+            return ServerLoad::default();
+        };
+        let load = beside.slots.load();
+        match self.router.usual_hold(&beside.service, beside.slots.route_holds()) {
+            Some(seconds) => ServerLoad { hold_us: (seconds * 1e6) as u64, ..load },
+            None => load,
+        }
     }
 
     /// When a call that a backend server beside this daemon had no slot for may come back.
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -61,6 +61,16 @@
     forgot: Mutex<Option<Instant>>,
 }
 
+/// What became of a call on one connection.
+enum Sent {
+    /// An answer came.
+    Answered(Exchange),
+    /// Not a byte was written: the call is handed back.
+    Unsent(Request<OutBody>),
+    /// The connection broke; the call may have run.
+    Broken,
+}
+
 /// Whether a call may be sent again that a resting connection may have lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SendAgain {
@@ -120,39 +130,24 @@
         again: SendAgain,
     ) -> Result<Exchange, SendFailure> {
         let target = self.target(to);
-        let mut repeats = false;
         loop {
-            let idle = if repeats { None } else { target.idle_lease(again) };
-            let mut lease = match idle {
+            let lease = match target.idle_lease(again) {
                 Some(lease) => lease,
-                // The call may have run over the connection that broke.
-                None if repeats => target.connect(until).await.map_err(|_| SendFailure::Reset)?,
                 None => target.connect(until).await?,
             };
-            let copy = if lease.cold { None } else { copy_of(&req, again) };
-            let sent = tokio::time::timeout_at(until, lease.sender.try_send_request(req)).await;
-            let mut failed = match sent {
-                Ok(Ok(response)) => {
-                    let cold = lease.cold;
-                    return Ok(Exchange { response, lease, cold, repeated: repeats });
-                }
-                Ok(Err(failed)) => failed,
-                Err(_) => return Err(SendFailure::TimedOut),
-            };
-            let Some(unsent) = failed.take_message() else {
-                if lease.cold {
-                    return Err(SendFailure::Reset);
+            let cold = lease.cold;
+            let copy = if cold { None } else { copy_of(&req, again) };
+            req = match lease.send(req, until).await? {
+                Sent::Answered(exchange) => return Ok(exchange),
+                Sent::Unsent(_) if cold => return Err(SendFailure::NotConnected),
+                Sent::Unsent(req) => req,
+                Sent::Broken if cold => return Err(SendFailure::Reset),
+                Sent::Broken => {
+                    target.note_forgetful();
+                    let copy = copy.ok_or(SendFailure::Reset)?;
+                    return target.repeat(copy, until).await;
                 }
-                target.note_forgetful();
-                req = copy.ok_or(SendFailure::Reset)?;
-                repeats = true;
-                continue;
             };
-            if lease.cold {
-                let nothing = if repeats { SendFailure::Reset } else { SendFailure::NotConnected };
-                return Err(nothing);
-            }
-            req = unsent;
         }
     }
 
@@ -201,6 +196,20 @@
         Some(Lease { target: Arc::clone(self), sender, cold: false })
     }
 
+    /// Sends a call again over a new connection. Whatever prevents that, it may have run over the
+    /// connection that broke.
+    async fn repeat(
+        self: &Arc<Self>,
+        req: Request<OutBody>,
+        until: Instant,
+    ) -> Result<Exchange, SendFailure> {
+        let lease = self.connect(until).await.map_err(|_| SendFailure::Reset)?;
+        match lease.send(req, until).await? {
+            Sent::Answered(exchange) => Ok(Exchange { repeated: true, ..exchange }),
+            Sent::Unsent(_) | Sent::Broken => Err(SendFailure::Reset),
+        }
+    }
+
     fn note_forgetful(&self) {
         *lock(&self.forgot) = Some(Instant::now());
     }
@@ -257,6 +266,18 @@
 }
 
 impl Lease {
+    /// Sends a call over this connection.
+    async fn send(mut self, req: Request<OutBody>, until: Instant) -> Result<Sent, SendFailure> {
+        let sent = tokio::time::timeout_at(until, self.sender.try_send_request(req)).await;
+        match sent.map_err(|_| SendFailure::TimedOut)? {
+            Ok(response) => {
+                let cold = self.cold;
+                Ok(Sent::Answered(Exchange { response, lease: self, cold, repeated: false }))
+            }
+            Err(mut failed) => Ok(failed.take_message().map_or(Sent::Broken, Sent::Unsent)),
+        }
+    }
+
     /// Keeps the connection for another call, once the answer was read to its end.
     pub(super) fn give_back(self) {
         let idle = Idle { sender: self.sender, since: Instant::now() };
--- a/crates/daemon/src/store/link.rs
+++ b/crates/daemon/src/store/link.rs
@@ -10,6 +10,7 @@
 use cyclamen_port::StoredMember;
 use cyclamen_types::Offset;
 use cyclamenmoor::Instance;
+use futures::{FutureExt, future};
 use log::{error, info, warn};
 use rand::Rng;
 
@@ -30,14 +31,11 @@
 /// Pause between two reads, so that configurations in quick succession come together.
 const READ_PAUSE: Duration = Duration::from_millis(200);
 
-/// Daemons of the own failure domain that a later configuration is asked of before the store is read for it.
-const COPY_TRIES: u32 = 2;
-
-/// Pause between two such daemons, in which those of the own failure domain come to hold it.
-const COPY_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which the next source is asked for a later configuration beside the first.
+const COPY_STAGGER: Duration = Duration::from_millis(250);
 
 /// Longest time for a daemon to answer what it read of the store.
-const COPY_TIMEOUT: Duration = Duration::from_millis(300);
+const COPY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time without an answer of the store to any daemon after which daemons look for themselves.
 const STORE_SILENCE: Duration = Duration::from_secs(5);
@@ -149,17 +147,31 @@
             () = self.behind() => true,
             () = self.called_for() => false,
         };
-        if heard {
-            for _ in 0..COPY_TRIES {
-                if let Some(next) = self.copy(from).await {
-                    return Ok(next);
-                }
-                tokio::time::sleep(COPY_PAUSE).await;
-            }
-        }
+        let read = match heard {
+            true => self.fetch(from).await?,
+            false => self.look(from, Duration::ZERO).await?,
+        };
+        Ok(self.take_read(&read))
+    }
+
+    /// Gets what came since from whoever gives it first: daemons of the own failure domain, and
+    /// the store itself where they take their time. On a crowded link none of them may be quick.
+    async fn fetch(&self, from: Offset) -> Result<Read, StoreError> {
+        let tries = [
+            self.copy(from, Duration::ZERO).boxed(),
+            self.copy(from, COPY_STAGGER).boxed(),
+            self.look(from, 2 * COPY_STAGGER).boxed(),
+        ];
+        let (read, _others) = future::select_ok(tries).await?;
+        Ok(read)
+    }
+
+    /// Reads the store without waiting for a record.
+    async fn look(&self, from: Offset, after: Duration) -> Result<Read, StoreError> {
+        tokio::time::sleep(after).await;
         let read = self.store.read(Topic::Orders, from, Duration::ZERO).await?;
         self.answered();
-        Ok(self.take_read(&read))
+        Ok(read)
     }
 
     /// Ends once this daemon has to read the store: for its failure domain, or because the store
@@ -181,33 +193,33 @@
         }
     }
 
-    /// Asks a daemon of the own failure domain that holds more for what it read of the store; `None` when it has nothing.
-    async fn copy(&self, from: Offset) -> Option<Offset> {
+    /// Asks a daemon of the own failure domain that holds more for what it read of the store.
+    async fn copy(&self, from: Offset, after: Duration) -> Result<Read, StoreError> {
+        tokio::time::sleep(after).await;
         let peer = self.shared.read(|instance| {
             let mine = instance.ledger().version();
             let domain = &instance.membership().me().domain;
             let holds_more = |peer: &Peer<'_>| {
                 peer.domain == domain && peer.held.is_some_and(|held| held.version > mine)
             };
-            instance.membership().choose_peer(&mut rand::rng(), holds_more)
-        })?;
+            let (membership, mut rng) = (instance.membership(), rand::rng());
+            // One that reads the store may hold it before it was heard to.
+            membership
+                .choose_peer(&mut rng, holds_more)
+                .or_else(|| membership.choose_relay(&mut rng))
+        });
+        let no_copy = |why: &str| StoreError::Unanswered(why.into());
+        let peer =
+            peer.ok_or_else(|| no_copy("no daemon of the failure domain reads the store"))?;
         let request = PeerRequest::Stored { from };
         let asking = peers::ask(peer, &request, &self.key);
-        let answer = tokio::time::timeout(COPY_TIMEOUT, asking).await.ok()?;
-        let Some(PeerResponse::Stored { records, next }) = answer else {
-            return None;
-        };
-        if next <= from {
-            return None;
-        }
-        match copies::originals(records) {
-            Ok(records) => Some(self.take_read(&Read { records, next })),
-            Err(error) => {
-                warn!(
-                    "what another daemon read of the store is damaged ({error}): the next is asked"
-                );
-                None
+        match tokio::time::timeout(COPY_TIMEOUT, asking).await {
+            Ok(Some(PeerResponse::Stored { records, next })) if next > from => {
+                let records =
+                    copies::originals(records).map_err(|why| no_copy(&why.to_string()))?;
+                Ok(Read { records, next })
             }
+            Ok(_) | Err(_) => Err(no_copy("another daemon gave no copy in time")),
         }
     }
 
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -6,6 +6,7 @@
 use cyclamen_types::{FailureDomain, FastMap, InstanceName, Now};
 use rand::Rng;
 
+use crate::datagram::ShortId;
 use crate::membership::Membership;
 use crate::records::MemberState;
 use crate::wire::Held;
@@ -45,6 +46,14 @@
         ranked.into_iter().map(|(_, instance)| instance.clone()).collect()
     }
 
+    /// A member of this failure domain that reads the log, at random; not this one.
+    pub fn choose_relay(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        let mut relays = self.relays(&self.me.domain);
+        relays.retain(|name| *name != self.me.instance);
+        let name = relays.get(rng.random_range(0..relays.len().max(1)))?;
+        Some(self.roster.get(ShortId::of(name))?.record.addresses.peer)
+    }
+
     /// How many live members read the log, over all failure domains.
     pub fn readers(&self) -> usize {
         let mut per_domain: FastMap<&FailureDomain, usize> = FastMap::default();
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -140,7 +140,9 @@
     pub fn failed(self) -> Option<bool> {
         match self {
             Self::Answered { status } => Some(status >= SERVER_FAULT_STATUS),
-            Self::NotRun { .. } | Self::Shed { .. } | Self::Cancelled => None,
+            Self::NotRun { .. } | Self::Cancelled => None,
+            // The daemon beside the server had found a slot for the call.
+            Self::Shed { .. } => Some(true),
             Self::NotConnected | Self::Reset | Self::TimedOut | Self::Truncated => Some(true),
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,8 +10,8 @@
 
 pub use call::{Attempt, AttemptId, CallHead, Choice, Hop, Next, Outcome, Refusal, RefusalKind};
 pub use router::{
-    HeardLoad, RetryLimits, Router, RouterCounters, RouterMode, RouterSettings, ServerInfo,
-    ServerLoad, VersionSplit,
+    HeardLoad, RetryLimits, RouteHold, Router, RouterCounters, RouterMode, RouterSettings,
+    ServerInfo, ServerLoad, VersionSplit,
 };
 pub use slots::{
     Admission, Around, CallId, CallNeeds, QueueOrder, Ran, Slots, SlotsCounters, SlotsSettings,
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod refusals;
 mod server;
+mod usual;
 mod versions;
 
 use std::sync::Arc;
@@ -29,6 +30,8 @@
 use crate::router::pool::{ServerPool, Wanted};
 use crate::router::server::Health;
 pub use crate::router::server::{HeardLoad, ServerLoad};
+pub use crate::router::usual::RouteHold;
+use crate::router::usual::UsualTimes;
 use crate::router::versions::{Draw, PPM, VersionChoice};
 use crate::table::{CompiledRoute, RouteTable};
 
@@ -149,6 +152,7 @@
     calls: FastMap<AttemptId, Call>,
     /// Bytes that calls of a route and their answers lately had.
     sizes: FastMap<RouteName, f64>,
+    usual: UsualTimes,
     last_attempt: u64,
     rng: SmallRng,
     counters: RouterCounters,
@@ -166,6 +170,7 @@
             budgets: Default::default(),
             calls: Default::default(),
             sizes: Default::default(),
+            usual: Default::default(),
             last_attempt: 0,
             rng: SmallRng::seed_from_u64(seed),
             counters: Default::default(),
@@ -180,6 +185,7 @@
         self.table = table;
         let table = &self.table;
         self.sizes.retain(|route, _| table.has_route(route));
+        self.usual.retain(|route| table.has_route(route));
         true
     }
 
@@ -282,6 +288,16 @@
         }
     }
 
+    /// How long a server of a service holds a call of the service's usual mix, in seconds, by
+    /// what it held its own calls for; `None` while too little is known.
+    pub fn usual_hold<'a>(
+        &self,
+        service: &ServiceName,
+        holds: impl Iterator<Item = RouteHold<'a>>,
+    ) -> Option<f64> {
+        self.usual.hold(service, holds)
+    }
+
     /// Learns how many bytes a call of a route and its answer have.
     pub fn observe_size(&mut self, route: &RouteName, bytes: u64) {
         let bytes = bytes as f64;
@@ -420,7 +436,13 @@
         let Some(call) = self.calls.get_mut(&attempt) else {
             return;
         };
-        call.answered |= matches!(outcome, Outcome::Answered { .. });
+        if let Outcome::Answered { .. } = outcome
+            && !call.answered
+        {
+            call.answered = true;
+            let took = now.since(call.started).as_secs_f64();
+            self.usual.learn(&call.attempt.route, &call.attempt.service, took);
+        }
         let name = &call.attempt.server;
         let Some(server) = self.pool.find_mut(name) else {
             return;
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -54,7 +54,7 @@
     pub waiting: u32,
     /// Calls that may run at a time, now.
     pub limit: u32,
-    /// How long the server holds a call, in microseconds; zero while unknown.
+    /// How long the server holds a call of the usual mix, in microseconds; zero while unknown.
     pub hold_us: u64,
 }
 
--- a/crates/routing/src/slots/holds.rs
+++ b/crates/routing/src/slots/holds.rs
@@ -5,6 +5,7 @@
 use cyclamen_declarations::Criticality;
 use cyclamen_types::{FastMap, RouteName};
 
+use crate::router::RouteHold;
 use crate::slots::queue::{CLASSES, rank};
 
 /// Weight of a new hold time in the moving averages.
@@ -24,6 +25,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Average {
     seconds: Option<f64>,
+    /// Calls learned from, up to those that still have a say.
+    calls: f64,
 }
 
 impl HoldTimes {
@@ -50,6 +53,15 @@
         known.unwrap_or(&self.classes[rank(criticality)]).get()
     }
 
+    /// Those of all routes.
+    pub(super) fn by_route(&self) -> impl Iterator<Item = RouteHold<'_>> {
+        self.routes.iter().map(|(route, average)| RouteHold {
+            route,
+            seconds: average.seconds.unwrap_or_default(),
+            calls: average.calls,
+        })
+    }
+
     /// That of all calls; zero while none is known.
     pub(super) fn of_all(&self) -> Duration {
         self.all.get()
@@ -61,6 +73,7 @@
         let sample = held.as_secs_f64();
         let before = self.seconds.unwrap_or(sample);
         self.seconds = Some(before + GAIN * (sample - before));
+        self.calls = (self.calls + 1.0).min(1.0 / GAIN);
     }
 
     fn get(self) -> Duration {
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Refusal, RefusalKind};
-use crate::router::ServerLoad;
+use crate::router::{RouteHold, ServerLoad};
 use crate::slots::holds::HoldTimes;
 use crate::slots::limit::AdaptiveLimit;
 use crate::slots::nested::NestedRoutes;
@@ -288,6 +288,11 @@
         }
     }
 
+    /// How long calls of each route lately held their slots.
+    pub fn route_holds(&self) -> impl Iterator<Item = RouteHold<'_>> {
+        self.holds.by_route()
+    }
+
     /// When a refused call may come back: the time for those that wait to be served.
     pub fn come_back(&self) -> Duration {
         self.wait_behind(self.queue.len()).clamp(SHORTEST_HINT, LONGEST_HINT)
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -7,10 +7,24 @@
 
 use common::{DOORS, at, head, router, server};
 use cyclamen_routing::{
-    CallHead, Next, Outcome, RefusalKind, Router, ServerInfo, ServerLoad, VersionSplit,
+    CallHead, HeardLoad, Next, Outcome, RefusalKind, RouteHold, Router, ServerInfo, ServerLoad,
+    VersionSplit,
 };
 use cyclamen_types::{Mono, ServerName};
 
+/// One service whose routes take different times.
+const TWO_ROUTES: &str = "
+declarations:
+- name: dvere
+  service: {version: v1}
+- name: dvere/v1
+  version: {}
+- name: long
+  route: {service: dvere, timeout: 10s, match: {path_prefix: /long}}
+- name: short
+  route: {service: dvere, timeout: 10s, match: {path_prefix: /short}}
+";
+
 const OK: Outcome = Outcome::Answered { status: 200 };
 
 fn split(share_ppm: u32) -> VersionSplit {
@@ -254,3 +268,77 @@
     let refusal = router.begin(at(6), &call).expect_err("the deadline has passed");
     assert_eq!(refusal.kind, RefusalKind::Expired);
 }
+
+/// A slow server that had short calls only does not pass for quicker than a quick one that had
+/// long ones.
+#[test]
+fn usual_hold_by_route() {
+    let mut router = router(TWO_ROUTES, &three());
+    for number in 0..40 {
+        let (path, took) = if number % 4 == 0 { ("/long", 300) } else { ("/short", 60) };
+        let began = at(number * 1_000_000);
+        let attempt = router.begin(began, &head("GET", path)).expect("a server");
+        router.finish(began + Duration::from_millis(took), attempt.id, OK);
+        router.end_body(began + Duration::from_millis(took), attempt.id, true);
+    }
+    let (long, short) = ("long".try_into().expect("a name"), "short".try_into().expect("a name"));
+    let hold = |route, seconds| RouteHold { route, seconds, calls: 10.0 };
+    let service = "dvere".try_into().expect("a name");
+    let slow = router.usual_hold(&service, [hold(&short, 0.09)].into_iter());
+    let quick = router.usual_hold(&service, [hold(&long, 0.24), hold(&short, 0.05)].into_iter());
+    let (slow, quick) = (slow.expect("known"), quick.expect("known"));
+    assert!((0.17..0.19).contains(&slow), "120 ms for the mix, half as long again: {slow}");
+    assert!((0.09..0.11).contains(&quick), "120 ms for the mix, a fifth less: {quick}");
+}
+
+/// Of a server that this router had no answer of, it learns by the answers of others.
+#[test]
+fn hear_loads_of_others() {
+    let mut router = router(DOORS, &three());
+    let full = ServerLoad { running: 15, waiting: 3, limit: 15, hold_us: 50_000 };
+    let name = |name| ServerName::try_from(name).expect("a name");
+    let age = Duration::from_millis(300);
+    let heard = ["a", "b"].map(|server| HeardLoad { server: name(server), load: full, age });
+    router.hear_loads(at(1_000_000), &heard);
+    let attempt = router.begin(at(1_000_001), &head("GET", "/")).expect("a server");
+    assert_eq!(attempt.server.as_str(), "c");
+    let service = "dvere".try_into().expect("a name");
+    let told = router.tell_loads(at(1_200_000), &service, &name("b"));
+    let age = Duration::from_millis(500);
+    assert_eq!(told, [HeardLoad { server: name("a"), load: full, age }]);
+}
+
+/// What was heard does not replace what is known from later.
+#[test]
+fn hear_loads_older() {
+    let mut router = router(DOORS, &three());
+    let full = ServerLoad { running: 15, waiting: 3, limit: 15, hold_us: 50_000 };
+    let free = ServerLoad { running: 0, waiting: 0, limit: 15, hold_us: 50_000 };
+    let name: ServerName = "a".try_into().expect("a name");
+    router.observe_load(at(900_000), &name, free);
+    let age = Duration::from_millis(300);
+    router.hear_loads(at(1_000_000), &[HeardLoad { server: name.clone(), load: full, age }]);
+    let service = "dvere".try_into().expect("a name");
+    let told = router.tell_loads(at(1_000_000), &service, &"b".try_into().expect("a name"));
+    assert_eq!(told[0].load, free);
+}
+
+/// A server that sheds calls though the daemon beside it found slots for them gets few more.
+#[test]
+fn begin_away_from_a_server_that_sheds() {
+    let mut router = router(DOORS, &three()[..2]);
+    let shed = Outcome::Shed { retry_after: Duration::from_millis(20) };
+    let mut shed_by_a = 0;
+    for number in 0..200 {
+        let now = at(number * 25_000);
+        let attempt = router.begin(now, &head("GET", "/")).expect("a server");
+        if attempt.server.as_str() == "a" {
+            shed_by_a += 1;
+            router.finish(now + Duration::from_millis(1), attempt.id, shed);
+        } else {
+            router.finish(now + Duration::from_millis(10), attempt.id, OK);
+            router.end_body(now + Duration::from_millis(10), attempt.id, true);
+        }
+    }
+    assert!(shed_by_a <= 20, "{shed_by_a} of 200 calls were shed");
+}
