Ask another server where one failed an idempotent call, within the budget of retries

Ruled out: repeating whatever fails (multiplies through calls of calls); repeating while a service moves (shows a bad version to more calls).

Change: after a 5xx other than 504 an idempotent call goes to another server if attempts, a time and a half of what its route usually takes, and the service's budget allow it; the first answer is kept and delivered when the other gives none. Tests: finish_failed_idempotent_asks_another, finish_failed_is_delivered, finish_failed_within_the_budget.

--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -11,6 +11,7 @@
 use http::uri::{PathAndQuery, Uri};
 use http::{Request, Response, Version};
 use http_body::Body;
+use http_body_util::{BodyExt, Limited};
 use tokio::time::Instant;
 
 use crate::calls::around::ServicesAround;
@@ -21,6 +22,12 @@
 use crate::calls::plane::Plane;
 use crate::calls::pool::{Exchange, SendAgain, SendFailure};
 
+/// Largest body of an answer that is kept while another server is asked, in bytes.
+const KEPT_BYTES: usize = 16 * 1024;
+
+/// Longest time for such a body to arrive.
+const KEEP_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// An attempt under way. Dropped, it counts as cancelled by the caller.
 pub(super) struct Try {
     plane: Plane,
@@ -221,6 +228,15 @@
         self.response.as_ref()?.body().size_hint().exact()
     }
 
+    /// The answer whole, for the case that no other server gives a better one; `None` when there is
+    /// none, or not at once.
+    pub(super) async fn keep(self) -> Option<Response<AnswerBody>> {
+        let (parts, body) = self.response?.into_parts();
+        let collecting = Limited::new(body, KEPT_BYTES).collect();
+        let body = tokio::time::timeout(KEEP_TIMEOUT, collecting).await.ok()?.ok()?;
+        Some(Response::from_parts(parts, AnswerBody::whole(body.to_bytes())))
+    }
+
     /// The answer for the caller.
     pub(super) fn deliver(self, end: Option<AttemptEnd>) -> Response<AnswerBody> {
         let response = self.response.unwrap_or_default();
--- a/crates/daemon/src/calls/edge.rs
+++ b/crates/daemon/src/calls/edge.rs
@@ -69,6 +69,20 @@
     try_until_done(&plane, arrived, &parts, &body, first, trail).await
 }
 
+fn answered(
+    plane: &Plane,
+    began: Mono,
+    trail: Option<Trail>,
+    response: Response<AnswerBody>,
+) -> Response<AnswerBody> {
+    let took = plane.mono().since(began);
+    plane.metrics.call(CallEnd::Answered, response.status().as_u16(), took);
+    if let Some(trail) = trail {
+        trail.answered(response.status());
+    }
+    response
+}
+
 fn refuse(
     plane: &Plane,
     began: Mono,
@@ -131,6 +145,7 @@
 ) -> Response<AnswerBody> {
     let mut current = first;
     let mut may_have_run = false;
+    let mut kept = None;
     loop {
         let Some(out) = body.for_attempt() else {
             return answer::rejected(Rejection::BodyLate);
@@ -153,20 +168,23 @@
         }
         match next {
             Next::Deliver => {
-                let response = ended.deliver(end);
-                let took = plane.mono().since(arrived);
-                plane.metrics.call(CallEnd::Answered, response.status().as_u16(), took);
-                if let Some(trail) = trail {
-                    trail.answered(response.status());
-                }
-                return response;
+                return answered(plane, arrived, trail, ended.deliver(end));
+            }
+            Next::Refuse(refusal) => {
+                return match kept {
+                    Some(response) => answered(plane, arrived, trail, response),
+                    None => refuse(plane, arrived, trail, &refusal),
+                };
             }
-            Next::Refuse(refusal) => return refuse(plane, arrived, trail, &refusal),
             Next::Retry(attempt, pause) => {
                 let around = current_around;
                 current = Try::start(plane, attempt, around);
+                kept = ended.keep().await.or(kept);
                 if !body.repeatable() {
-                    return refuse(plane, arrived, trail, &unrepeatable(may_have_run));
+                    return match kept {
+                        Some(response) => answered(plane, arrived, trail, response),
+                        None => refuse(plane, arrived, trail, &unrepeatable(may_have_run)),
+                    };
                 }
                 tokio::time::sleep(pause).await;
             }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -24,7 +24,7 @@
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
-use crate::call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal};
+use crate::call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal, SERVER_FAULT_STATUS};
 use crate::router::budget::RetryBudget;
 pub use crate::router::budget::RetryLimits;
 use crate::router::pool::{ServerPool, Wanted};
@@ -44,6 +44,12 @@
 /// Weight of one more size in what is known of a route.
 const SIZE_GAIN: f64 = 0.1;
 
+/// The status of a server that ran out of time.
+const GATEWAY_TIMEOUT: u16 = 504;
+
+/// How many times the usual time of a call has to be left for it to be asked of another server.
+const REPEAT_MARGIN: f64 = 1.5;
+
 /// First pause before a retry that does not name one.
 const RETRY_PAUSE: Duration = Duration::from_millis(2);
 
@@ -221,15 +227,17 @@
     }
 
     /// Ends an attempt and says what follows. After [`Next::Deliver`] the attempt stays with its
-    /// server until [`Router::end_body`]. An attempt that has ended already is not told again:
+    /// server until [`Router::end_body`]; [`Next::Retry`] after an answer means that it is worth
+    /// asking another server, and the answer is to be kept until that one has answered. An attempt that has ended already is not told again:
     /// its answer must not be passed on.
     pub fn finish(&mut self, now: Now, attempt: AttemptId, outcome: Outcome) -> Next {
         if self.calls.get(&attempt).is_none_or(|call| call.answered) {
             return Next::Refuse(refusals::ended());
         }
         self.learn(now.mono, attempt, outcome);
-        if let Outcome::Answered { .. } = outcome {
-            return Next::Deliver;
+        if let Outcome::Answered { status } = outcome {
+            let again = self.repeat_failed(now.mono, attempt, status);
+            return again.map_or(Next::Deliver, |again| Next::Retry(again, Duration::ZERO));
         }
         let Some(call) = self.calls.remove(&attempt) else {
             return Next::Refuse(refusals::ended());
@@ -453,6 +461,54 @@
         }
     }
 
+    /// Asks another server where one failed an idempotent call, while time, attempts and the budget
+    /// of retries allow it. This answers the load of servers that fail a part of their calls.
+    fn repeat_failed(&mut self, now: Mono, id: AttemptId, status: u16) -> Option<Attempt> {
+        let call = self.calls.get(&id)?;
+        let last = &call.attempt;
+        if status < SERVER_FAULT_STATUS || status == GATEWAY_TIMEOUT || !last.idempotent {
+            return None;
+        }
+        // While a service moves, a repeat would show a bad version to more calls.
+        if self.mode == RouterMode::Baseline || self.splits.contains_key(&last.service) {
+            return None;
+        }
+        let retries = self.table.service(&last.service).map(|s| s.retries).unwrap_or_default();
+        let allowed = call.route.attempts.unwrap_or(retries.attempts);
+        let usual = self.usual.of(&last.route)?;
+        let in_time = now + usual.mul_f64(REPEAT_MARGIN) < last.deadline;
+        if call.arrived + 1 >= allowed || last.earlier + 1 >= allowed || !in_time {
+            return None;
+        }
+        if !self.budgets.get_mut(&last.service).is_some_and(|budget| budget.withdraw(now)) {
+            self.counters.retries_refused += 1;
+            return None;
+        }
+        let mut tried = call.tried.clone();
+        tried.insert(last.server.clone());
+        let start = Start {
+            route: Arc::clone(&call.route),
+            service: last.service.clone(),
+            aim: last.aim,
+            timeout_at: last.timeout_at,
+            arrived: call.arrived + 1,
+            draw: call.draw,
+            tried,
+            idempotent: true,
+            deadline: last.deadline,
+            earlier: last.earlier + 1,
+            may_have_run: true,
+        };
+        let again = self.attempt(now, start).ok()?;
+        self.counters.retries += 1;
+        if let Some(ended) = self.calls.remove(&id)
+            && let Some(server) = self.pool.find_mut(&ended.attempt.server)
+        {
+            server.ended();
+        }
+        Some(again)
+    }
+
     /// What follows an attempt that brought no answer. A call of which any attempt may have run
     /// is not refused as not run.
     fn follow(&mut self, now: Mono, call: Call, outcome: Outcome) -> Next {
--- a/crates/routing/src/router/usual.rs
+++ b/crates/routing/src/router/usual.rs
@@ -4,6 +4,8 @@
 //! had more of the short calls is not a quicker one, so what it held them for is set against what
 //! calls of the same routes take elsewhere.
 
+use std::time::Duration;
+
 use cyclamen_types::{FastMap, RouteName, ServiceName};
 
 /// Calls of a route after which an older one loses most of its say.
@@ -54,6 +56,12 @@
         }
     }
 
+    /// How long a call of a route usually takes; `None` while too little is known.
+    pub(super) fn of(&self, route: &RouteName) -> Option<Duration> {
+        let usual = self.routes.get(route).filter(|usual| usual.calls >= KNOWN_AFTER)?;
+        Duration::try_from_secs_f64(usual.seconds).ok()
+    }
+
     /// Forgets routes that are gone.
     pub(super) fn retain(&mut self, stays: impl Fn(&RouteName) -> bool) {
         self.routes.retain(|route, _| stays(route));
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -342,3 +342,60 @@
     }
     assert!(shed_by_a <= 20, "{shed_by_a} of 200 calls were shed");
 }
+
+const FAILED: Outcome = Outcome::Answered { status: 500 };
+
+/// A router that knows how long its calls take.
+fn experienced() -> Router {
+    let mut router = router(DOORS, &three());
+    spread(&mut router, 0, 40);
+    router
+}
+
+#[test]
+fn finish_failed_idempotent_asks_another() {
+    let mut router = experienced();
+    let began = at(1_000_000);
+    let first = router.begin(began, &head("GET", "/")).expect("a server");
+    let Next::Retry(second, pause) = router.finish(began, first.id, FAILED) else {
+        panic!("another server may do better");
+    };
+    assert!(second.server != first.server && pause.is_zero() && second.earlier == 1);
+    assert_eq!(router.finish(began, second.id, OK), Next::Deliver);
+    router.end_body(began, second.id, true);
+    assert_eq!(router.in_flight(), 0);
+}
+
+#[test]
+fn finish_failed_is_delivered() {
+    let mut router = experienced();
+    let began = at(1_000_000);
+    let once = router.begin(began, &head("POST", "/once")).expect("a server");
+    assert_eq!(router.finish(began, once.id, FAILED), Next::Deliver, "it may run once");
+    let late = router.begin(began, &head("GET", "/")).expect("a server");
+    let out_of_time = Outcome::Answered { status: 504 };
+    assert_eq!(router.finish(began, late.id, out_of_time), Next::Deliver);
+    router.set_splits(&[split(10_000)]);
+    let moving = router.begin(began, &head("GET", "/")).expect("a server");
+    assert_eq!(router.finish(began, moving.id, FAILED), Next::Deliver, "a move judges failures");
+}
+
+/// Servers that fail everything get a tenth more calls, not twice as many.
+#[test]
+fn finish_failed_within_the_budget() {
+    let mut router = experienced();
+    let mut repeats = 0;
+    for number in 0..1_000 {
+        let now = at(1_000_000 + number * 10);
+        let attempt = router.begin(now, &head("GET", "/")).expect("a server");
+        let mut next = router.finish(now, attempt.id, FAILED);
+        let mut last = attempt.id;
+        while let Next::Retry(again, _) = next {
+            repeats += 1;
+            last = again.id;
+            next = router.finish(now, again.id, FAILED);
+        }
+        router.end_body(now, last, true);
+    }
+    assert!((90..=125).contains(&repeats), "{repeats} repeats of 1000 calls");
+}
