--- a/crates/moves/src/active.rs
+++ b/crates/moves/src/active.rs
@@ -236,12 +236,12 @@
         Some(key.route)
     }
 
-    /// Takes the changed lines of this reporter. All go together: a report of the routes in trouble
     /// Whether calls of the new version were counted since the last report.
     pub(crate) fn new_changed(&self) -> bool {
         self.changed.iter().any(|key| key.server != ServerKey::OLD)
     }
 
+    /// Takes the changed lines of this reporter. All go together: a report of the routes in trouble
     /// alone would show the new version's failures before the old one's.
     pub(crate) fn changed_lines(&mut self) -> Vec<(LineKey, Counts)> {
         self.urgent = false;
