Store: positions hold its era, and what an older copy lost is written again

Cause: the store may be away and come back from a copy some seconds old; offsets go back and are given out again, and Store-Era in its answers rises. A daemon compared offsets only: it kept reading from an offset that now names another record, took a lower configuration at a later offset, started a move anew under the offset at which its order was read again, and never wrote its member record again.

The view passes over configurations with lower numbers and orders that were replaced before, and keeps start and verdict of an order that is read again; moves keep evidence and rollback (HeldMove::earlier_offsets). Members and lost final states are written again.

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -154,6 +154,11 @@
         self.membership.record_log_contact(now);
     }
 
+    /// Counts that the store has come back from an older copy.
+    pub fn record_store_restore(&mut self) {
+        self.distribution.store_restored();
+    }
+
     /// Adds seed addresses of other members, through which this daemon joins.
     pub fn add_seed_addresses(&mut self, now: Now, peers: &[SocketAddr], out: &mut Effects) {
         self.membership.add_seeds(now, peers);
--- a/crates/cyclamenmoor/tests/store.rs
+++ b/crates/cyclamenmoor/tests/store.rs
@@ -119,7 +119,12 @@
         TestMove::Undecided => None,
         TestMove::Decided(kind) => Some(verdict_of(kind)),
     };
-    let mv = HeldMove { held: held_by_operators(move_to_v2()), order: None, verdict };
+    let mv = HeldMove {
+        held: held_by_operators(move_to_v2()),
+        order: None,
+        verdict,
+        earlier_offsets: Vec::new(),
+    };
     config.moves.insert(mv.held.body.name.clone(), mv);
     config
 }
--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -72,6 +72,7 @@
     retries: Gauge,
     retries_refused: Gauge,
     ejections: Gauge,
+    store_restores: Gauge,
 }
 
 impl Default for CallMetrics {
@@ -171,6 +172,8 @@
         let refused = state.retries_refused.clone();
         registry.register("retries_refused", "retries that the budget refused", refused);
         registry.register("ejections", "servers taken out of choice", state.ejections.clone());
+        let restores = state.store_restores.clone();
+        registry.register("store_restores", "times the store came back older", restores);
     }
 }
 
@@ -185,6 +188,7 @@
         self.retries.set(to_gauge_value(dump.router.retries));
         self.retries_refused.set(to_gauge_value(dump.router.retries_refused));
         self.ejections.set(to_gauge_value(dump.router.ejections));
+        self.store_restores.set(to_gauge_value(dump.distribution.store_restores));
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -51,6 +51,7 @@
     gossip_bytes_received: u64,
     gossip_forged: u64,
     log_reads: u64,
+    store_restores: u64,
     changes_accepted: u64,
     changes_refused: u64,
 }
@@ -103,6 +104,7 @@
             gossip_bytes_received: dump.membership.bytes_received,
             gossip_forged: dump.membership.forged,
             log_reads: dump.distribution.log_reads,
+            store_restores: dump.distribution.store_restores,
             changes_accepted: dump.ledger.accepted,
             changes_refused: dump.ledger.refused,
         };
@@ -150,6 +152,7 @@
     count("gossip.bytes_received", previous.gossip_bytes_received, current.gossip_bytes_received);
     count("gossip.forged", previous.gossip_forged, current.gossip_forged);
     count("log.reads", previous.log_reads, current.log_reads);
+    count("store.restores", previous.store_restores, current.store_restores);
     count("changes.accepted", previous.changes_accepted, current.changes_accepted);
     count("changes.refused", previous.changes_refused, current.changes_refused);
 }
--- a/crates/daemon/src/store/record_cache.rs
+++ b/crates/daemon/src/store/record_cache.rs
@@ -8,6 +8,7 @@
 
 use cyclamen_distribution::{PeerResponse, StoredRecord};
 use cyclamen_platform::NewestRecord;
+use cyclamen_platform::era::era_of;
 use cyclamen_types::Offset;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
@@ -34,8 +35,12 @@
 
 impl RecordCache {
     /// Adds records, in any order; `next_offset` is the offset after the last record read. A record
-    /// older than the cached one of the same key is ignored.
+    /// older than the cached one of the same key is ignored. Records from before the store came back
+    /// from an older copy are dropped, because it may not hold them any more.
     pub(crate) fn insert(&mut self, records: &[NewestRecord], next_offset: Offset) {
+        if era_of(self.next_offset) < era_of(next_offset) {
+            self.newest.clear();
+        }
         for record in records {
             let current = self.newest.get(&record.key);
             if current.is_some_and(|current| current.record.offset > record.offset) {
--- a/crates/daemon/src/store/sync.rs
+++ b/crates/daemon/src/store/sync.rs
@@ -12,7 +12,8 @@
 
 use cyclamen_distribution::{PeerRequest, PeerResponse};
 use cyclamen_membership::{MeshKey, Peer};
-use cyclamen_platform::{Newest, NewestRecord, Read, Store, StoreError, Topic};
+use cyclamen_platform::era::{Era, era_of};
+use cyclamen_platform::{Appended, Newest, NewestRecord, Read, Store, StoreError, Topic};
 use cyclamen_platform::{members, moves, orders};
 use cyclamen_port::StoredMember;
 use cyclamen_types::Offset;
@@ -20,11 +21,12 @@
 use futures::{FutureExt, future};
 use log::{error, info, warn};
 use rand::Rng;
+use tokio::sync::watch;
 
 use crate::peers;
 use crate::shared::SharedInstance;
-use crate::store::StoreView;
 use crate::store::record_cache::{self, RecordCache};
+use crate::store::{StoreView, verdicts};
 
 /// Bounds of the timeout of a long poll. A connection that stalls without an error hides a new
 /// configuration from this daemon until the poll times out, or until gossip shows that another
@@ -70,6 +72,10 @@
 /// Pause between two reads of the member list.
 const MEMBER_READ_PAUSE: Duration = Duration::from_secs(1);
 
+/// Longest delay before a daemon writes its member record again after the store came back from an
+/// older copy. The delay is drawn at random, to spread the writes of all daemons.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_500);
+
 /// The state of synchronization with the store, shared by the tasks of one daemon.
 #[derive(Clone)]
 pub(crate) struct StoreSync {
@@ -78,13 +84,23 @@
     key: MeshKey,
     view: Arc<Mutex<StoreView>>,
     record_cache: Arc<Mutex<RecordCache>>,
+    /// The era of the latest records; `None` before the first read. Subscribers are notified when
+    /// it rises, that is, when the store has come back from an older copy.
+    era: watch::Sender<Option<Era>>,
 }
 
 impl StoreSync {
     /// Creates the state before the first read. Requests to other daemons are authenticated with
     /// `key`.
     pub(crate) fn new(shared: SharedInstance, store: Store, key: MeshKey, view: StoreView) -> Self {
-        Self { shared, store, key, view: Arc::new(Mutex::new(view)), record_cache: Arc::default() }
+        Self {
+            shared,
+            store,
+            key,
+            view: Arc::new(Mutex::new(view)),
+            record_cache: Arc::default(),
+            era: watch::Sender::new(None),
+        }
     }
 
     /// Locks the records that are served to other daemons.
@@ -109,7 +125,28 @@
         }
     }
 
+    /// Notes the era of a position that was read from the store or from another daemon.
+    fn observe_era(&self, position: Offset) {
+        let era = era_of(position);
+        let came_back = self.era.send_if_modified(|known| match known.replace(era) {
+            Some(before) if before > era => {
+                *known = Some(before);
+                false
+            }
+            before => before.is_some_and(|before| before < era),
+        });
+        if came_back {
+            warn!(
+                "the store came back from an older copy (era {}): the configuration in force stays \
+                 until a later one is written, and own records are written again",
+                era.0
+            );
+            self.shared.with(|instance, _, _| instance.record_store_restore());
+        }
+    }
+
     fn apply_records(&self, records: &[NewestRecord], next_offset: Offset) {
+        self.observe_era(next_offset);
         self.record_cache().insert(records, next_offset);
         let mut decoded = Vec::new();
         for record in newest_per_key(records) {
@@ -167,11 +204,10 @@
             () = self.until_behind() => true,
             () = self.until_direct_read_due() => false,
         };
-        let read = match peer_is_ahead {
-            true => self.fetch_from_any(from).await?,
-            false => self.read_without_waiting(from, Duration::ZERO).await?,
-        };
-        Ok(self.apply_read(&read))
+        match peer_is_ahead {
+            true => Ok(self.apply_read(&self.fetch_from_any(from).await?)),
+            false => self.read_now(from).await,
+        }
     }
 
     /// Fetches the records from `from` on from the source that answers first. It queries a daemon
@@ -199,6 +235,12 @@
         Ok(read)
     }
 
+    /// Reads the store without waiting for new records, and applies what there is.
+    async fn read_now(&self, from: Offset) -> Result<Offset, StoreError> {
+        let read = self.read_without_waiting(from, Duration::ZERO).await?;
+        Ok(self.apply_read(&read))
+    }
+
     /// Completes once this daemon has to read the store: as a reader for its failure domain, or
     /// because the store has not been known to answer any daemon for a while.
     async fn until_direct_read_due(&self) {
@@ -291,7 +333,12 @@
         let read = match next {
             None => sync.read_all().await,
             Some(from) if sync.shared.read(|i| i.should_read_store(sync.shared.now())) => {
-                sync.long_poll(from).await
+                // A store that was away may have come back from an older copy. A poll that waits
+                // for a record would show that only at its end.
+                match availability.failures > 0 {
+                    true => sync.read_now(from).await,
+                    false => sync.long_poll(from).await,
+                }
             }
             Some(from) => sync.read_when_behind(from).await,
         };
@@ -301,29 +348,73 @@
                 availability.succeeded();
                 tokio::time::sleep(BATCH_PAUSE).await;
             }
-            // The records to read next were trimmed: read the newest of each key again.
-            Err(StoreError::Trimmed) => next = None,
+            // The records to read next were trimmed or lost: read the newest of each key again.
+            Err(StoreError::Trimmed | StoreError::CameBackOlder) => next = None,
             Err(error) => tokio::time::sleep(availability.failed(&error)).await,
         }
     }
 }
 
 /// Writes the member record of this daemon to the store, and adds the daemons recorded there as
-/// peers. Retries until both have succeeded.
+/// peers. Retries until both have succeeded. Writes what the store lost again whenever it comes back
+/// from an older copy, until the task is dropped.
 pub(crate) async fn register_and_discover(sync: StoreSync, me: StoredMember) {
+    let era = sync.era.subscribe();
+    register(&sync, &me).await;
+    tokio::join!(discover(&sync, &me), write_again_after_restores(&sync, &me, era));
+}
+
+/// Writes the member record and the final states of moves again whenever `era` changes.
+async fn write_again_after_restores(
+    sync: &StoreSync,
+    me: &StoredMember,
+    mut era: watch::Receiver<Option<Era>>,
+) {
+    while era.changed().await.is_ok() {
+        let delay = MAX_REWRITE_DELAY.mul_f64(rand::rng().random_range(0.0..=1.0));
+        tokio::time::sleep(delay).await;
+        register(sync, me).await;
+        restore_lost_states(sync).await;
+    }
+}
+
+/// Writes the member record of this daemon, until the store has taken it.
+async fn register(sync: &StoreSync, me: &StoredMember) {
     let mut availability = StoreAvailability::default();
-    let record = members::encode(&me);
+    let record = members::encode(me);
     let name = me.instance.as_str();
-    while let Err(error) = sync.store.append(Topic::Members, name, &record, None).await {
+    loop {
+        match sync.store.append(Topic::Members, name, &record, None).await {
+            Ok(Appended::At(position)) => return sync.observe_era(position),
+            // Not reached: an append without a condition is never behind.
+            Ok(Appended::Behind) => return,
+            Err(error) => tokio::time::sleep(availability.failed(&error)).await,
+        }
+    }
+}
+
+/// Writes the final states of moves that the store lost, where this daemon reads the store for its
+/// failure domain.
+async fn restore_lost_states(sync: &StoreSync) {
+    if !sync.shared.read(|instance| instance.should_read_store(sync.shared.now())) {
+        return;
+    }
+    let mut availability = StoreAvailability::default();
+    while let Err(error) = verdicts::rewrite_lost_states(sync).await {
         tokio::time::sleep(availability.failed(&error)).await;
     }
+}
+
+/// Reads the member list and adds the daemons in it as peers.
+async fn discover(sync: &StoreSync, me: &StoredMember) {
+    let mut availability = StoreAvailability::default();
     let alone = || sync.shared.read(|instance| instance.membership().reachable_count() <= 1);
     let mut reads_done = 0;
     while reads_done == 0 || (reads_done < MAX_MEMBER_READS && alone()) {
         match sync.store.newest(Topic::Members).await {
             Ok(newest) => {
                 reads_done += 1;
-                add_stored_members(&sync, &me, &newest);
+                add_stored_members(sync, me, &newest);
                 tokio::time::sleep(MEMBER_READ_PAUSE).await;
             }
             Err(error) => tokio::time::sleep(availability.failed(&error)).await,
--- a/crates/daemon/src/store/verdicts.rs
+++ b/crates/daemon/src/store/verdicts.rs
@@ -1,5 +1,5 @@
 //! Writes the verdict on a move to the store. The first final state written for an order is kept;
-//! later ones are not written.
+//! later ones are not written. States that the store lost are written again.
 
 use cyclamen_ledger::{MoveId, MoveVerdict, VerdictKind};
 use cyclamen_platform::{Appended, StoreError, Topic, moves};
@@ -36,6 +36,32 @@
     Ok(order.offset)
 }
 
+/// Writes the final states again that the store does not hold any more, each unless another daemon
+/// did so first.
+///
+/// # Errors
+/// The store did not answer as it should, or another record was appended meanwhile. What is
+/// missing then is found by the next call.
+pub(crate) async fn rewrite_lost_states(sync: &StoreSync) -> Result<(), StoreError> {
+    let newest = sync.store.newest(Topic::Status).await?;
+    let stored: Vec<RecordedMove> = newest.records.iter().filter_map(moves::decode).collect();
+    let lost = sync.view().lost_states(&stored);
+    let mut end = newest.end;
+    for recorded in lost {
+        let (key, value) = (moves::key(&recorded.service), moves::encode(&recorded));
+        match sync.store.append(Topic::Status, &key, &value, Some(end)).await? {
+            Appended::At(offset) => {
+                info!("recorded in the store again: the state of service {}", recorded.service);
+                end = Offset(offset.0 + 1);
+            }
+            Appended::Behind => {
+                return Err(StoreError::Unanswered("another daemon wrote a state first".into()));
+            }
+        }
+    }
+    Ok(())
+}
+
 async fn append_verdict(
     sync: &StoreSync,
     order: &StoredOrder,
@@ -67,8 +93,9 @@
 fn append_error(error: &StoreError) -> AppendError {
     match error {
         StoreError::Refused(_) => AppendError::Busy,
-        StoreError::Unanswered(_) | StoreError::Trimmed | StoreError::Malformed(_) => {
-            AppendError::Unanswered
-        }
+        StoreError::Unanswered(_)
+        | StoreError::Trimmed
+        | StoreError::CameBackOlder
+        | StoreError::Malformed(_) => AppendError::Unanswered,
     }
 }
--- a/crates/daemon/src/store/view.rs
+++ b/crates/daemon/src/store/view.rs
@@ -2,8 +2,12 @@
 //!
 //! It takes decoded records of operators, in any order and possibly repeated, and the states of
 //! moves as last read, and builds a [`Config`] for the instance. Nothing here performs I/O.
+//!
+//! The store may come back from an older copy. Records that the copy still holds are then read
+//! again at later positions, and so are those that were lost and are written again. Neither may
+//! bring back a configuration or an order that was replaced before, or restart a move.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +15,7 @@
     ClashRule, Labels, Limits, Move, Policy, Retries, Selector, Version, VersionId,
 };
 use cyclamen_ledger::{Config, Held, HeldMove, MoveId, MoveVerdict, VerdictKind};
+use cyclamen_platform::era::{era_of, offset_in_era};
 use cyclamen_platform::orders::{Order, UNDECLARED_VERSION, UnreadableOrder};
 use cyclamen_port::{CallerLimits, MoveState, RecordedMove, StoredConfig, StoredOrder};
 use cyclamen_types::{
@@ -24,6 +29,10 @@
 /// The name of the policy that carries the limits on requests of callers.
 const CALLER_POLICY: &str = "caller-limits";
 
+/// Replaced orders that are remembered for each service, to recognise them in an older copy of the
+/// store.
+const MAX_REPLACED_ORDERS: usize = 16;
+
 /// Increase of the failure rate that a move tolerates, in parts per million.
 const TOLERANCE_PPM: u32 = 5_000;
 
@@ -32,6 +41,8 @@
 struct KnownOrder {
     order: StoredOrder,
     first_read: Wall,
+    /// Where the order stood before the store came back from an older copy.
+    earlier_offsets: Vec<Offset>,
 }
 
 /// The result of [`StoreView::apply_orders`].
@@ -48,6 +59,8 @@
     instance: InstanceName,
     config: Option<(Offset, StoredConfig)>,
     orders: BTreeMap<ServiceName, KnownOrder>,
+    /// The latest orders of each service that a later one has replaced, oldest first.
+    replaced: BTreeMap<ServiceName, VecDeque<StoredOrder>>,
     recorded_moves: BTreeMap<ServiceName, RecordedMove>,
     taken_back: BTreeSet<VersionId>,
     next_offset: Offset,
@@ -60,6 +73,7 @@
             instance,
             config: None,
             orders: BTreeMap::new(),
+            replaced: BTreeMap::new(),
             recorded_moves: BTreeMap::new(),
             taken_back: BTreeSet::new(),
             next_offset: Offset::default(),
@@ -78,7 +92,8 @@
 
     /// Applies records of operators, each with its offset; `next_offset` is the offset after the
     /// last record read. `now` becomes the start of moves that are new. A record older than the
-    /// known one of its kind and service changes nothing.
+    /// known one of its kind and service changes nothing, and neither does a configuration with a
+    /// lower number than the known one.
     pub fn apply_orders(
         &mut self,
         now: Wall,
@@ -98,13 +113,55 @@
     }
 
     /// Applies the latest state that the store holds of a move. A version that was taken back stays
-    /// marked as such.
+    /// marked as such, and a final state of the known order stays although an older copy of the
+    /// store shows an earlier one.
     pub fn apply_recorded_move(&mut self, recorded: RecordedMove) {
         if recorded.state == MoveState::TakenBack {
             let service = recorded.service.clone();
             self.taken_back.insert(VersionId { service, version: recorded.to.clone() });
         }
-        self.recorded_moves.insert(recorded.service.clone(), recorded);
+        if !self.is_outdated_state(&recorded) {
+            self.recorded_moves.insert(recorded.service.clone(), recorded);
+        }
+    }
+
+    /// The final states of the known orders that are missing among `stored`, the states that the
+    /// store holds. They were lost when it came back from an older copy.
+    pub fn lost_states(&self, stored: &[RecordedMove]) -> Vec<RecordedMove> {
+        let mut lost = Vec::new();
+        for known in self.orders.values() {
+            let order = &known.order;
+            let Some(recorded) = self.recorded_moves.get(&order.service) else {
+                continue;
+            };
+            let is_stored = stored.iter().any(|stored| {
+                stored.service == order.service
+                    && stored.state == recorded.state
+                    && answers(stored, order)
+            });
+            if recorded.state != MoveState::Running && answers(recorded, order) && !is_stored {
+                lost.push(RecordedMove { order: Some(order.offset), ..recorded.clone() });
+            }
+        }
+        lost
+    }
+
+    /// Whether a recorded state is earlier than the known one: final states do not change for one
+    /// order, but an older copy of the store shows what they replaced. Done is outdated after taken
+    /// back too: a daemon wrote it while the store had lost that the version was taken back.
+    fn is_outdated_state(&self, recorded: &RecordedMove) -> bool {
+        let Some(known) = self.recorded_moves.get(&recorded.service) else {
+            return false;
+        };
+        let Some(KnownOrder { order, .. }) = self.orders.get(&recorded.service) else {
+            return false;
+        };
+        if known.state == MoveState::Running || !answers(known, order) {
+            return false;
+        }
+        let undoes_rollback =
+            known.state == MoveState::TakenBack && recorded.state == MoveState::Done;
+        recorded.state == MoveState::Running || !answers(recorded, order) || undoes_rollback
     }
 
     /// The order that the move `id` carries out; `None` once a later order has replaced it.
@@ -116,8 +173,7 @@
     /// The final state of the move that `order` requests, if the store holds one.
     pub fn final_state(&self, order: &StoredOrder) -> Option<VerdictKind> {
         let recorded = self.recorded_moves.get(&order.service)?;
-        let same_order = recorded.order.is_none_or(|offset| offset == order.offset);
-        if recorded.to != order.to || !same_order {
+        if !answers(recorded, order) {
             return None;
         }
         match recorded.state {
@@ -164,18 +220,53 @@
     }
 
     fn apply_config(&mut self, offset: Offset, config: StoredConfig) {
-        let known = self.config.as_ref().map(|(known, _)| *known);
-        if known.is_none_or(|known| known < offset) {
+        // Operators raise the number with each configuration. A lower one at a later position is
+        // from an older copy of the store.
+        let outdated =
+            |known: &(Offset, StoredConfig)| known.0 >= offset || known.1.number > config.number;
+        if !self.config.as_ref().is_some_and(outdated) {
             self.config = Some((offset, config));
         }
     }
 
     fn apply_move_order(&mut self, now: Wall, order: StoredOrder) {
-        let known = self.orders.get(&order.service);
-        if known.is_some_and(|known| known.order.offset >= order.offset) {
+        if self.was_replaced(&order) {
             return;
         }
-        self.orders.insert(order.service.clone(), KnownOrder { order, first_read: now });
+        let service = order.service.clone();
+        let new = |order| KnownOrder { order, first_read: now, earlier_offsets: Vec::new() };
+        let Some(known) = self.orders.get_mut(&service) else {
+            self.orders.insert(service, new(order));
+            return;
+        };
+        if known.order.offset >= order.offset {
+            return;
+        }
+        if known.is_repeated_by(&order) {
+            known.earlier_offsets.push(known.order.offset);
+            known.order = order;
+            return;
+        }
+        let before = std::mem::replace(known, new(order));
+        let replaced = self.replaced.entry(service).or_default();
+        replaced.push_back(before.order);
+        if replaced.len() > MAX_REPLACED_ORDERS {
+            replaced.pop_front();
+        }
+    }
+
+    /// Whether this order was replaced by a later one before the store came back from a copy that
+    /// still holds it.
+    fn was_replaced(&self, order: &StoredOrder) -> bool {
+        let replaced = self.replaced.get(&order.service);
+        replaced.is_some_and(|replaced| {
+            replaced.iter().any(|earlier| {
+                era_of(earlier.offset) < era_of(order.offset)
+                    && offset_in_era(earlier.offset) == offset_in_era(order.offset)
+                    && earlier.to == order.to
+                    && earlier.within == order.within
+            })
+        })
     }
 
     fn held_move(
@@ -205,10 +296,30 @@
             at: known.first_read,
         });
         let held = Held { offset: order.offset, ..source.declaration(body) };
-        Ok(HeldMove { held, order: None, verdict })
+        let earlier_offsets = known.earlier_offsets.clone();
+        Ok(HeldMove { held, order: None, verdict, earlier_offsets })
+    }
+}
+
+impl KnownOrder {
+    /// Whether `order` is this order, read again after the store came back from an older copy, or
+    /// written again because the copy did not hold it.
+    fn is_repeated_by(&self, order: &StoredOrder) -> bool {
+        era_of(self.order.offset) < era_of(order.offset)
+            && self.order.to == order.to
+            && self.order.within == order.within
     }
 }
 
+/// Whether a recorded state is that of the move which `order` requests. The offset that it names
+/// is compared within one era of the store only, because an order gets another one when the store
+/// comes back from an older copy. A version that was taken back in an earlier era stays so.
+fn answers(recorded: &RecordedMove, order: &StoredOrder) -> bool {
+    let names_order =
+        |offset: Offset| offset == order.offset || era_of(offset) != era_of(order.offset);
+    recorded.to == order.to && recorded.order.is_none_or(names_order)
+}
+
 /// The team that owns the declarations of one configuration, and the offset they come from.
 struct DeclarationSource {
     offset: Offset,
@@ -243,3 +354,6 @@
         retries: Retries::default(),
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -118,6 +118,9 @@
     pub refused_busy: u64,
     /// The offset that the next append to the log gets, as far as this daemon read.
     pub log_next: u64,
+    /// Times that the store was found to have come back from an older copy.
+    #[serde(default)]
+    pub store_restores: u64,
     /// Bytes of records and snapshots sent to peers.
     pub bytes_sent: u64,
     /// Bytes of records and snapshots received from peers and the log.
@@ -222,6 +225,11 @@
         self.fresh.log_read();
     }
 
+    /// Counts that the store has come back from an older copy.
+    pub fn store_restored(&mut self) {
+        self.counters.store_restores += 1;
+    }
+
     /// Notes a version that the log is known to have reached, so that this daemon soon holds it.
     pub fn expect(&mut self, now: Now, version: ConfigVersion) {
         self.log.expect(now, version);
--- a/crates/ledger/src/apply.rs
+++ b/crates/ledger/src/apply.rs
@@ -135,7 +135,10 @@
         Declaration::Move(body) => {
             let name = body.name.clone();
             let held = held(body, team, offset);
-            config.moves.insert(name, HeldMove { held, order: None, verdict: None });
+            config.moves.insert(
+                name,
+                HeldMove { held, order: None, verdict: None, earlier_offsets: Vec::new() },
+            );
         }
     }
 }
--- a/crates/ledger/src/config.rs
+++ b/crates/ledger/src/config.rs
@@ -82,6 +82,9 @@
     pub order: Option<OrderAction>,
     /// The verdict, once the log holds one.
     pub verdict: Option<MoveVerdict>,
+    /// Offsets at which this publication was read before a store that came back from an older copy
+    /// gave it another one; always empty for the log.
+    pub earlier_offsets: Vec<Offset>,
 }
 
 /// Names one publication of a move: the same name published anew is another move.
--- a/crates/measure/src/moves/cores.rs
+++ b/crates/measure/src/moves/cores.rs
@@ -276,7 +276,10 @@
             team: "operators".try_into().expect("a name"),
             body: Arc::new(declared),
         };
-        held.insert(name, HeldMove { held: body, order: None, verdict: None });
+        held.insert(
+            name,
+            HeldMove { held: body, order: None, verdict: None, earlier_offsets: Vec::new() },
+        );
     }
     Config { version: ConfigVersion(1), moves: held, ..Config::default() }
 }
--- a/crates/moves/benches/evidence.rs
+++ b/crates/moves/benches/evidence.rs
@@ -46,7 +46,10 @@
         };
         let team = "operators".try_into().expect("a name");
         let held = Held { offset: Offset(index as u64), team, body: Arc::new(declared) };
-        moves.insert(name, HeldMove { held, order: None, verdict: None });
+        moves.insert(
+            name,
+            HeldMove { held, order: None, verdict: None, earlier_offsets: Vec::new() },
+        );
     }
     Config { version: ConfigVersion(1), moves, ..Config::default() }
 }
--- a/crates/moves/src/active_move.rs
+++ b/crates/moves/src/active_move.rs
@@ -145,6 +145,26 @@
         }
     }
 
+    /// Whether this is the move that `held` publishes. Takes over the offset of the publication if
+    /// it has changed since.
+    pub(crate) fn follow_publication(&mut self, held: &HeldMove) -> bool {
+        let id = held.id();
+        if id == self.id {
+            return true;
+        }
+        if !held.earlier_offsets.contains(&self.id.declared) {
+            return false;
+        }
+        self.key = MoveKey::from(&id);
+        self.id = id;
+        if let Some(rollback) = &mut self.rollback {
+            rollback.id = self.key;
+        }
+        // The verdict is appended anew for the present offset.
+        self.append = AppendState::Idle;
+        true
+    }
+
     /// The state of the move in its chart.
     pub(crate) fn state(&self) -> MovePhase {
         self.chart.state(self.chart_state)
--- a/crates/moves/src/moves.rs
+++ b/crates/moves/src/moves.rs
@@ -74,12 +74,13 @@
     }
 
     /// Applies the moves, orders and verdicts of a configuration. Moves that are no longer in
-    /// it, or were published again, are dropped with their evidence. Rollbacks that arrived before
+    /// it, or were published again, are dropped with their evidence. A publication that only got
+    /// another offset, see [`HeldMove::earlier_offsets`](cyclamen_ledger::HeldMove::earlier_offsets), keeps its state. Rollbacks that arrived before
     /// their move are applied. The next tick is due at once.
     pub fn apply_config(&mut self, now: Now, config: &Config, out: &mut Vec<MovesEffect>) {
         let before = self.splits();
         self.active.retain(|name, active| {
-            config.moves.get(name).is_some_and(|held| held.id() == active.id)
+            config.moves.get(name).is_some_and(|held| active.follow_publication(held))
         });
         for (name, held) in &config.moves {
             let (identity, chart) = (&self.identity, &self.chart);
--- a/crates/moves/tests/common/mod.rs
+++ b/crates/moves/tests/common/mod.rs
@@ -62,7 +62,10 @@
         team: "doors".try_into().expect("a name"),
         body: Arc::new(declared()),
     };
-    let moves = BTreeMap::from([(move_name(), HeldMove { held, order, verdict })]);
+    let moves = BTreeMap::from([(
+        move_name(),
+        HeldMove { held, order, verdict, earlier_offsets: Vec::new() },
+    )]);
     Config { version: ConfigVersion(8), moves, ..Config::default() }
 }
 
--- a/crates/moves/tests/orders_and_verdicts.rs
+++ b/crates/moves/tests/orders_and_verdicts.rs
@@ -8,7 +8,7 @@
 use cyclamen_declarations::{ClashRule, OrderAction};
 use cyclamen_ledger::{Config, HeldMove, MoveVerdict, VerdictKind};
 use cyclamen_moves::{AnnouncedSlotsLookup, MovePhase, Moves, MovesEffect};
-use cyclamen_types::{ServiceName, VersionName, Wall};
+use cyclamen_types::{Offset, ServiceName, VersionName, Wall};
 
 /// A daemon that has adopted `config`.
 fn adopted(config: &Config) -> Moves {
@@ -211,3 +211,34 @@
     assert_eq!(phase(&moves), MovePhase::Moving);
     insta::assert_snapshot!(moves.status(&move_name()).expect("adopted").reason);
 }
+
+/// The configuration with the publication of the move read again at another offset.
+fn read_again(earlier_offsets: &[Offset]) -> Config {
+    edited(|held| {
+        held.earlier_offsets = earlier_offsets.to_vec();
+        held.held.offset = Offset(900);
+    })
+}
+
+#[test]
+fn publication_at_another_offset_keeps_its_rollback() {
+    let mut moves = adopted(&config(Some(OrderAction::TakeBack), None));
+    assert_eq!(phase(&moves), MovePhase::TakenBack);
+    let mut out = Vec::new();
+    moves.apply_config(at(5), &read_again(&[Offset(7)]), &mut out);
+    assert_eq!(phase(&moves), MovePhase::TakenBack);
+    // The verdict is appended for the offset that the publication has now.
+    moves.tick(at(700), &even_slots, &mut out);
+    let appended = out.iter().find_map(|effect| match effect {
+        MovesEffect::AppendVerdict(id, verdict) => Some((id.declared, verdict.kind)),
+        _ => None,
+    });
+    assert_eq!(appended, Some((Offset(900), VerdictKind::TakenBack)));
+}
+
+#[test]
+fn publication_anew_starts_afresh() {
+    let mut moves = adopted(&config(Some(OrderAction::TakeBack), None));
+    moves.apply_config(at(5), &read_again(&[]), &mut Vec::new());
+    assert_ne!(phase(&moves), MovePhase::TakenBack);
+}
