Placing: compare a few random servers, and believe no server far quicker than the others

The first calls of a server to end are short ones, so it also looked many times quicker than it is: 6 to 100 ms where the work is 420 and 540 ms.

Change: three random servers of each distance are compared (own failure domain, other ones, other regions), and a server is believed to be at most three times as fast as the median of those.

The last test fails without the change.

--- a/crates/routing/src/router/placement.rs
+++ b/crates/routing/src/router/placement.rs
@@ -1,6 +1,6 @@
 //! The cost function of load balancing: how long a call is expected to take at a backend server.
 //!
-//! Calls go to the server with the lowest cost. Sharing calls out evenly fails where servers of
+//! Calls go to the server with the lowest cost of those compared. Sharing calls out evenly fails where servers of
 //! one service differ in speed by a factor of two or more: the slow servers run out of slots while
 //! the fast ones still have some. The cost of a server rises with the calls that it already has,
 //! so that calls spill over to slower servers before the fast ones are full.
@@ -29,7 +29,7 @@
 const FAILURE_PENALTY_FACTOR: f64 = 8.0;
 
 /// Where a backend server is relative to the daemon that picks one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum Distance {
     /// In the same failure domain.
     SameDomain,
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -9,6 +9,7 @@
 use derive_more::{From, Into};
 use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 use typed_index_collections::TiVec;
 
 use crate::call::ServerSelection;
@@ -24,6 +25,15 @@
 /// share the calls.
 const TIE_JITTER: f64 = 0.05;
 
+/// How many servers of each distance are compared for a call. Daemons learn of loads late, and all of
+/// them learn of the same idle server: if each compared all servers, they would send their calls
+/// to that one at once (Mitzenmacher, "How useful is old information?", 2000).
+const COMPARED_PER_DISTANCE: usize = 3;
+
+/// How many times as fast as the median of the compared servers a server is believed to be. The few
+/// calls that a server has run may have been short ones, as the first to end are.
+const MAX_SPEEDUP: f64 = 3.0;
+
 /// Assumed hold time of a call while none has been measured for any candidate.
 const DEFAULT_HOLD: Duration = Duration::from_millis(10);
 
@@ -151,8 +161,8 @@
         true
     }
 
-    /// Picks a server that the call has not tried: the one with the lowest cost among the healthy
-    /// ones, or among all if none is healthy. `None` if there is no server left.
+    /// Picks a server that the call has not tried: the one with the lowest cost among a few random
+    /// healthy ones, or among a few of all if none is healthy. `None` if there is no server left.
     pub(super) fn choose(
         &mut self,
         now: Mono,
@@ -179,6 +189,7 @@
         for eligibility in [Eligibility::Healthy, Eligibility::Any] {
             self.collect_eligible(now, &group.servers, eligibility, request.tried, candidates);
             if !candidates.is_empty() {
+                self.keep_few_of_each_distance(candidates, rng);
                 return Some(self.choose_cheapest(now, candidates, request.bytes, rng));
             }
         }
@@ -227,6 +238,17 @@
         }
     }
 
+    /// Reduces the candidates to [`COMPARED_PER_DISTANCE`] random ones of each distance.
+    fn keep_few_of_each_distance(&self, candidates: &mut Vec<ServerIndex>, rng: &mut SmallRng) {
+        candidates.shuffle(rng);
+        let mut kept: FastMap<Distance, usize> = FastMap::default();
+        candidates.retain(|index| {
+            let kept = kept.entry(self.distance(&self.servers[*index])).or_default();
+            *kept += 1;
+            *kept <= COMPARED_PER_DISTANCE
+        });
+    }
+
     fn is_healthy(&self, now: Mono, server: &Server) -> bool {
         !server.info.suspected_down && !server.ejected(now)
     }
@@ -240,13 +262,13 @@
         bytes: f64,
         rng: &mut SmallRng,
     ) -> (ServerIndex, ServerSelection) {
-        let default_hold_seconds = self.shortest_hold_seconds(candidates);
+        let shortest_hold_seconds = self.shortest_plausible_hold_seconds(candidates);
         let mut best = (f64::INFINITY, candidates[0]);
         let mut runner_up = None;
         for index in candidates {
             let server = &self.servers[*index];
             let inputs =
-                server.placement_inputs(now, default_hold_seconds, self.distance(server), bytes);
+                server.placement_inputs(now, shortest_hold_seconds, self.distance(server), bytes);
             let jitter = rng.random_range(1.0 - TIE_JITTER..1.0 + TIE_JITTER);
             let cost = inputs.cost_seconds() * jitter;
             if cost < best.0 {
@@ -266,10 +288,17 @@
         (best.1, selection)
     }
 
-    /// The shortest known hold time among these servers, in seconds, or [`DEFAULT_HOLD`].
-    fn shortest_hold_seconds(&self, servers: &[ServerIndex]) -> f64 {
+    /// The shortest hold time, in seconds, that any of these servers is believed to have: the
+    /// shortest known one, but not less than a [`MAX_SPEEDUP`]th of the median. [`DEFAULT_HOLD`] if
+    /// none is known.
+    fn shortest_plausible_hold_seconds(&self, servers: &[ServerIndex]) -> f64 {
         let known = servers.iter().filter_map(|index| self.servers[*index].hold_seconds());
-        known.min_by(f64::total_cmp).unwrap_or(DEFAULT_HOLD.as_secs_f64())
+        let mut known: Vec<f64> = known.collect();
+        known.sort_unstable_by(f64::total_cmp);
+        match known.first() {
+            Some(shortest) => shortest.max(known[known.len() / 2] / MAX_SPEEDUP),
+            None => DEFAULT_HOLD.as_secs_f64(),
+        }
     }
 
     fn distance(&self, server: &Server) -> Distance {
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -166,22 +166,24 @@
 
     /// The inputs of the cost function for a call of `bytes` bytes.
     ///
-    /// The measured hold time is blended with `default_hold_seconds` as confidence in it decays.
+    /// The measured hold time is taken for at least `shortest_hold_seconds`, and is blended with it as
+    /// confidence decays.
     /// A server that refused a call counts as having all its slots in use on top of its load, until
     /// its `retry_after` has passed or its daemon reports a free slot and an empty queue directly.
     pub(super) fn placement_inputs(
         &self,
         now: Mono,
-        default_hold_seconds: f64,
+        shortest_hold_seconds: f64,
         distance: Distance,
         bytes: f64,
     ) -> PlacementInputs {
         let confidence = self.hold_confidence(now);
         let hold_seconds = match self.hold_seconds() {
             Some(hold_seconds) => {
-                hold_seconds * confidence + default_hold_seconds * (1.0 - confidence)
+                hold_seconds.max(shortest_hold_seconds) * confidence
+                    + shortest_hold_seconds * (1.0 - confidence)
             }
-            None => default_hold_seconds,
+            None => shortest_hold_seconds,
         };
         let overload_penalty = if self.overloaded_until > now { self.info.slots } else { 0 };
         PlacementInputs {
--- /dev/null
+++ b/crates/routing/tests/placing.rs
@@ -0,0 +1,384 @@
+//! Simulations of hundreds of daemons that each place few calls on the many servers of one service,
+//! with what they learn of loads from answers only: how evenly the servers are used, and what
+//! callers get.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{at, table};
+use cyclamen_declarations::Criticality;
+use cyclamen_routing::{
+    Admission, AncestorCalls, Attempt, CallHead, CallId, Hop, Next, Outcome, QueueOrder, Refusal,
+    RouteTable, Router, RouterSettings, RunOutcome, ServerInfo, SlotRequest, Slots, SlotsSettings,
+};
+use cyclamen_types::{FailureDomain, Mono, ServerName, ServiceName};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const US_PER_MS: u64 = 1_000;
+const US_PER_SECOND: u64 = 1_000_000;
+
+const DOMAINS: [&str; 3] = ["praha-a", "praha-b", "kladno"];
+
+/// The sizes of a simulated fleet.
+#[derive(Clone, Copy)]
+struct Fleet {
+    /// Daemons of each failure domain. The first ones host the servers of the service.
+    daemons_per_domain: usize,
+    /// Servers of the service in each failure domain.
+    servers_per_domain: usize,
+    slots: u32,
+}
+
+/// One way between two failure domains, and within one.
+const OTHER_DOMAIN_US: u64 = 500;
+const SAME_DOMAIN_US: u64 = 100;
+
+/// Time of a call at the slowest and the quickest server, relative to its work.
+const SLOWNESS: std::ops::Range<f64> = 0.65..1.5;
+
+/// Work of a call, relative to the average of its kind.
+const WORK_SPREAD: std::ops::Range<f64> = 0.5..1.5;
+
+const ROUTES: &str = "
+declarations:
+- name: dvere
+  service: {version: v1}
+- name: dvere/v1
+  version: {}
+- name: probe
+  route: {service: dvere, timeout: 6s, target: 1200ms, match: {path_prefix: /probe}}
+- name: lookup
+  route: {service: dvere, timeout: 6s, target: 1200ms, match: {path_prefix: /lookup}}
+- name: check
+  route: {service: dvere, timeout: 6s, target: 1200ms, match: {path_prefix: /check}}
+";
+
+/// A kind of call in the simulated load.
+#[derive(Clone, Copy)]
+struct CallKind {
+    path: &'static str,
+    /// Average time that a call holds its slot at a server of average speed.
+    work_ms: u64,
+    per_second: u64,
+}
+
+/// What callers got.
+#[derive(Debug, Default)]
+struct Results {
+    calls: u64,
+    in_target: u64,
+    late: u64,
+    refused: u64,
+}
+
+impl Results {
+    /// Share of the calls that were answered within their target.
+    fn share_in_target(&self) -> f64 {
+        self.in_target as f64 / self.calls as f64
+    }
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrives {
+        kind: usize,
+        daemon: usize,
+    },
+    Reaches {
+        call: u64,
+    },
+    Ends {
+        call: u64,
+    },
+    /// An answer, or a refusal with the time after which it is of use to try again.
+    Returns {
+        call: u64,
+        outcome: Outcome,
+    },
+}
+
+struct Call {
+    kind: usize,
+    daemon: usize,
+    server: usize,
+    attempt: Attempt,
+    arrived_at: u64,
+    ends: Option<u64>,
+}
+
+/// The daemons, the servers that some of them host, and the calls under way.
+struct Simulation<'a> {
+    fleet: Fleet,
+    kinds: &'a [CallKind],
+    routers: Vec<Router>,
+    slots: Vec<Slots>,
+    /// How much longer than its work a call takes at each server.
+    slowness: Vec<f64>,
+    names: Vec<ServerName>,
+    calls: BTreeMap<u64, Call>,
+    events: BTreeMap<(u64, u64), Event>,
+    last_event: u64,
+    last_call: u64,
+    results: Results,
+    rng: SmallRng,
+}
+
+impl Fleet {
+    fn domain_of_server(self, server: usize) -> usize {
+        server / self.servers_per_domain
+    }
+
+    /// The daemon that hosts a server.
+    fn host_of(self, server: usize) -> usize {
+        self.domain_of_server(server) * self.daemons_per_domain + server % self.servers_per_domain
+    }
+
+    /// One way between a daemon and the host of a server, in microseconds.
+    fn distance(self, daemon: usize, server: usize) -> u64 {
+        match daemon / self.daemons_per_domain == self.domain_of_server(server) {
+            true => SAME_DOMAIN_US,
+            false => OTHER_DOMAIN_US,
+        }
+    }
+
+    fn servers(self) -> Vec<ServerInfo> {
+        let server = |index: usize| ServerInfo {
+            slots: self.slots,
+            hop: Hop::Daemon(([127, 0, 0, 1], 1).into()),
+            ..common::server(&format!("s{index:03}"), "v1", DOMAINS[self.domain_of_server(index)])
+        };
+        (0..DOMAINS.len() * self.servers_per_domain).map(server).collect()
+    }
+}
+
+fn router(table: &Arc<RouteTable>, domain: &str, servers: &[ServerInfo], seed: u64) -> Router {
+    let domain: FailureDomain = domain.try_into().expect("valid name");
+    let region = "cz-stred".try_into().expect("valid name");
+    let mut router =
+        Router::new(RouterSettings { retries: Default::default(), domain, region }, seed);
+    assert!(router.install(Arc::clone(table)));
+    router.set_servers(at(0), servers);
+    router
+}
+
+impl<'a> Simulation<'a> {
+    fn new(fleet: Fleet, kinds: &'a [CallKind], seed: u64) -> Self {
+        let servers = fleet.servers();
+        let table = Arc::new(table(ROUTES));
+        let mut routers = Vec::new();
+        for daemon in 0..DOMAINS.len() * fleet.daemons_per_domain {
+            let domain = DOMAINS[daemon / fleet.daemons_per_domain];
+            routers.push(router(&table, domain, &servers, seed * 1_000 + daemon as u64));
+        }
+        let settings = SlotsSettings {
+            slots: fleet.slots,
+            queue: 64,
+            queue_wait: Duration::from_millis(200),
+            order: QueueOrder::OldestFirst,
+            adaptive: false,
+        };
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Self {
+            fleet,
+            kinds,
+            routers,
+            slots: servers.iter().map(|_| Slots::new(settings)).collect(),
+            slowness: servers.iter().map(|_| rng.random_range(SLOWNESS)).collect(),
+            names: servers.iter().map(|server| server.name.clone()).collect(),
+            calls: BTreeMap::new(),
+            events: BTreeMap::new(),
+            last_event: 0,
+            last_call: 0,
+            results: Results::default(),
+            rng,
+        }
+    }
+
+    fn schedule(&mut self, time: u64, event: Event) {
+        self.last_event += 1;
+        self.events.insert((time, self.last_event), event);
+    }
+
+    fn play(mut self, seconds: u64) -> Results {
+        for (kind, load) in self.kinds.iter().enumerate() {
+            for _ in 0..load.per_second * seconds {
+                let time = self.rng.random_range(0..seconds * US_PER_SECOND);
+                let daemon = self.rng.random_range(0..self.routers.len());
+                self.schedule(time, Event::Arrives { kind, daemon });
+            }
+        }
+        while let Some(((now, _), event)) = self.events.pop_first() {
+            match event {
+                Event::Arrives { kind, daemon } => self.arrive(now, kind, daemon),
+                Event::Reaches { call } => self.reach(now, call),
+                Event::Ends { call } => self.end(now, call),
+                Event::Returns { call, outcome } => self.answer(now, call, outcome),
+            }
+            for server in 0..self.slots.len() {
+                if self.slots[server].next_expiry() <= Mono(now) {
+                    for CallId(call) in self.slots[server].expire(at(now)) {
+                        self.refuse(now, call, Duration::ZERO);
+                    }
+                }
+            }
+        }
+        self.results
+    }
+
+    fn arrive(&mut self, now: u64, kind: usize, daemon: usize) {
+        let path = self.kinds[kind].path;
+        let deadline = Mono(now + 6 * US_PER_SECOND);
+        let head = CallHead { method: "GET", host: "dvere", path, header: &|_| None, deadline };
+        let attempt = self.routers[daemon].begin(at(now), &head).expect("servers are known");
+        self.last_call += 1;
+        self.send(now, self.last_call, kind, daemon, now, attempt);
+    }
+
+    fn send(
+        &mut self,
+        now: u64,
+        id: u64,
+        kind: usize,
+        daemon: usize,
+        arrived_at: u64,
+        attempt: Attempt,
+    ) {
+        let server = self.names.binary_search(&attempt.server).expect("a known server");
+        let call = Call { kind, daemon, server, attempt, arrived_at, ends: None };
+        let delay = self.fleet.distance(daemon, server);
+        self.calls.insert(id, call);
+        self.schedule(now + delay, Event::Reaches { call: id });
+    }
+
+    fn reach(&mut self, now: u64, id: u64) {
+        let call = &self.calls[&id];
+        let request = SlotRequest {
+            criticality: Criticality::Normal,
+            route: Some(call.attempt.route.clone()),
+            origin: None,
+            ancestors: AncestorCalls::default(),
+            target_at: call.attempt.target_at,
+            deadline: call.attempt.deadline,
+        };
+        let mut evicted = Vec::new();
+        let admission = self.slots[call.server].admit(at(now), CallId(id), &request, &mut evicted);
+        match admission {
+            Admission::Run => self.run(now, id),
+            Admission::Queued => {}
+            Admission::Refused(Refusal { retry_after, .. }) => {
+                self.refuse(now, id, retry_after.unwrap_or_default());
+            }
+        }
+        for CallId(call) in evicted {
+            self.refuse(now, call, Duration::ZERO);
+        }
+    }
+
+    fn run(&mut self, now: u64, id: u64) {
+        let spread = self.rng.random_range(WORK_SPREAD);
+        let call = self.calls.get_mut(&id).expect("under way");
+        let work_us = (self.kinds[call.kind].work_ms * US_PER_MS) as f64;
+        let ends = now + (work_us * spread * self.slowness[call.server]) as u64;
+        call.ends = Some(ends);
+        self.schedule(ends, Event::Ends { call: id });
+    }
+
+    fn end(&mut self, now: u64, id: u64) {
+        let server = self.calls[&id].server;
+        let next = self.slots[server].finish(at(now), CallId(id), RunOutcome::Unmeasured);
+        for CallId(call) in next {
+            self.run(now, call);
+        }
+        self.give_back(now, id, Outcome::Answered { status: 200 });
+    }
+
+    fn refuse(&mut self, now: u64, id: u64, retry_after: Duration) {
+        self.give_back(now, id, Outcome::RefusedByDaemon { retry_after });
+    }
+
+    fn give_back(&mut self, now: u64, id: u64, outcome: Outcome) {
+        let call = &self.calls[&id];
+        let delay = self.fleet.distance(call.daemon, call.server);
+        self.schedule(now + delay, Event::Returns { call: id, outcome });
+    }
+
+    /// The daemon that placed a call learns how it ended, with the load of its server and a few
+    /// others, as its hosting daemon knows them.
+    fn answer(&mut self, now: u64, id: u64, outcome: Outcome) {
+        let call = self.calls.remove(&id).expect("under way");
+        let service: ServiceName = "dvere".try_into().expect("valid name");
+        let name = &self.names[call.server];
+        let host = &mut self.routers[self.fleet.host_of(call.server)];
+        let slots = &self.slots[call.server];
+        let mut load = slots.load();
+        if let Some(seconds) = host.average_hold_seconds(&service, slots.route_hold_times()) {
+            load.hold_us = (seconds * 1e6) as u64;
+        }
+        let others = host.loads_to_share(at(now), &service, name);
+        let router = &mut self.routers[call.daemon];
+        router.observe_load(at(now), name, load);
+        router.observe_shared_loads(at(now), &others);
+        match router.finish(at(now), call.attempt.id, outcome) {
+            Next::Deliver => {
+                router.end_body(at(now), call.attempt.id, true);
+                self.count(now, &call, true);
+            }
+            Next::Retry(attempt, delay) => {
+                let later = now + delay.as_micros() as u64;
+                self.send(later, id, call.kind, call.daemon, call.arrived_at, attempt);
+            }
+            Next::Refuse(_) => self.count(now, &call, false),
+        }
+    }
+
+    fn count(&mut self, now: u64, call: &Call, answered: bool) {
+        self.results.calls += 1;
+        match answered {
+            false => self.results.refused += 1,
+            true if Mono(now) <= call.attempt.target_at => self.results.in_target += 1,
+            true => self.results.late += 1,
+        }
+    }
+}
+
+/// Hundreds of daemons; each places a few calls a second.
+const LARGE: Fleet = Fleet { daemons_per_domain: 60, servers_per_domain: 28, slots: 12 };
+
+/// Fewer daemons, and fewer slots for each server.
+const MEDIUM: Fleet = Fleet { daemons_per_domain: 25, servers_per_domain: 14, slots: 6 };
+
+/// Plays a load that the slots can carry: nothing but the placing can make callers wait.
+fn assert_served(fleet: Fleet, kinds: &[CallKind]) {
+    for seed in 1..4 {
+        let results = Simulation::new(fleet, kinds, seed).play(8);
+        assert!(results.share_in_target() >= 0.99, "seed {seed}: {results:?}");
+        assert!(results.refused * 1_000 <= results.calls, "seed {seed}: {results:?}");
+    }
+}
+
+#[test]
+fn placing_of_two_fifths_of_the_slots() {
+    let kinds = [
+        CallKind { path: "/lookup", work_ms: 420, per_second: 930 },
+        CallKind { path: "/probe", work_ms: 1, per_second: 20 },
+    ];
+    assert_served(LARGE, &kinds);
+}
+
+#[test]
+fn placing_of_unlike_routes() {
+    let kinds = [
+        CallKind { path: "/lookup", work_ms: 420, per_second: 700 },
+        CallKind { path: "/check", work_ms: 84, per_second: 1_000 },
+    ];
+    assert_served(LARGE, &kinds);
+}
+
+#[test]
+fn placing_of_three_quarters_of_the_slots() {
+    assert_served(MEDIUM, &[CallKind { path: "/lookup", work_ms: 300, per_second: 600 }]);
+}
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -73,6 +73,19 @@
     assert_eq!(attempt.server.as_str(), "c");
 }
 
+/// The only calls that server `a` has run so far were short ones, and it is full of longer ones.
+#[test]
+fn begin_disbelieves_a_hold_time_far_below_the_others() {
+    let mut router = router(TWO_VERSIONS, &three_servers());
+    let full = ServerLoad { running: 15, waiting: 30, limit: 15, hold_us: 2_000 };
+    let idle = ServerLoad { running: 0, waiting: 0, limit: 15, hold_us: 420_000 };
+    for (name, load) in [("a", full), ("b", idle), ("c", idle)] {
+        router.observe_load(at(0), &ServerName::try_from(name).expect("valid name"), load);
+    }
+    let counts = calls_by_server(&mut router, 1, 20);
+    assert_eq!(counts.get("a"), None, "{counts:?}");
+}
+
 #[test]
 fn begin_avoids_suspected_servers() {
     let mut servers = three_servers();
