Store: a transfer goes on as long as bytes arrive, and none begins beside it

A read had 1 s in all and a copy from a peer 1.5 s, whatever had arrived by then, and three sources sent the same records over that link side by side.

Change: an answer has 1 s to begin and 1 s from one part to the next, and 8 s (store) or 5 s (peer) in all; while one source is answering, the next one is not asked. The fetch moves to store/fetch.rs. Tests that failed before: read_over_a_slow_link, request_response_over_a_slow_link, until_idle_waits_while_a_transfer_goes_on. Ruled out: regress (each daemon's versions only rise).

--- a/crates/daemon/src/effects.rs
+++ b/crates/daemon/src/effects.rs
@@ -72,7 +72,7 @@
             runner.handle(Event::LogRead(answer));
         }
         Fetch::Peer { to, request } => {
-            let response = peers::send_request(to, &request, &runner.key).await;
+            let response = peers::send_request(to, &request, &runner.key, || ()).await;
             runner.handle(Event::PeerResponse { from: to, response });
         }
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -23,9 +23,16 @@
 /// Timeout of a whole exchange, from connecting to the last byte of the response.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest time without progress: until a connection is open, and until further bytes of a response
+/// arrive.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause after a failed accept, so that a persistent error does not busy-loop.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
 
+/// Size of the length of a message, in bytes.
+const LEN_BYTES: usize = 4;
+
 /// Size of the keyed hash, in bytes.
 const HASH_BYTES: usize = 32;
 
@@ -47,15 +54,20 @@
     }
 }
 
-/// Sends a request to a peer; `None` if there is no valid response within [`EXCHANGE_TIMEOUT`].
+/// Sends a request to a peer; `None` if there is no valid response within [`EXCHANGE_TIMEOUT`], or
+/// no progress for [`PROGRESS_TIMEOUT`]. Calls `on_response` when the response begins to arrive.
 pub(crate) async fn send_request(
     to: SocketAddr,
     request: &PeerRequest,
     key: &MeshKey,
+    on_response: impl FnOnce(),
 ) -> Option<PeerResponse> {
     let exchange = async {
-        let mut stream = TcpStream::connect(to).await.ok()?;
+        let connect = TcpStream::connect(to);
+        let mut stream = tokio::time::timeout(PROGRESS_TIMEOUT, connect).await.ok()?.ok()?;
         write_frame(&mut stream, request, key).await?;
+        tokio::time::timeout(PROGRESS_TIMEOUT, stream.readable()).await.ok()?.ok()?;
+        on_response();
         read_frame(&mut stream, key).await
     };
     tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await.ok()?
@@ -97,16 +109,32 @@
 }
 
 async fn read_frame<T: DeserializeOwned>(stream: &mut TcpStream, key: &MeshKey) -> Option<T> {
-    let len = stream.read_u32().await.ok()?;
+    let len = read_bytes(stream, LEN_BYTES).await?;
+    let len = u32::from_be_bytes(len.try_into().ok()?);
     if len > MAX_FRAME_BYTES {
         return None;
     }
-    let mut hash = [0; HASH_BYTES];
-    stream.read_exact(&mut hash).await.ok()?;
-    let mut bytes = Vec::new();
-    stream.take(u64::from(len)).read_to_end(&mut bytes).await.ok()?;
+    let hash: [u8; HASH_BYTES] = read_bytes(stream, HASH_BYTES).await?.try_into().ok()?;
+    let bytes = read_bytes(stream, len as usize).await?;
     if blake3::keyed_hash(&key.0, &bytes) != blake3::Hash::from(hash) {
         return None;
     }
     postcard::from_bytes(&bytes).ok()
 }
+
+/// Reads this many bytes; `None` once nothing arrives for [`PROGRESS_TIMEOUT`], or if there are
+/// fewer.
+async fn read_bytes(stream: &mut TcpStream, count: usize) -> Option<Vec<u8>> {
+    let mut rest = stream.take(count as u64);
+    let mut bytes = Vec::new();
+    while bytes.len() < count {
+        let read = tokio::time::timeout(PROGRESS_TIMEOUT, rest.read_buf(&mut bytes));
+        if read.await.ok()?.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(bytes)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! records into one configuration; it performs no I/O. [`verdicts`] writes the final state of a
 //! move to the store.
 
+mod fetch;
 mod record_cache;
 mod sync;
 mod verdicts;
--- a/crates/daemon/src/store/sync.rs
+++ b/crates/daemon/src/store/sync.rs
@@ -10,23 +10,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cyclamen_distribution::{PeerRequest, PeerResponse};
-use cyclamen_membership::{MeshKey, Peer};
+use cyclamen_membership::MeshKey;
 use cyclamen_platform::era::{Era, era_of};
 use cyclamen_platform::{Appended, Newest, NewestRecord, Read, Store, StoreError, Topic};
 use cyclamen_platform::{members, moves, orders};
 use cyclamen_port::StoredMember;
 use cyclamen_types::Offset;
 use cyclamenmoor::Instance;
-use futures::{FutureExt, future};
 use log::{error, info, warn};
 use rand::Rng;
 use tokio::sync::watch;
 
-use crate::peers;
 use crate::shared::SharedInstance;
-use crate::store::record_cache::{self, RecordCache};
-use crate::store::{StoreView, verdicts};
+use crate::store::record_cache::RecordCache;
+use crate::store::{StoreView, fetch, verdicts};
 
 /// Bounds of the timeout of a long poll. A connection that stalls without an error hides a new
 /// configuration from this daemon until the poll times out, or until gossip shows that another
@@ -42,13 +39,6 @@
 /// Pause after a read, so that configurations written in quick succession arrive in one read.
 const BATCH_PAUSE: Duration = Duration::from_millis(200);
 
-/// Delay after which the next source is queried in parallel, while the earlier ones have not
-/// answered.
-const HEDGE_DELAY: Duration = Duration::from_millis(250);
-
-/// Timeout of a request to another daemon for the records that it read from the store.
-const PEER_READ_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Time without a known answer of the store to any daemon after which a daemon that is not a
 /// reader reads the store itself. A random delay is added, see [`JITTER_PER_MEMBER`].
 const STORE_SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -81,7 +71,7 @@
 pub(crate) struct StoreSync {
     pub(crate) shared: SharedInstance,
     pub(crate) store: Store,
-    key: MeshKey,
+    pub(super) key: MeshKey,
     view: Arc<Mutex<StoreView>>,
     record_cache: Arc<Mutex<RecordCache>>,
     /// The era of the latest records; `None` before the first read. Subscribers are notified when
@@ -205,31 +195,13 @@
             () = self.until_direct_read_due() => false,
         };
         match peer_is_ahead {
-            true => Ok(self.apply_read(&self.fetch_from_any(from).await?)),
+            true => Ok(self.apply_read(&fetch::from_any(self, from).await?)),
             false => self.read_now(from).await,
         }
     }
 
-    /// Fetches the records from `from` on from the source that answers first. It queries a daemon
-    /// of this failure domain, a daemon of it again, and then the store, each [`HEDGE_DELAY`] after
-    /// the previous one, because any of them may be slow on a congested link.
-    async fn fetch_from_any(&self, from: Offset) -> Result<Read, StoreError> {
-        let attempts = [
-            self.read_from_peer(from, Duration::ZERO).boxed(),
-            self.read_from_peer(from, HEDGE_DELAY).boxed(),
-            self.read_without_waiting(from, 2 * HEDGE_DELAY).boxed(),
-        ];
-        let (read, _others) = future::select_ok(attempts).await?;
-        Ok(read)
-    }
-
-    /// Reads the store after `delay`, without waiting for new records.
-    async fn read_without_waiting(
-        &self,
-        from: Offset,
-        delay: Duration,
-    ) -> Result<Read, StoreError> {
-        tokio::time::sleep(delay).await;
+    /// Reads the store, without waiting for new records.
+    pub(super) async fn read_without_waiting(&self, from: Offset) -> Result<Read, StoreError> {
         let read = self.store.read(Topic::Orders, from, Duration::ZERO).await?;
         self.note_store_answer();
         Ok(read)
@@ -237,7 +209,7 @@
 
     /// Reads the store without waiting for new records, and applies what there is.
     async fn read_now(&self, from: Offset) -> Result<Offset, StoreError> {
-        let read = self.read_without_waiting(from, Duration::ZERO).await?;
+        let read = self.read_without_waiting(from).await?;
         Ok(self.apply_read(&read))
     }
 
@@ -261,39 +233,6 @@
         }
     }
 
-    /// Requests the records from `from` on, after `delay`, from a daemon of this failure domain
-    /// that holds a later configuration, or else from one of its relays.
-    async fn read_from_peer(&self, from: Offset, delay: Duration) -> Result<Read, StoreError> {
-        tokio::time::sleep(delay).await;
-        let peer = self.shared.read(|instance| {
-            let mine = instance.ledger().version();
-            let domain = &instance.membership().local_member().domain;
-            let holds_more = |peer: &Peer<'_>| {
-                peer.domain == domain
-                    && peer.applied_config.is_some_and(|applied| applied.version > mine)
-            };
-            let (membership, mut rng) = (instance.membership(), rand::rng());
-            // Gossip lags behind: a daemon that reads the store may hold the configuration before
-            // its own gossip says so.
-            membership
-                .choose_peer(&mut rng, holds_more)
-                .or_else(|| membership.choose_relay(&mut rng))
-        });
-        let unanswered = |why: &str| StoreError::Unanswered(why.into());
-        let peer =
-            peer.ok_or_else(|| unanswered("no daemon of the failure domain reads the store"))?;
-        let request = PeerRequest::Stored { from };
-        let exchange = peers::send_request(peer, &request, &self.key);
-        match tokio::time::timeout(PEER_READ_TIMEOUT, exchange).await {
-            Ok(Some(PeerResponse::Stored { records, next })) if next > from => {
-                let records = record_cache::decompress_records(records)
-                    .map_err(|why| unanswered(&why.to_string()))?;
-                Ok(Read { records, next })
-            }
-            Ok(_) | Err(_) => Err(unanswered("the peer returned no newer records in time")),
-        }
-    }
-
     /// Applies the records of a read; returns the offset to read on from.
     fn apply_read(&self, read: &Read) -> Offset {
         if !read.records.is_empty() {
