Calls from another daemon: buffer a small body, so that a call can be resent

An idempotent call is resent then, but only with a buffered body; the hosting daemon streamed every body that came from another daemon, the empty ones too, so nearly no call was resent.

Change: the hosting daemon receives bodies as the caller's daemon does.

--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -145,7 +145,11 @@
         deadline: ctx.mono_now() + hop_call.time_left,
     };
     let (parts, incoming) = req.into_parts();
-    let body = RequestBody::streamed(incoming);
+    // A small body is buffered, so that the call can be resent over a new connection.
+    let until = ctx.to_instant(call.deadline);
+    let Ok(body) = RequestBody::receive(incoming, &ctx.body_budget, until).await else {
+        return hop_response(&ctx, &hop_call, InboundOutcome::Unavailable);
+    };
     let Some(attempt_body) = body.for_attempt() else {
         return hop_response(&ctx, &hop_call, InboundOutcome::Unavailable);
     };
