Pipelined calls: a truncated answer does not take the answers behind it

Change: while calls behind it are in progress, an answer of known length up to 256 KiB is received whole before it is written; if it breaks off, the caller gets 502 in its place and the connection goes on. Answers without a length, or longer ones, still close the connection.

--- a/crates/daemon/src/calls/local_reply.rs
+++ b/crates/daemon/src/calls/local_reply.rs
@@ -101,6 +101,17 @@
     json_response(status, &body, false)
 }
 
+/// The response to a call whose answer broke off before any of it was passed on; it has run.
+pub(super) fn broken_off() -> Response<ResponseBody> {
+    let body = ReplyBody {
+        kind: &RefusalKind::OutcomeUnknown.to_string(),
+        outcome: UNKNOWN,
+        reason: "the answer of the backend server broke off: look up what was run",
+        retry_after_ms: None,
+    };
+    json_response(StatusCode::BAD_GATEWAY, &body, false)
+}
+
 fn json_response(
     status: StatusCode,
     body: &ReplyBody<'_>,
--- a/crates/daemon/src/calls/pipeline.rs
+++ b/crates/daemon/src/calls/pipeline.rs
@@ -17,6 +17,8 @@
 };
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, Uri, Version};
+use http_body::Body;
+use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, Join};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -26,6 +28,7 @@
 
 use crate::calls::body::{RequestBody, ResponseBody};
 use crate::calls::context::CallContext;
+use crate::calls::local_reply;
 use crate::calls::outbound;
 use crate::calls::response_writer::{self, AfterResponse};
 use crate::calls::serve::{MAX_HEAD_BYTES, ShutdownPhase};
@@ -36,6 +39,10 @@
 /// Most calls in progress on a connection; further ones stay unread.
 const MAX_CALLS_IN_PROGRESS: usize = 32;
 
+/// Largest response, in bytes, that is received whole before it is written while calls behind it are
+/// in progress.
+const MAX_WHOLE_RESPONSE_BYTES: u64 = 256 * 1024;
+
 /// Initial capacity of the read buffer.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -133,6 +140,10 @@
                     return PipelineEnd::Closed;
                 };
                 let stopping = *phase.borrow() != ShutdownPhase::Serving;
+                let response = match in_progress.is_empty() {
+                    true => response,
+                    false => receive_whole(response).await,
+                };
                 let nothing_left = in_progress.is_empty() && buf.is_empty();
                 let close = done.close_after || stopping && nothing_left;
                 let after = if close { AfterResponse::Close } else { AfterResponse::KeepAlive };
@@ -146,6 +157,21 @@
     }
 }
 
+/// Receives the body of a response before any of it is written, if its length is known and at most
+/// [`MAX_WHOLE_RESPONSE_BYTES`]. If it breaks off, the caller gets a failure in its place. Otherwise
+/// the connection would have to be closed, and the answers to the calls behind it would be lost.
+async fn receive_whole(response: Response<ResponseBody>) -> Response<ResponseBody> {
+    let len = response.body().size_hint().exact();
+    if len.is_none_or(|len| len > MAX_WHOLE_RESPONSE_BYTES) {
+        return response;
+    }
+    let (parts, body) = response.into_parts();
+    match body.collect().await {
+        Ok(whole) => Response::from_parts(parts, ResponseBody::buffered(whole.to_bytes())),
+        Err(_) => local_reply::broken_off(),
+    }
+}
+
 /// Whether a change of phase has to wake the connection. Only idle ones need it: others check the
 /// phase with their next response.
 fn phase_change_matters(in_progress: &VecDeque<CallInProgress>) -> bool {
