Placing: stay in the own failure domain where a call is comfortably on time

Calls left their domain for a server that is a little quicker, which callers do not notice while the answer comes well within its target.

Change: below two fifths of the route's target the expected time counts a twentieth, so that distance and bytes decide. Tests: begin_stays_in_own_domain_where_ comfortably_on_time (fails without the change), begin_goes_where_it_is_quicker_without_a_target.

--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -28,6 +28,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal};
+use crate::router::placement::CallNeeds;
 use crate::router::pool::{ServerPool, ServerRequest};
 use crate::router::retry_budget::RetryBudget;
 pub use crate::router::retry_budget::RetryLimits;
@@ -407,7 +408,8 @@
         let chosen = match self.mode {
             RouterMode::Full => {
                 let bytes = self.route_bytes.get(&plan.route.name).copied().unwrap_or_default();
-                let request = ServerRequest { service, version: &version, tried, bytes };
+                let needs = CallNeeds { bytes, target: plan.route.target.unwrap_or_default() };
+                let request = ServerRequest { service, version: &version, tried, needs };
                 self.pool.choose(now, &request, &mut self.rng)
             }
             RouterMode::Baseline => self.pool.choose_uniform(service, &version, &mut self.rng),
--- a/crates/routing/src/router/placement.rs
+++ b/crates/routing/src/router/placement.rs
@@ -39,6 +39,14 @@
     OtherRegion,
 }
 
+/// Share of a route's target latency within which a call may be expected to end anywhere without
+/// being late. Servers that are quicker than that are preferred only slightly, so that calls stay
+/// in their failure domain. The rest of the target is left for calls that take longer than expected.
+const COMFORTABLE_SHARE: f64 = 0.4;
+
+/// Weight of the expected time of a call where it is comfortable.
+const COMFORTABLE_TIME_WEIGHT: f64 = 0.05;
+
 /// What the cost of a backend server is computed from.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlacementInputs {
@@ -54,8 +62,17 @@
     pub(super) weight: f64,
     /// Where the server is.
     pub(super) distance: Distance,
+    /// What the call asks for.
+    pub(super) needs: CallNeeds,
+}
+
+/// What the cost of a backend server depends on besides the server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallNeeds {
     /// Expected bytes of the call and its answer together.
     pub(super) bytes: f64,
+    /// Target latency of the route; zero for a route without one.
+    pub(super) target: Duration,
 }
 
 impl PlacementInputs {
@@ -70,7 +87,11 @@
         let server_seconds =
             self.hold_seconds * (1.0 + CONGESTION_FACTOR * congestion + queue_rounds);
         let failure_penalty = 1.0 + FAILURE_PENALTY_FACTOR * self.failure_rate;
-        server_seconds * failure_penalty / self.weight + self.network_seconds()
+        let expected = server_seconds * failure_penalty / self.weight;
+        let comfortable = self.needs.target.as_secs_f64() * COMFORTABLE_SHARE;
+        let beyond = (expected - comfortable).max(0.0);
+        let within = expected.min(comfortable) * COMFORTABLE_TIME_WEIGHT;
+        beyond + within + self.network_seconds()
     }
 
     /// Cost of the network path, in seconds. It grows with the size of the call, because all
@@ -82,6 +103,6 @@
             Distance::SameRegion => OTHER_DOMAIN_DELAY,
             Distance::OtherRegion => OTHER_REGION_DELAY,
         };
-        delay.as_secs_f64() + self.bytes / CROSS_DOMAIN_BYTES_PER_SECOND
+        delay.as_secs_f64() + self.needs.bytes / CROSS_DOMAIN_BYTES_PER_SECOND
     }
 }
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -14,7 +14,7 @@
 
 use crate::call::ServerSelection;
 use crate::router::ServerInfo;
-use crate::router::placement::Distance;
+use crate::router::placement::{CallNeeds, Distance};
 use crate::router::server::Server;
 
 /// Largest share of a version's servers that may be ejected at a time, in percent. One server may
@@ -68,8 +68,7 @@
     pub(super) version: &'a VersionName,
     /// Servers that earlier attempts of the call went to; they are left out.
     pub(super) tried: &'a FastSet<ServerName>,
-    /// Expected bytes of the call and its answer together.
-    pub(super) bytes: f64,
+    pub(super) needs: CallNeeds,
 }
 
 /// Which servers are considered for a call.
@@ -190,7 +189,7 @@
             self.collect_eligible(now, &group.servers, eligibility, request.tried, candidates);
             if !candidates.is_empty() {
                 self.keep_few_of_each_distance(candidates, rng);
-                return Some(self.choose_cheapest(now, candidates, request.bytes, rng));
+                return Some(self.choose_cheapest(now, candidates, request.needs, rng));
             }
         }
         None
@@ -259,7 +258,7 @@
         &self,
         now: Mono,
         candidates: &[ServerIndex],
-        bytes: f64,
+        needs: CallNeeds,
         rng: &mut SmallRng,
     ) -> (ServerIndex, ServerSelection) {
         let shortest_hold_seconds = self.shortest_plausible_hold_seconds(candidates);
@@ -268,7 +267,7 @@
         for index in candidates {
             let server = &self.servers[*index];
             let inputs =
-                server.placement_inputs(now, shortest_hold_seconds, self.distance(server), bytes);
+                server.placement_inputs(now, shortest_hold_seconds, self.distance(server), needs);
             let jitter = rng.random_range(1.0 - TIE_JITTER..1.0 + TIE_JITTER);
             let cost = inputs.cost_seconds() * jitter;
             if cost < best.0 {
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -6,7 +6,7 @@
 
 use crate::call::{MIN_SERVER_ERROR_STATUS, Outcome};
 use crate::router::ServerInfo;
-use crate::router::placement::{Distance, PlacementInputs};
+use crate::router::placement::{CallNeeds, Distance, PlacementInputs};
 
 /// Weight of a new sample in the moving average of the latency.
 const LATENCY_GAIN: f64 = 0.2;
@@ -164,7 +164,7 @@
         self.ejected_until > now
     }
 
-    /// The inputs of the cost function for a call of `bytes` bytes.
+    /// The inputs of the cost function for a call.
     ///
     /// The measured hold time is taken for at least `shortest_hold_seconds`, and is blended with it as
     /// confidence decays.
@@ -175,7 +175,7 @@
         now: Mono,
         shortest_hold_seconds: f64,
         distance: Distance,
-        bytes: f64,
+        needs: CallNeeds,
     ) -> PlacementInputs {
         let confidence = self.hold_confidence(now);
         let hold_seconds = match self.hold_seconds() {
@@ -193,7 +193,7 @@
             failure_rate: self.failure_rate(now),
             weight: self.weight(now),
             distance,
-            bytes,
+            needs,
         }
     }
 
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -86,6 +86,41 @@
     assert_eq!(counts.get("a"), None, "{counts:?}");
 }
 
+/// Two routes of one service: one wants an answer in 300 ms, the other says nothing.
+const WITH_TARGET: &str = "
+declarations:
+- name: dvere
+  service: {version: v1}
+- name: dvere/v1
+  version: {}
+- name: lookup
+  route: {service: dvere, timeout: 10s, target: 300ms, match: {path_prefix: /lookup}}
+- name: report
+  route: {service: dvere, timeout: 10s, match: {path_prefix: /report}}
+";
+
+/// The servers of the own domain hold a call for `own_ms`, that of the other domain for 40 ms.
+fn picked_domain_is_own(path: &str, own_ms: u64) -> bool {
+    let mut router = router(WITH_TARGET, &three_servers());
+    for (name, hold_ms) in [("a", own_ms), ("b", own_ms), ("c", 40)] {
+        let load = ServerLoad { running: 2, waiting: 0, limit: 15, hold_us: hold_ms * 1_000 };
+        router.observe_load(at(0), &ServerName::try_from(name).expect("valid name"), load);
+    }
+    let attempt = router.begin(at(1), &head("GET", path)).expect("a server is picked");
+    attempt.server.as_str() != "c"
+}
+
+#[test]
+fn begin_stays_in_own_domain_where_comfortably_on_time() {
+    assert!(picked_domain_is_own("/lookup", 90));
+    assert!(!picked_domain_is_own("/lookup", 200));
+}
+
+#[test]
+fn begin_goes_where_it_is_quicker_without_a_target() {
+    assert!(!picked_domain_is_own("/report", 90));
+}
+
 #[test]
 fn begin_avoids_suspected_servers() {
     let mut servers = three_servers();
