--- a/crates/routing/src/router/retries.rs
+++ b/crates/routing/src/router/retries.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamen_types::Mono;
+use cyclamen_types::{Mono, ServiceName};
 
 use crate::call::{Attempt, AttemptId, MIN_SERVER_ERROR_STATUS, Next, Outcome};
 use crate::router::{ActiveCall, AttemptPlan, Router, RouterMode, refusals};
@@ -75,7 +75,11 @@
             previous_attempts: last.previous_attempts + 1,
             may_have_run: true,
         };
-        let retry = self.start_attempt(now, plan).ok()?;
+        let service = plan.service.clone();
+        let Ok(retry) = self.start_attempt(now, plan) else {
+            self.put_back_retry(&service);
+            return None;
+        };
         self.counters.retries += 1;
         if let Some(ended) = self.calls.remove(&id)
             && let Some(server) = self.pool.find_mut(&ended.attempt.server)
@@ -148,12 +152,25 @@
             split_point: call.split_point,
             tried: call.tried,
         };
+        let service = plan.service.clone();
         match self.start_attempt(now, plan) {
             Ok(attempt) => {
                 self.counters.retries += 1;
                 Next::Retry(attempt, delay)
             }
-            Err(_) => Next::Refuse(refusal),
+            Err(_) => {
+                if draws_on_budget && !baseline {
+                    self.put_back_retry(&service);
+                }
+                Next::Refuse(refusal)
+            }
+        }
+    }
+
+    /// Puts back a retry that was taken out of the budget although no other server is left.
+    fn put_back_retry(&mut self, service: &ServiceName) {
+        if let Some(budget) = self.budgets.get_mut(service) {
+            budget.put_back();
         }
     }
 }
--- a/crates/routing/src/router/retry_budget.rs
+++ b/crates/routing/src/router/retry_budget.rs
@@ -53,4 +53,9 @@
         self.tokens -= 1.0;
         true
     }
+
+    /// Puts back a retry that was taken out and not made.
+    pub(super) fn put_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.limits.budget_capacity);
+    }
 }
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -3,12 +3,13 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{TWO_VERSIONS, at, head, router, server};
 use cyclamen_routing::{
-    CallHead, Next, Outcome, RefusalKind, RouteHoldTime, Router, ServerInfo, ServerLoad,
-    SharedLoad, VersionSplit,
+    CallHead, Next, Outcome, RefusalKind, RetryLimits, RouteHoldTime, Router, RouterSettings,
+    ServerInfo, ServerLoad, SharedLoad, VersionSplit,
 };
 use cyclamen_types::{Mono, ServerName};
 
@@ -463,3 +464,25 @@
     }
     assert!((90..=125).contains(&retries), "{retries} retries of 1000 calls");
 }
+
+/// Retries that no server was left for do not use up the budget.
+#[test]
+fn retry_without_another_server_stays_in_the_budget() {
+    let settings = RouterSettings {
+        retries: RetryLimits { budget_capacity: 2.0, refill_per_second: 0.0, ..Default::default() },
+        domain: "praha-a".try_into().expect("valid name"),
+        region: "cz-stred".try_into().expect("valid name"),
+    };
+    let mut router = Router::new(settings, 1);
+    assert!(router.install(Arc::new(common::table(TWO_VERSIONS))));
+    router.set_servers(at(0), &three_servers()[..1]);
+    let fail = |router: &mut Router, now| {
+        let attempt = router.begin(at(now), &head("GET", "/")).expect("a server is picked");
+        router.finish(at(now + 1), attempt.id, Outcome::Reset)
+    };
+    for now in 0..4 {
+        assert!(matches!(fail(&mut router, now), Next::Refuse(_)));
+    }
+    router.set_servers(at(10), &three_servers());
+    assert!(matches!(fail(&mut router, 10), Next::Retry(..)));
+}
