--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -87,7 +87,7 @@
     let Some(log_settings) = settings.decision_log else {
         return Ok(None);
     };
-    let writer = logging::stdout_writer().map_err(StartError::Lines)?;
+    let writer = logging::stdout_writer().map_err(StartError::DecisionLogThread)?;
     Ok(Some(DecisionLog::new(&settings.instance, log_settings, writer)))
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -123,7 +123,7 @@
 fn start_status(error: &StartError) -> u8 {
     match error {
         StartError::Bind { .. } => BIND_STATUS,
-        StartError::Admin(_) | StartError::Lines(_) => START_STATUS,
+        StartError::Admin(_) | StartError::DecisionLogThread(_) => START_STATUS,
     }
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -73,7 +73,7 @@
     #[error(
         "cannot start the thread that writes the decision log: {0}; check the limits of this process"
     )]
-    Lines(std::io::Error),
+    DecisionLogThread(std::io::Error),
     /// The administration API could not be started.
     #[error("cannot start the administration API: {0}; check its address in the settings")]
     Admin(String),
--- a/crates/daemon/src/store/mod.rs
+++ b/crates/daemon/src/store/mod.rs
@@ -3,14 +3,17 @@
 //! [`sync`] reads records from the store, or from another daemon that serves them out of its
 //! [`record_cache`], and passes each new configuration to the instance. [`StoreView`] combines the
 //! records into one configuration; it performs no I/O. [`verdicts`] writes the final state of a
-//! move to the store.
+//! move to the store. [`registration`] writes the daemon itself there, and finds the others.
 
+mod availability;
 mod fetch;
 mod record_cache;
+mod registration;
 mod sync;
 mod verdicts;
 mod view;
 
-pub(crate) use sync::{StoreSync, follow_store, register_and_discover};
+pub(crate) use registration::register_and_discover;
+pub(crate) use sync::{StoreSync, follow_store};
 pub(crate) use verdicts::record_verdict;
 pub use view::{AppliedRecords, StoreView};
--- a/crates/daemon/src/store/sync.rs
+++ b/crates/daemon/src/store/sync.rs
@@ -4,26 +4,25 @@
 //! whether they are relays, read the store with long polls; they are called readers here. The
 //! others wait until gossip shows that a later configuration exists, and then request its records
 //! from a daemon of their failure domain and, if that is slow, from the store. [`follow_store`]
-//! runs this loop; [`register_and_discover`] registers the daemon in the store and adds the members
-//! found there.
+//! runs this loop.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use cyclamen_membership::MeshKey;
 use cyclamen_platform::era::{Era, era_of};
-use cyclamen_platform::{Appended, Newest, NewestRecord, Read, Store, StoreError, Topic};
-use cyclamen_platform::{members, moves, orders};
-use cyclamen_port::StoredMember;
+use cyclamen_platform::{Newest, NewestRecord, Read, Store, StoreError, Topic};
+use cyclamen_platform::{moves, orders};
 use cyclamen_types::Offset;
 use cyclamenmoor::Instance;
-use log::{error, info, warn};
+use log::{error, warn};
 use rand::Rng;
 use tokio::sync::watch;
 
 use crate::shared::SharedInstance;
+use crate::store::availability::StoreAvailability;
 use crate::store::record_cache::RecordCache;
-use crate::store::{StoreView, fetch, verdicts};
+use crate::store::{StoreView, fetch};
 
 /// Bounds of the timeout of a long poll. A connection that stalls without an error hides a new
 /// configuration from this daemon until the poll times out, or until gossip shows that another
@@ -50,22 +49,6 @@
 /// How often a daemon that is not a reader checks whether it has to read the store itself.
 const READER_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
-/// Bounds of the backoff after a failed request. It doubles with each failure, and a random part of
-/// up to one half is taken off.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_secs(1);
-
-/// Reads of the member list after the start. The first always happens; the others follow only while
-/// this daemon has no reachable peer, and find daemons that started at the same time.
-const MAX_MEMBER_READS: u32 = 3;
-
-/// Pause between two reads of the member list.
-const MEMBER_READ_PAUSE: Duration = Duration::from_secs(1);
-
-/// Longest delay before a daemon writes its member record again after the store came back from an
-/// older copy. The delay is drawn at random, to spread the writes of all daemons.
-const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_500);
-
 /// The state of synchronization with the store, shared by the tasks of one daemon.
 #[derive(Clone)]
 pub(crate) struct StoreSync {
@@ -76,7 +59,7 @@
     record_cache: Arc<Mutex<RecordCache>>,
     /// The era of the latest records; `None` before the first read. Subscribers are notified when
     /// it rises, that is, when the store has come back from an older copy.
-    era: watch::Sender<Option<Era>>,
+    pub(super) era: watch::Sender<Option<Era>>,
 }
 
 impl StoreSync {
@@ -116,7 +99,7 @@
     }
 
     /// Notes the era of a position that was read from the store or from another daemon.
-    fn observe_era(&self, position: Offset) {
+    pub(super) fn observe_era(&self, position: Offset) {
         let era = era_of(position);
         let came_back = self.era.send_if_modified(|known| match known.replace(era) {
             Some(before) if before > era => {
@@ -274,7 +257,7 @@
             Some(from) if sync.shared.read(|i| i.should_read_store(sync.shared.now())) => {
                 // A store that was away may have come back from an older copy. A poll that waits
                 // for a record would show that only at its end.
-                match availability.failures > 0 {
+                match availability.is_failing() {
                     true => sync.read_now(from).await,
                     false => sync.long_poll(from).await,
                 }
@@ -294,84 +277,6 @@
     }
 }
 
-/// Writes the member record of this daemon to the store, and adds the daemons recorded there as
-/// peers. Retries until both have succeeded. Writes what the store lost again whenever it comes back
-/// from an older copy, until the task is dropped.
-pub(crate) async fn register_and_discover(sync: StoreSync, me: StoredMember) {
-    let era = sync.era.subscribe();
-    register(&sync, &me).await;
-    tokio::join!(discover(&sync, &me), write_again_after_restores(&sync, &me, era));
-}
-
-/// Writes the member record and the final states of moves again whenever `era` changes.
-async fn write_again_after_restores(
-    sync: &StoreSync,
-    me: &StoredMember,
-    mut era: watch::Receiver<Option<Era>>,
-) {
-    while era.changed().await.is_ok() {
-        let delay = MAX_REWRITE_DELAY.mul_f64(rand::rng().random_range(0.0..=1.0));
-        tokio::time::sleep(delay).await;
-        register(sync, me).await;
-        restore_lost_states(sync).await;
-    }
-}
-
-/// Writes the member record of this daemon, until the store has taken it.
-async fn register(sync: &StoreSync, me: &StoredMember) {
-    let mut availability = StoreAvailability::default();
-    let record = members::encode(me);
-    let name = me.instance.as_str();
-    loop {
-        match sync.store.append(Topic::Members, name, &record, None).await {
-            Ok(Appended::At(position)) => return sync.observe_era(position),
-            // Not reached: an append without a condition is never behind.
-            Ok(Appended::Behind) => return,
-            Err(error) => tokio::time::sleep(availability.failed(&error)).await,
-        }
-    }
-}
-
-/// Writes the final states of moves that the store lost, where this daemon reads the store for its
-/// failure domain.
-async fn restore_lost_states(sync: &StoreSync) {
-    if !sync.shared.read(|instance| instance.should_read_store(sync.shared.now())) {
-        return;
-    }
-    let mut availability = StoreAvailability::default();
-    while let Err(error) = verdicts::rewrite_lost_states(sync).await {
-        tokio::time::sleep(availability.failed(&error)).await;
-    }
-}
-
-/// Reads the member list and adds the daemons in it as peers.
-async fn discover(sync: &StoreSync, me: &StoredMember) {
-    let mut availability = StoreAvailability::default();
-    let alone = || sync.shared.read(|instance| instance.membership().reachable_count() <= 1);
-    let mut reads_done = 0;
-    while reads_done == 0 || (reads_done < MAX_MEMBER_READS && alone()) {
-        match sync.store.newest(Topic::Members).await {
-            Ok(newest) => {
-                reads_done += 1;
-                add_stored_members(sync, me, &newest);
-                tokio::time::sleep(MEMBER_READ_PAUSE).await;
-            }
-            Err(error) => tokio::time::sleep(availability.failed(&error)).await,
-        }
-    }
-}
-
-fn add_stored_members(sync: &StoreSync, me: &StoredMember, newest: &Newest) {
-    let mut peers = Vec::new();
-    for member in newest.records.iter().filter_map(members::decode) {
-        if member.instance != me.instance {
-            peers.push(member.peer);
-        }
-    }
-    info!("found {} other daemons in the store", peers.len());
-    sync.shared.with(|instance, now, out| instance.add_seed_addresses(now, &peers, out));
-}
-
 /// Returns the last record of each key, in the order of `records`.
 fn newest_per_key(records: &[NewestRecord]) -> Vec<&NewestRecord> {
     let mut newest: Vec<&NewestRecord> = Vec::new();
@@ -383,29 +288,3 @@
     newest.reverse();
     newest
 }
-
-/// Counts consecutive failed reads and writes of records, from the store or a peer, to log an
-/// outage once and to back off.
-#[derive(Default)]
-struct StoreAvailability {
-    failures: u32,
-}
-
-impl StoreAvailability {
-    fn succeeded(&mut self) {
-        if self.failures > 0 {
-            info!("the store answers again after {} failed requests", self.failures);
-        }
-        self.failures = 0;
-    }
-
-    /// Counts a failure; returns the pause before the next attempt.
-    fn failed(&mut self, error: &StoreError) -> Duration {
-        if self.failures == 0 {
-            warn!("{error}");
-        }
-        let bound = MIN_BACKOFF.saturating_mul(2_u32.saturating_pow(self.failures));
-        self.failures = self.failures.saturating_add(1);
-        bound.min(MAX_BACKOFF).mul_f64(rand::rng().random_range(0.5..=1.0))
-    }
-}
