Placing: a call cancelled long after the usual time counts against its server

Change: a cancelled attempt that waited for over four hold times of the server and 100 ms counts as a failure, so five in a row without an answer eject it. Test that failed before: cancelled_long_after_the_usual_time_counts_against_the_server.

--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -32,6 +32,14 @@
 /// Failures to connect, without an answer in between, after which a server is ejected.
 const EJECT_AFTER_CONNECT_FAILURES: u32 = 2;
 
+/// A call that its caller cancels counts as a failure of the server if it has waited for its answer for
+/// more than this many hold times, and [`MIN_OVERDUE`] besides. A server that is cut off would get calls
+/// until its daemon is suspected, since callers with short deadlines leave before a timeout tells.
+const OVERDUE_HOLD_TIMES: f64 = 4.0;
+
+/// See [`OVERDUE_HOLD_TIMES`].
+const MIN_OVERDUE: Duration = Duration::from_millis(100);
+
 /// Duration of the first ejection; each further one lasts twice as long as the one before, up to
 /// [`MAX_EJECTION`], until a success after the slow start resets this.
 const FIRST_EJECTION: Duration = Duration::from_secs(5);
@@ -289,10 +297,23 @@
                 self.record_failure()
             }
             Outcome::Reset | Outcome::Truncated => self.record_failure(),
+            Outcome::Cancelled if self.is_overdue(latency) => {
+                self.update_failure_rate(now, true);
+                self.record_failure()
+            }
             Outcome::Cancelled => EjectionAdvice::Keep,
         }
     }
 
+    /// Whether an answer after this time would be later than the server usually takes. False while its
+    /// hold time is unknown.
+    fn is_overdue(&self, latency: Duration) -> bool {
+        let usual = self.hold_seconds();
+        usual.is_some_and(|hold| {
+            latency.as_secs_f64() > hold * OVERDUE_HOLD_TIMES + MIN_OVERDUE.as_secs_f64()
+        })
+    }
+
     /// Ejects the server for a while. It returns with a slow start.
     pub(super) fn eject(&mut self, now: Mono) {
         // Bounded against overflow; [`MAX_EJECTION`] is reached earlier.
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -486,3 +486,32 @@
     router.set_servers(at(10), &three_servers());
     assert!(matches!(fail(&mut router, 10), Next::Retry(..)));
 }
+
+/// Makes calls that their callers cancel after this time, until one goes to another domain; returns
+/// how many stayed in the own one, at most 40.
+fn cancelled_in_own_domain(after_ms: u64) -> u64 {
+    let mut router = router(TWO_VERSIONS, &three_servers());
+    for (name, hold_us) in [("a", 90_000), ("b", 90_000), ("c", 150_000)] {
+        let load = ServerLoad { running: 1, waiting: 0, limit: 15, hold_us };
+        router.observe_load(at(0), &ServerName::try_from(name).expect("valid name"), load);
+    }
+    for number in 0..40 {
+        let began = number * 1_000;
+        let attempt = router.begin(at(began), &head("GET", "/")).expect("a server is picked");
+        if attempt.server.as_str() == "c" {
+            return number;
+        }
+        router.finish(at(began + after_ms * 1_000), attempt.id, Outcome::Cancelled);
+    }
+    40
+}
+
+#[test]
+fn cancelled_long_after_the_usual_time_counts_against_the_server() {
+    assert!(cancelled_in_own_domain(800) < 10);
+}
+
+#[test]
+fn cancelled_early_says_nothing_about_the_server() {
+    assert_eq!(cancelled_in_own_domain(300), 40);
+}
