--- a/crates/daemon/src/calls/pipeline.rs
+++ b/crates/daemon/src/calls/pipeline.rs
@@ -19,6 +19,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri, Version};
 use http_body::Body;
 use http_body_util::BodyExt;
+use log::warn;
 use tokio::io::{AsyncReadExt, Join};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -131,7 +132,11 @@
             }
         };
         match event {
-            Event::Read(Ok(0) | Err(_)) | Event::IdleTimeout | Event::Responded(None) => {
+            Event::Read(Ok(0) | Err(_)) | Event::IdleTimeout => return PipelineEnd::Closed,
+            Event::Responded(None) => {
+                warn!(
+                    "a call ended without a response: its connection is closed; report this fault"
+                );
                 return PipelineEnd::Closed;
             }
             Event::Read(Ok(_)) | Event::PhaseChanged => {}
@@ -148,6 +153,9 @@
                 let close = done.close_after || stopping && nothing_left;
                 let after = if close { AfterResponse::Close } else { AfterResponse::KeepAlive };
                 let written = response_writer::write(&mut tx, response, after).await;
+                if let Err(error) = &written {
+                    report_lost_calls(error, in_progress.len());
+                }
                 if written.is_err() || close {
                     return PipelineEnd::Closed;
                 }
@@ -157,6 +165,14 @@
     }
 }
 
+/// Logs that calls get no answer because the response before them broke off at the server's side.
+fn report_lost_calls(error: &std::io::Error, calls: usize) {
+    // Errors of other kinds are of the caller's connection: the caller has left.
+    if error.kind() == std::io::ErrorKind::Other && calls > 0 {
+        warn!("a response broke off ({error}): {calls} calls behind it get no answer");
+    }
+}
+
 /// Receives the body of a response before any of it is written, if its length is known and at most
 /// [`MAX_WHOLE_RESPONSE_BYTES`]. If it breaks off, the caller gets a failure in its place. Otherwise
 /// the connection would have to be closed, and the answers to the calls behind it would be lost.
