--- a/crates/daemon/src/store/sync.rs
+++ b/crates/daemon/src/store/sync.rs
@@ -130,6 +130,9 @@
         for fault in applied.unreadable {
             warn!("{fault}");
         }
+        for outdated in applied.outdated {
+            warn!("{outdated}");
+        }
     }
 
     /// Chooses the timeout of a long poll at random, so that readers whose connections have stalled
--- a/crates/daemon/src/store/view.rs
+++ b/crates/daemon/src/store/view.rs
@@ -22,6 +22,7 @@
     ConfigVersion, InstanceName, MoveName, NameError, Offset, ServiceName, TeamName, VersionName,
     Wall,
 };
+use derive_more::Display;
 
 /// The team that owns the declarations that come from the store.
 const OPERATORS: &str = "operators";
@@ -50,6 +51,21 @@
 pub struct AppliedRecords {
     /// Records that could not be decoded.
     pub unreadable: Vec<UnreadableOrder>,
+    /// Configurations that were passed over for their lower numbers.
+    pub outdated: Vec<OutdatedConfig>,
+}
+
+/// A configuration with a lower number than the one in force, which stays.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(
+    "configuration {number} is passed over because {in_force} is in force: write it anew with a \
+     higher number if it is meant"
+)]
+pub struct OutdatedConfig {
+    /// Its number.
+    pub number: u64,
+    /// The number of the configuration in force.
+    pub in_force: u64,
 }
 
 /// The records of the store that are known to a daemon.
@@ -103,7 +119,9 @@
         let mut applied = AppliedRecords::default();
         for (offset, order) in orders {
             match order {
-                Order::Config(config) => self.apply_config(offset, *config),
+                Order::Config(config) => {
+                    applied.outdated.extend(self.apply_config(offset, *config));
+                }
                 Order::Move(order) => self.apply_move_order(now, order),
                 Order::Unreadable(fault) => applied.unreadable.push(fault),
             }
@@ -219,14 +237,21 @@
         Ok(Some(config))
     }
 
-    fn apply_config(&mut self, offset: Offset, config: StoredConfig) {
-        // Operators raise the number with each configuration. A lower one at a later position is
-        // from an older copy of the store.
-        let outdated =
-            |known: &(Offset, StoredConfig)| known.0 >= offset || known.1.number > config.number;
-        if !self.config.as_ref().is_some_and(outdated) {
-            self.config = Some((offset, config));
+    /// Takes over a configuration at a later position than the known one. Operators raise the number
+    /// with each configuration, so one with a lower number is from an older copy of the store: it is
+    /// returned and changes nothing.
+    fn apply_config(&mut self, offset: Offset, config: StoredConfig) -> Option<OutdatedConfig> {
+        if let Some((known_offset, known)) = &self.config {
+            if *known_offset >= offset {
+                return None;
+            }
+            if known.number > config.number {
+                let (number, in_force) = (config.number, known.number);
+                return Some(OutdatedConfig { number, in_force });
+            }
         }
+        self.config = Some((offset, config));
+        None
     }
 
     fn apply_move_order(&mut self, now: Wall, order: StoredOrder) {
--- a/crates/daemon/src/store/view/tests.rs
+++ b/crates/daemon/src/store/view/tests.rs
@@ -9,6 +9,7 @@
 use cyclamen_types::{Offset, Wall};
 
 use crate::store::StoreView;
+use crate::store::view::OutdatedConfig;
 
 const BEGAN: Wall = Wall(1_000_000);
 const LATER: Wall = Wall(1_009_000);
@@ -72,7 +73,8 @@
 #[test]
 fn config_lower_number_of_older_copy_is_passed_over() {
     let mut view = view();
-    view.apply_orders(LATER, vec![(second(0), config(6))], second(1));
+    let applied = view.apply_orders(LATER, vec![(second(0), config(6))], second(1));
+    assert_eq!(applied.outdated, [OutdatedConfig { number: 6, in_force: 7 }]);
     assert_eq!(view.number(), Some(7));
     view.apply_orders(LATER, vec![(second(1), config(7))], second(2));
     view.apply_orders(LATER, vec![(second(2), config(9))], second(3));
