--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -92,7 +92,8 @@
     /// Estimated number of calls running or queued at the server.
     pub load: u32,
     /// Cost by which the server was picked: the expected duration of the call, with penalties for
-    /// load, failures, slow start, distance and size, and random noise. Zero in
+    /// load, failures, slow start, distance and size, and random noise. As long as a call is
+    /// expected to end well within its route's target, only a small part of its duration counts. Zero in
     /// [`RouterMode::Baseline`](crate::RouterMode::Baseline).
     pub expected: Duration,
     /// Age of the newest load report of the server; `None` without a report.
--- a/crates/routing/tests/placing.rs
+++ b/crates/routing/tests/placing.rs
@@ -1,6 +1,5 @@
 //! Simulations of hundreds of daemons that each place few calls on the many servers of one service,
-//! with what they learn of loads from answers only: how evenly the servers are used, and what
-//! callers get.
+//! with what they learn of loads from answers only: what callers get.
 
 mod common;
 
@@ -94,7 +93,7 @@
     Ends {
         call: u64,
     },
-    /// An answer, or a refusal with the time after which it is of use to try again.
+    /// The answer or refusal of the hosting daemon reaches the daemon that placed the call.
     Returns {
         call: u64,
         outcome: Outcome,
@@ -107,7 +106,6 @@
     server: usize,
     attempt: Attempt,
     arrived_at: u64,
-    ends: Option<u64>,
 }
 
 /// The daemons, the servers that some of them host, and the calls under way.
@@ -248,7 +246,7 @@
         attempt: Attempt,
     ) {
         let server = self.names.binary_search(&attempt.server).expect("a known server");
-        let call = Call { kind, daemon, server, attempt, arrived_at, ends: None };
+        let call = Call { kind, daemon, server, attempt, arrived_at };
         let delay = self.fleet.distance(daemon, server);
         self.calls.insert(id, call);
         self.schedule(now + delay, Event::Reaches { call: id });
@@ -280,10 +278,9 @@
 
     fn run(&mut self, now: u64, id: u64) {
         let spread = self.rng.random_range(WORK_SPREAD);
-        let call = self.calls.get_mut(&id).expect("under way");
+        let call = &self.calls[&id];
         let work_us = (self.kinds[call.kind].work_ms * US_PER_MS) as f64;
         let ends = now + (work_us * spread * self.slowness[call.server]) as u64;
-        call.ends = Some(ends);
         self.schedule(ends, Event::Ends { call: id });
     }
 
