Calls: a line and a counter for each call whose caller gets no whole answer

On-call could not tell from logs or metrics why a connection ended with calls in progress: the read or write failed silently, the calls showed as cancelled as if their callers had left, and calls whose answers waited behind another showed as answered.

Each call of a caller now holds a Delivery until its response is written whole. Dropped before, it logs `unanswered` with the cause (the caller left, reset, no response of the connection in time, the response or one before it broke off, the daemon stopped) and counts `cyclamen_unanswered_total{cause}`. These lines may use the part of the log's budget that is kept for beliefs. `cyclamen explain` names the cause. On connections that hyper serves the cause is not known unless the body broke off.

No decision changes.

--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use cyclamen_decisions::{AttemptEnd, CallEnd, SlotAnswer};
+use cyclamen_decisions::{AttemptEnd, CallEnd, Loss, SlotAnswer};
 use cyclamen_membership::{MemberState, ServerState};
 use cyclamenmoor::StateDump;
 use prometheus_client::encoding::text::encode;
@@ -51,12 +51,30 @@
     Expired,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: LossCause,
+}
+
+/// Why a caller got no whole response. The names of the variants are label values.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum LossCause {
+    CallerLeft,
+    Reset,
+    ConnectionTimedOut,
+    ResponseBrokeOff,
+    EarlierResponseBrokeOff,
+    ConnectionEnded,
+    Stopped,
+}
+
 /// The call metrics of one daemon, and gauges of its state.
 pub struct CallMetrics {
     registry: Registry,
     calls: Family<EndLabel, Counter>,
     attempts: Family<EndLabel, Counter>,
     slots: Family<EndLabel, Counter>,
+    losses: Family<CauseLabel, Counter>,
     call_seconds: Histogram,
     run_seconds: Histogram,
     state: StateGauges,
@@ -84,6 +102,7 @@
             calls: Family::default(),
             attempts: Family::default(),
             slots: Family::default(),
+            losses: Family::default(),
             call_seconds: histogram(),
             run_seconds: histogram(),
             state: StateGauges::default(),
@@ -136,6 +155,20 @@
         self.slots.get_or_create(&EndLabel { end }).inc();
     }
 
+    /// Records a call whose caller got no whole response.
+    pub(crate) fn record_loss(&self, loss: Loss) {
+        let cause = match loss {
+            Loss::CallerLeft => LossCause::CallerLeft,
+            Loss::Reset => LossCause::Reset,
+            Loss::ConnectionTimedOut => LossCause::ConnectionTimedOut,
+            Loss::ResponseBrokeOff => LossCause::ResponseBrokeOff,
+            Loss::EarlierResponseBrokeOff => LossCause::EarlierResponseBrokeOff,
+            Loss::ConnectionEnded => LossCause::ConnectionEnded,
+            Loss::Stopped => LossCause::Stopped,
+        };
+        self.losses.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Records the time from sending a call to a local backend server to its response or failure.
     pub(crate) fn record_run(&self, took: Duration) {
         self.run_seconds.observe(took.as_secs_f64());
@@ -161,6 +194,8 @@
             "calls that asked for a slot, by the answer",
             self.slots.clone(),
         );
+        let help = "calls whose callers got no whole response, by cause";
+        registry.register("unanswered", help, self.losses.clone());
         registry.register("call_seconds", "time to the end of a call", self.call_seconds.clone());
         registry.register("run_seconds", "time of a call at its server", self.run_seconds.clone());
         let state = &self.state;
--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use cyclamen_decisions::Loss;
 use cyclamenmoor::BodyEnd;
 use derive_more::{Display, Error};
 use http_body::{Body, Frame, SizeHint};
@@ -15,6 +16,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::calls::attempt::BodyEndGuard;
+use crate::calls::delivery::Delivery;
 use crate::calls::inbound::SlotGuard;
 use crate::calls::local_reply::Rejection;
 use crate::calls::pool::Lease;
@@ -226,6 +228,7 @@
     lease: Option<Lease>,
     slot: Option<SlotGuard>,
     body_end: Option<BodyEndGuard>,
+    delivery: Option<Delivery>,
     deadline: Option<Instant>,
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -267,6 +270,26 @@
         self
     }
 
+    /// Records through `delivery` whether the body was taken to its end.
+    pub(super) fn with_delivery(mut self, delivery: Delivery) -> Self {
+        match self.is_end_stream() {
+            true => delivery.complete(),
+            false => self.delivery = Some(delivery),
+        }
+        self
+    }
+
+    fn end_delivery(&mut self, end: BodyEnd) {
+        let Some(mut delivery) = self.delivery.take() else {
+            return;
+        };
+        match end {
+            BodyEnd::Complete => delivery.complete(),
+            BodyEnd::Truncated => delivery.set_loss(Loss::ResponseBrokeOff),
+            BodyEnd::Cancelled => {}
+        }
+    }
+
     fn end_if_done(&mut self) {
         if self.incoming.as_ref().is_some_and(Body::is_end_stream) {
             self.end(BodyEnd::Complete);
@@ -275,6 +298,7 @@
 
     fn end(&mut self, end: BodyEnd) {
         self.incoming = None;
+        self.end_delivery(end);
         if let Some(slot) = self.slot.take()
             && end == BodyEnd::Truncated
         {
@@ -308,6 +332,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(buffered) = self.buffered.take() {
+            self.end_delivery(BodyEnd::Complete);
             return Poll::Ready((!buffered.is_empty()).then(|| Ok(Frame::data(buffered))));
         }
         let Some(incoming) = &mut self.incoming else {
--- a/crates/daemon/src/calls/decision_trace.rs
+++ b/crates/daemon/src/calls/decision_trace.rs
@@ -204,7 +204,8 @@
     }
 }
 
-fn rounded_millis(duration: Duration) -> f64 {
+/// A duration in milliseconds, with one decimal.
+pub(super) fn rounded_millis(duration: Duration) -> f64 {
     (duration.as_secs_f64() * 1e4).round() / 10.0
 }
 
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -12,6 +12,7 @@
 mod body;
 mod context;
 mod decision_trace;
+mod delivery;
 mod headers;
 mod hop;
 mod inbound;
--- a/crates/daemon/src/calls/pipeline.rs
+++ b/crates/daemon/src/calls/pipeline/mod.rs
@@ -7,16 +7,15 @@
 //! or a malformed or oversized head; see `can_be_pipelined` and `parse_head`) is handed over to
 //! hyper, with the bytes already read, once the requests before it are answered.
 
+mod head;
+
 use std::collections::VecDeque;
-use std::io::Cursor;
+use std::io::{Cursor, ErrorKind};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use http::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING, UPGRADE,
-};
-use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response, Uri, Version};
+use cyclamen_decisions::Loss;
+use http::Response;
 use http_body::Body;
 use http_body_util::BodyExt;
 use log::warn;
@@ -29,14 +28,13 @@
 
 use crate::calls::body::{RequestBody, ResponseBody};
 use crate::calls::context::CallContext;
+use crate::calls::delivery::Delivery;
 use crate::calls::local_reply;
 use crate::calls::outbound;
-use crate::calls::response_writer::{self, AfterResponse};
+use crate::calls::pipeline::head::{ParsedHead, asks_to_close, parse_head};
+use crate::calls::response_writer::{self, AfterResponse, WriteError};
 use crate::calls::serve::{MAX_HEAD_BYTES, ShutdownPhase};
 
-/// Most headers in a request head.
-const MAX_HEADERS: usize = 100;
-
 /// Most calls in progress on a connection; further ones stay unread.
 const MAX_CALLS_IN_PROGRESS: usize = 32;
 
@@ -59,21 +57,28 @@
     HandOver(Box<PartlyReadConnection>),
 }
 
-/// What the unparsed bytes start with.
-enum ParsedHead {
-    /// The whole head of a request without a body.
-    Call(Box<Parts>),
-    /// An incomplete head.
-    Partial,
-    /// Anything that cannot be pipelined.
-    HandOver,
-}
-
 /// A call in progress; aborted when dropped.
 struct CallInProgress {
     response: JoinHandle<Response<ResponseBody>>,
     /// Whether the caller asked to close the connection after the response.
     close_after: bool,
+    delivery: Option<Delivery>,
+}
+
+impl CallInProgress {
+    /// Sets what is recorded if the call is dropped before its response is written.
+    fn set_loss(&mut self, loss: Loss) {
+        if let Some(delivery) = &mut self.delivery {
+            delivery.set_loss(loss);
+        }
+    }
+
+    /// Ends the call, whose response has been written whole.
+    fn complete(mut self) {
+        if let Some(delivery) = self.delivery.take() {
+            delivery.complete();
+        }
+    }
 }
 
 impl Drop for CallInProgress {
@@ -132,7 +137,15 @@
             }
         };
         match event {
-            Event::Read(Ok(0) | Err(_)) | Event::IdleTimeout => return PipelineEnd::Closed,
+            Event::IdleTimeout => return PipelineEnd::Closed,
+            Event::Read(Ok(0)) => {
+                set_losses(&mut in_progress, Loss::CallerLeft);
+                return PipelineEnd::Closed;
+            }
+            Event::Read(Err(error)) => {
+                set_losses(&mut in_progress, loss_by_error(&error));
+                return PipelineEnd::Closed;
+            }
             Event::Responded(None) => {
                 warn!(
                     "a call ended without a response: its connection is closed; report this fault"
@@ -141,7 +154,7 @@
             }
             Event::Read(Ok(_)) | Event::PhaseChanged => {}
             Event::Responded(Some(response)) => {
-                let Some(done) = in_progress.pop_front() else {
+                let Some(mut done) = in_progress.pop_front() else {
                     return PipelineEnd::Closed;
                 };
                 let stopping = *phase.borrow() != ShutdownPhase::Serving;
@@ -153,10 +166,20 @@
                 let close = done.close_after || stopping && nothing_left;
                 let after = if close { AfterResponse::Close } else { AfterResponse::KeepAlive };
                 let written = response_writer::write(&mut tx, response, after).await;
-                if let Err(error) = &written {
-                    report_lost_calls(error, in_progress.len());
+                match written {
+                    Ok(()) => done.complete(),
+                    Err(WriteError::Connection(error)) => {
+                        done.set_loss(loss_by_error(&error));
+                        set_losses(&mut in_progress, loss_by_error(&error));
+                        return PipelineEnd::Closed;
+                    }
+                    Err(WriteError::Body(_)) => {
+                        done.set_loss(Loss::ResponseBrokeOff);
+                        set_losses(&mut in_progress, Loss::EarlierResponseBrokeOff);
+                        return PipelineEnd::Closed;
+                    }
                 }
-                if written.is_err() || close {
+                if close {
                     return PipelineEnd::Closed;
                 }
                 idle_since = Instant::now();
@@ -165,11 +188,18 @@
     }
 }
 
-/// Logs that calls get no answer because the response before them broke off at the server's side.
-fn report_lost_calls(error: &std::io::Error, calls: usize) {
-    // Errors of other kinds are of the caller's connection: the caller has left.
-    if error.kind() == std::io::ErrorKind::Other && calls > 0 {
-        warn!("a response broke off ({error}): {calls} calls behind it get no answer");
+/// Sets what is recorded for all calls of a connection that ends.
+fn set_losses(in_progress: &mut VecDeque<CallInProgress>, loss: Loss) {
+    for call in in_progress {
+        call.set_loss(loss);
+    }
+}
+
+/// The loss of the calls on a caller's connection that failed with `error`.
+fn loss_by_error(error: &std::io::Error) -> Loss {
+    match error.kind() {
+        ErrorKind::TimedOut => Loss::ConnectionTimedOut,
+        _ => Loss::Reset,
     }
 }
 
@@ -218,8 +248,10 @@
         };
         buf.advance(len);
         let close_after = asks_to_close(&parts.headers);
+        let delivery = Some(Delivery::start(ctx, &parts.headers, Loss::Stopped));
         let call = outbound::serve_received(ctx.clone(), *parts, RequestBody::empty());
-        in_progress.push_back(CallInProgress { response: tokio::spawn(call), close_after });
+        let response = tokio::spawn(call);
+        in_progress.push_back(CallInProgress { response, close_after, delivery });
     }
     Pipelining::Continue
 }
@@ -230,54 +262,3 @@
     let first = in_progress.front_mut()?;
     (&mut first.response).await.ok()
 }
-
-/// What `buf` starts with, and the length of the head if it is [`ParsedHead::Call`].
-fn parse_head(buf: &[u8]) -> (ParsedHead, usize) {
-    if buf.is_empty() {
-        return (ParsedHead::Partial, 0);
-    }
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
-    let len = match head.parse(buf) {
-        Ok(httparse::Status::Complete(len)) => len,
-        Ok(httparse::Status::Partial) if buf.len() < MAX_HEAD_BYTES => {
-            return (ParsedHead::Partial, 0);
-        }
-        Ok(httparse::Status::Partial) | Err(_) => return (ParsedHead::HandOver, 0),
-    };
-    match request_parts(&head) {
-        Some(parts) if can_be_pipelined(&parts) => (ParsedHead::Call(Box::new(parts)), len),
-        _ => (ParsedHead::HandOver, 0),
-    }
-}
-
-fn request_parts(head: &httparse::Request<'_, '_>) -> Option<Parts> {
-    if head.version != Some(1) {
-        return None;
-    }
-    let mut req = Request::new(());
-    *req.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
-    *req.uri_mut() = Uri::try_from(head.path?).ok()?;
-    *req.version_mut() = Version::HTTP_11;
-    for header in head.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
-        let value = HeaderValue::from_bytes(header.value).ok()?;
-        req.headers_mut().append(name, value);
-    }
-    Some(req.into_parts().0)
-}
-
-/// Whether a request can be pipelined: no body, upgrade or tunnel, and not HEAD, whose responses
-/// are framed differently.
-fn can_be_pipelined(parts: &Parts) -> bool {
-    let headers = &parts.headers;
-    let excluded = [CONTENT_LENGTH, TRANSFER_ENCODING, EXPECT, UPGRADE];
-    let absent = excluded.iter().all(|name| !headers.contains_key(name));
-    absent && parts.method != Method::HEAD && parts.method != Method::CONNECT
-}
-
-/// Whether a request asks to close the connection after the response.
-fn asks_to_close(headers: &HeaderMap) -> bool {
-    let mut tokens = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    tokens.any(|value| value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")))
-}
--- a/crates/daemon/src/calls/response_writer.rs
+++ b/crates/daemon/src/calls/response_writer.rs
@@ -5,6 +5,7 @@
 use std::pin::pin;
 
 use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error, From};
 use http::header::{CONNECTION, CONTENT_LENGTH, DATE, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
 use http_body::Body;
@@ -12,7 +13,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use crate::calls::body::ResponseBody;
+use crate::calls::body::{BodyError, ResponseBody};
 
 /// Number of buffered bytes of a response at which they are written.
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
@@ -37,6 +38,17 @@
     Chunked,
 }
 
+/// Why a response was not written whole.
+#[derive(Debug, Display, Error, From)]
+pub(super) enum WriteError {
+    /// The caller's connection failed.
+    #[display("the caller's connection failed: {_0}")]
+    Connection(io::Error),
+    /// The body broke off on its way from the backend server.
+    #[display("{_0}")]
+    Body(BodyError),
+}
+
 /// Writes a response with its whole body.
 ///
 /// # Errors
@@ -46,12 +58,12 @@
     tx: &mut OwnedWriteHalf,
     response: Response<ResponseBody>,
     after: AfterResponse,
-) -> io::Result<()> {
+) -> Result<(), WriteError> {
     let mut buf = BytesMut::with_capacity(1_024);
     let framing = write_head(&mut buf, &response, after);
     let mut body = pin!(response.into_body());
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(io::Error::other)?;
+        let frame = frame?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -63,7 +75,8 @@
     if framing == Framing::Chunked {
         buf.extend_from_slice(b"0\r\n\r\n");
     }
-    tx.write_all_buf(&mut buf).await
+    tx.write_all_buf(&mut buf).await?;
+    Ok(())
 }
 
 fn write_head(
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -5,8 +5,9 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use cyclamen_decisions::Loss;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response};
+use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,6 +19,7 @@
 
 use crate::calls::body::ResponseBody;
 use crate::calls::context::CallContext;
+use crate::calls::delivery::Delivery;
 use crate::calls::hop::HopError;
 use crate::calls::local_reply::{self, Rejection};
 use crate::calls::{inbound, outbound, pipeline, tcp_options};
@@ -212,7 +214,7 @@
     clients: AcceptedClients,
 ) -> Response<ResponseBody> {
     if clients == AcceptedClients::Callers {
-        return outbound::serve(ctx, req).await;
+        return serve_caller(ctx, req).await;
     }
     match ctx.hop_seal.verify_call(ctx.wall_now(), &req) {
         Ok(hop_call) => inbound::serve(ctx, hop_call, req).await,
@@ -222,6 +224,16 @@
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             response
         }
-        Err(HopError::Missing | HopError::Forged) => outbound::serve(ctx, req).await,
+        Err(HopError::Missing | HopError::Forged) => serve_caller(ctx, req).await,
+    }
+}
+
+/// Serves a call of a caller, and records it if its response is not taken whole.
+async fn serve_caller(ctx: CallContext, req: Request<Incoming>) -> Response<ResponseBody> {
+    if req.method() == Method::HEAD {
+        return outbound::serve(ctx, req).await;
     }
+    let delivery = Delivery::start(&ctx, req.headers(), Loss::ConnectionEnded);
+    let response = outbound::serve(ctx, req).await;
+    response.map(|body| body.with_delivery(delivery))
 }
--- a/crates/decisions/src/budget.rs
+++ b/crates/decisions/src/budget.rs
@@ -12,6 +12,9 @@
     Sample,
     /// A line about a change of the daemon's beliefs.
     Belief,
+    /// A line about a call whose caller got no whole response. It may use as much of the budget as
+    /// one about beliefs, and is counted with the failures when it is omitted.
+    Loss,
 }
 
 /// Numbers of lines that were omitted, by kind.
@@ -28,7 +31,7 @@
 }
 
 /// Token bucket that limits the rate of log lines. It holds the lines of one second. Lines about
-/// beliefs may empty it, those about failures must leave a tenth of it for beliefs, and those about
+/// beliefs and losses may empty it, those about failures must leave a tenth of it for beliefs, and those about
 /// samples must leave half of it for failures and beliefs.
 #[derive(Debug)]
 pub struct LineBudget {
@@ -60,7 +63,7 @@
         self.refilled_at = now;
         self.available = (self.available + elapsed_s * self.per_second).min(self.per_second);
         let reserve = match kind {
-            LineKind::Belief => 0.0,
+            LineKind::Belief | LineKind::Loss => 0.0,
             LineKind::Failure => self.per_second * FAILURE_RESERVE,
             LineKind::Sample => self.per_second * SAMPLE_RESERVE,
         };
@@ -87,7 +90,7 @@
 
     fn count_omitted(&mut self, kind: LineKind, lines: u64) {
         match kind {
-            LineKind::Failure => self.omitted.failures += lines,
+            LineKind::Failure | LineKind::Loss => self.omitted.failures += lines,
             LineKind::Sample => self.omitted.samples += lines,
             LineKind::Belief => self.omitted.beliefs += lines,
         }
--- a/crates/decisions/src/explain.rs
+++ b/crates/decisions/src/explain.rs
@@ -50,7 +50,8 @@
         CallDecision::Slot { .. } => STEPS_PER_ATTEMPT + 1,
         CallDecision::Ran { .. } => STEPS_PER_ATTEMPT + 2,
         CallDecision::Attempted { attempt, .. } => attempt * STEPS_PER_ATTEMPT + 3,
-        CallDecision::Ended { .. } => u32::MAX,
+        CallDecision::Ended { .. } => u32::MAX - 1,
+        CallDecision::Unanswered { .. } => u32::MAX,
     }
 }
 
@@ -101,11 +102,21 @@
             }
             text
         }
+        CallDecision::Unanswered { loss, took_ms } => {
+            format!("no whole answer reached the caller after {took_ms:.1} ms: {loss}")
+        }
     }
 }
 
 /// Why the call with these lines ended as it did.
 fn cause(call_lines: &[(&LogLine, &CallDecision)]) -> Option<String> {
+    let loss = call_lines.iter().rev().find_map(|(_, decision)| match decision {
+        CallDecision::Unanswered { loss, .. } => Some(*loss),
+        _ => None,
+    });
+    if let Some(loss) = loss {
+        return Some(format!("no whole answer reached the caller: {loss}"));
+    }
     let last_attempt = call_lines.iter().rev().find_map(|(_, decision)| match decision {
         CallDecision::Attempted { end, server, .. } => Some((*end, Arc::clone(server))),
         _ => None,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use budget::{LineBudget, LineKind, Omitted};
 pub use explain::{Explanation, explain};
-pub use line::{AttemptEnd, Belief, CallDecision, CallEnd, Decision, LogLine, SlotAnswer};
+pub use line::{AttemptEnd, Belief, CallDecision, CallEnd, Decision, LogLine, Loss, SlotAnswer};
 pub use sampling::Sampling;
--- a/crates/decisions/src/line.rs
+++ b/crates/decisions/src/line.rs
@@ -115,6 +115,40 @@
         /// Duration of the call, in milliseconds.
         took_ms: f64,
     },
+    /// The caller's connection ended before the whole response to the call was written to it.
+    Unanswered {
+        /// What ended the connection.
+        loss: Loss,
+        /// Time from the arrival of the call, in milliseconds.
+        took_ms: f64,
+    },
+}
+
+/// Why a caller gets no response, or only a part of one.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Loss {
+    /// The caller closed its connection.
+    #[display("the caller closed its connection")]
+    CallerLeft,
+    /// The caller's connection was reset.
+    #[display("the caller's connection was reset")]
+    Reset,
+    /// The caller's side did not acknowledge bytes or probes in time.
+    #[display("the caller's connection did not respond in time")]
+    ConnectionTimedOut,
+    /// The response of the call itself broke off after its head had been written.
+    #[display("its response broke off after the head was written")]
+    ResponseBrokeOff,
+    /// A response to an earlier call on the connection broke off after its head had been written.
+    #[display("an earlier response on its connection broke off")]
+    EarlierResponseBrokeOff,
+    /// The connection ended, and it is not known why.
+    #[display("its connection ended")]
+    ConnectionEnded,
+    /// The daemon ended its connections, because the stop grace was over or it was aborted.
+    #[display("the daemon ended its connections")]
+    Stopped,
 }
 
 /// How an attempt ended.
--- a/crates/decisions/tests/lines.rs
+++ b/crates/decisions/tests/lines.rs
@@ -1,8 +1,8 @@
 //! Log lines: their JSON form, sampling, rate limit, and explanations of calls.
 
 use cyclamen_decisions::{
-    AttemptEnd, Belief, CallDecision, CallEnd, Decision, LineBudget, LineKind, LogLine, Sampling,
-    SlotAnswer, explain,
+    AttemptEnd, Belief, CallDecision, CallEnd, Decision, LineBudget, LineKind, LogLine, Loss,
+    Sampling, SlotAnswer, explain,
 };
 use cyclamen_types::Mono;
 
@@ -46,6 +46,10 @@
     CallDecision::Ended { end, status, reason, come_back_ms, took_ms: 9.0 }
 }
 
+fn unanswered(loss: Loss) -> CallDecision {
+    CallDecision::Unanswered { loss, took_ms: 12.5 }
+}
+
 #[test]
 fn line_round_trips_through_json() {
     let lines = [
@@ -53,6 +57,7 @@
         call_line(2, "b", slot(SlotAnswer::Expired)),
         call_line(3, "a", attempted(1, AttemptEnd::Answered(500))),
         call_line(4, "a", ended(CallEnd::Refused, 503)),
+        call_line(4, "a", unanswered(Loss::EarlierResponseBrokeOff)),
         belief_line(5, "a", Belief::Ready { ready: true }),
         belief_line(6, "a", Belief::Stopping),
     ];
@@ -95,6 +100,30 @@
     assert_eq!(explain("c-2", &[call_line(1, "a", placed(1))]).cause, None);
 }
 
+#[test]
+fn explain_answer_that_did_not_reach_the_caller() {
+    let lines = [
+        call_line(1, "a", attempted(1, AttemptEnd::Answered(200))),
+        call_line(1, "a", unanswered(Loss::ConnectionTimedOut)),
+        call_line(1, "a", ended(CallEnd::Answered, 200)),
+    ];
+    let explained = explain("c-1", &lines);
+    let cause = explained.cause.expect("a cause");
+    assert!(cause.contains("the caller's connection did not respond in time"), "{cause}");
+    let last = explained.steps.last().expect("a step");
+    assert!(last.contains("no whole answer reached the caller after 12.5 ms"), "{last}");
+}
+
+#[test]
+fn budget_keeps_lines_about_losses() {
+    let mut budget = LineBudget::new(100);
+    while budget.try_take(Mono(0), LineKind::Failure, 1) {}
+    assert!(budget.try_take(Mono(0), LineKind::Loss, 1));
+    while budget.try_take(Mono(0), LineKind::Loss, 1) {}
+    let omitted = budget.take_omitted().expect("lines were left out");
+    assert_eq!(omitted.failures, 2);
+}
+
 #[test]
 fn sampling_depends_only_on_call_id() {
     let (a, b) = (Sampling::new(50), Sampling::new(50));
