Responses: the rest of an answer may arrive shortly after its deadline

Callers saw answers cut off in the middle, and calls pipelined behind them lost their connection, although the servers had answered all of them.

Cause: a body that was not there yet at its deadline was ended at once, also if its head had just arrived. Packets of a response that has begun wait behind others on a full link.

After its deadline a body now fails only once no data has arrived for 200 ms. That is the silence, not the time: an answer that flows is delivered, also late.

answer_whose_body_ends_shortly_after_the_deadline failed before (the connection ended without a byte).

--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use cyclamen_decisions::Loss;
@@ -24,6 +25,10 @@
 /// Largest request body, in bytes, that is buffered so that the call can be retried.
 const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
 
+/// Longest silence of a response after its deadline. The rest of a response that has begun may wait
+/// behind other traffic on a full link.
+const LATE_BODY_SILENCE: Duration = Duration::from_millis(200);
+
 /// Why a body ended early.
 #[derive(Debug, Display, Error)]
 pub(super) enum BodyError {
@@ -230,6 +235,8 @@
     body_end: Option<BodyEndGuard>,
     delivery: Option<Delivery>,
     deadline: Option<Instant>,
+    /// When the last data arrived, or the head if there was none.
+    last_data: Option<Instant>,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
@@ -239,13 +246,14 @@
         Self { buffered: Some(bytes), ..Self::default() }
     }
 
-    /// A body received over `lease`. It fails if it waits for data at `deadline`; data that has
-    /// already arrived is still delivered.
+    /// A body received over `lease`. After `deadline` it fails once no data has arrived for
+    /// [`LATE_BODY_SILENCE`].
     pub(super) fn streamed(incoming: Incoming, lease: Lease, deadline: Instant) -> Self {
         let mut body = Self {
             incoming: Some(incoming),
             lease: Some(lease),
             deadline: Some(deadline),
+            last_data: Some(Instant::now()),
             ..Self::default()
         };
         body.end_if_done();
@@ -314,11 +322,16 @@
         }
     }
 
+    /// Whether the body has been silent for too long after its deadline.
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let Some(deadline) = self.deadline else {
+        let (Some(deadline), Some(last_data)) = (self.deadline, self.last_data) else {
             return Poll::Pending;
         };
-        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
+        let until = deadline.max(last_data) + LATE_BODY_SILENCE;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(until)));
+        if timer.deadline() != until {
+            timer.as_mut().reset(until);
+        }
         timer.as_mut().poll(cx)
     }
 }
@@ -340,6 +353,7 @@
         };
         match Pin::new(incoming).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
+                self.last_data = Some(Instant::now());
                 self.end_if_done();
                 Poll::Ready(Some(Ok(frame)))
             }
