Connections: a caller that pauses keeps its answer

A caller that read nothing for 0.8 s lost its connection with the answer on it: of 1,500,000 bytes it got 12,187 (large_answer_to_a_caller_that_pauses, before). Answers on a link whose packets wait as long are lost the same way.

Cause: all connections closed after 800 ms without an acknowledgement, or with a peer that reads nothing (TCP_USER_TIMEOUT). That is meant for connections to servers and daemons that are gone, whose calls can go elsewhere. On an accepted connection nothing can go elsewhere: there is only an answer to deliver.

--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -241,7 +241,7 @@
             Err(_) if until < connect_deadline => return Err(SendFailure::Unsent),
             Ok(Err(_)) | Err(_) => return Err(SendFailure::NotConnected),
         };
-        tcp_options::set_options(&stream);
+        tcp_options::set_opened(&stream);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| SendFailure::NotConnected)?;
         tokio::spawn(drive_connection(connection, permit));
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -153,7 +153,7 @@
     mut phase: watch::Receiver<ShutdownPhase>,
     clients: AcceptedClients,
 ) {
-    tcp_options::set_options(&stream);
+    tcp_options::set_accepted(&stream);
     if clients == AcceptedClients::Callers {
         match pipeline::serve(&ctx, stream, &mut phase, HEAD_TIMEOUT).await {
             pipeline::PipelineEnd::Closed => {}
