Connections: a request that crosses the close of a connection does not cost the answer on it

Cause: the daemon closed the socket with unread bytes in it; the operating system then resets the connection and drops what it has not sent.

A connection that the daemon closes now closes its sending side first, and discards what arrives until the caller closes, for at most 1 s: the callers' pipelined connections, and those that hyper serves. The answers before a response that breaks off are delivered too. The loop of the pipeline is split into waiting for an event, starting calls and writing a response.

--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -16,6 +16,7 @@
 mod headers;
 mod hop;
 mod inbound;
+mod lingering;
 mod local_reply;
 mod nested_calls;
 mod outbound;
--- a/crates/daemon/src/calls/pipeline/mod.rs
+++ b/crates/daemon/src/calls/pipeline/mod.rs
@@ -51,8 +51,10 @@
 
 /// How pipelined serving of a connection ended.
 pub(super) enum PipelineEnd {
-    /// The connection is closed, or to be closed.
-    Closed,
+    /// The caller has closed the connection, or it has failed.
+    PeerClosed,
+    /// The connection is to be closed.
+    Close(Box<Join<OwnedReadHalf, OwnedWriteHalf>>),
     /// The next request has to be served by hyper.
     HandOver(Box<PartlyReadConnection>),
 }
@@ -93,9 +95,32 @@
     Read(std::io::Result<usize>),
     Responded(Option<Response<ResponseBody>>),
     PhaseChanged,
+    /// The sender of the phase is gone.
+    DaemonEnded,
     IdleTimeout,
 }
 
+/// A connection and its calls.
+struct Connection {
+    rx: OwnedReadHalf,
+    tx: OwnedWriteHalf,
+    /// Bytes that were read and not parsed yet.
+    buf: BytesMut,
+    /// In the order of their arrival.
+    in_progress: VecDeque<CallInProgress>,
+}
+
+/// Why serving stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    /// The caller has closed the connection, or it has failed.
+    PeerClosed,
+    /// The connection is to be closed.
+    Close,
+    /// The next request cannot be pipelined.
+    HandOver,
+}
+
 /// Serves pipelined calls until the connection ends, is idle for `idle_timeout`, or receives a
 /// request that cannot be pipelined, or until the daemon closes and no call is in progress.
 pub(super) async fn serve(
@@ -104,83 +129,58 @@
     phase: &mut watch::Receiver<ShutdownPhase>,
     idle_timeout: Duration,
 ) -> PipelineEnd {
-    let (mut rx, mut tx) = stream.into_split();
-    let mut buf = BytesMut::with_capacity(READ_BUFFER_BYTES);
-    let mut in_progress: VecDeque<CallInProgress> = VecDeque::new();
+    let (rx, tx) = stream.into_split();
+    let buf = BytesMut::with_capacity(READ_BUFFER_BYTES);
+    let mut conn = Connection { rx, tx, buf, in_progress: VecDeque::new() };
+    match serve_calls(ctx, &mut conn, phase, idle_timeout).await {
+        Stop::PeerClosed => PipelineEnd::PeerClosed,
+        Stop::Close => PipelineEnd::Close(Box::new(tokio::io::join(conn.rx, conn.tx))),
+        Stop::HandOver => {
+            let unread = AsyncReadExt::chain(Cursor::new(conn.buf.freeze()), conn.rx);
+            PipelineEnd::HandOver(Box::new(tokio::io::join(unread, conn.tx)))
+        }
+    }
+}
+
+async fn serve_calls(
+    ctx: &CallContext,
+    conn: &mut Connection,
+    phase: &mut watch::Receiver<ShutdownPhase>,
+    idle_timeout: Duration,
+) -> Stop {
     let mut idle_since = Instant::now();
     let mut hand_over = false;
     loop {
-        hand_over |= start_calls(ctx, &mut buf, &mut in_progress) == Pipelining::HandOver;
-        if hand_over && in_progress.is_empty() {
-            let unread = AsyncReadExt::chain(Cursor::new(buf.freeze()), rx);
-            return PipelineEnd::HandOver(Box::new(tokio::io::join(unread, tx)));
+        hand_over |= start_calls(ctx, conn) == Pipelining::HandOver;
+        if hand_over && conn.in_progress.is_empty() {
+            return Stop::HandOver;
         }
         let closing = *phase.borrow_and_update() == ShutdownPhase::Closing;
-        if closing && in_progress.is_empty() && buf.is_empty() {
-            return PipelineEnd::Closed;
+        if closing && conn.in_progress.is_empty() && conn.buf.is_empty() {
+            return Stop::Close;
         }
-        let wants_more =
-            !hand_over && in_progress.len() < MAX_CALLS_IN_PROGRESS && buf.len() < MAX_HEAD_BYTES;
-        let event = tokio::select! {
-            read = rx.read_buf(&mut buf), if wants_more => Event::Read(read),
-            response = next_response(&mut in_progress), if !in_progress.is_empty() => {
-                Event::Responded(response)
-            }
-            changed = phase.changed(), if !closing && phase_change_matters(&in_progress) => {
-                if changed.is_err() {
-                    return PipelineEnd::Closed;
-                }
-                Event::PhaseChanged
-            }
-            () = tokio::time::sleep_until(idle_since + idle_timeout), if in_progress.is_empty() => {
-                Event::IdleTimeout
-            }
-        };
+        let event = next_event(conn, phase, idle_since + idle_timeout, hand_over).await;
         match event {
-            Event::IdleTimeout => return PipelineEnd::Closed,
             Event::Read(Ok(0)) => {
-                set_losses(&mut in_progress, Loss::CallerLeft);
-                return PipelineEnd::Closed;
+                set_losses(&mut conn.in_progress, Loss::CallerLeft);
+                return Stop::PeerClosed;
             }
             Event::Read(Err(error)) => {
-                set_losses(&mut in_progress, loss_by_error(&error));
-                return PipelineEnd::Closed;
+                set_losses(&mut conn.in_progress, loss_by_error(&error));
+                return Stop::PeerClosed;
             }
+            Event::Read(Ok(_)) | Event::PhaseChanged => {}
+            Event::IdleTimeout | Event::DaemonEnded => return Stop::Close,
             Event::Responded(None) => {
                 warn!(
                     "a call ended without a response: its connection is closed; report this fault"
                 );
-                return PipelineEnd::Closed;
+                return Stop::Close;
             }
-            Event::Read(Ok(_)) | Event::PhaseChanged => {}
             Event::Responded(Some(response)) => {
-                let Some(mut done) = in_progress.pop_front() else {
-                    return PipelineEnd::Closed;
-                };
                 let stopping = *phase.borrow() != ShutdownPhase::Serving;
-                let response = match in_progress.is_empty() {
-                    true => response,
-                    false => receive_whole(response).await,
-                };
-                let nothing_left = in_progress.is_empty() && buf.is_empty();
-                let close = done.close_after || stopping && nothing_left;
-                let after = if close { AfterResponse::Close } else { AfterResponse::KeepAlive };
-                let written = response_writer::write(&mut tx, response, after).await;
-                match written {
-                    Ok(()) => done.complete(),
-                    Err(WriteError::Connection(error)) => {
-                        done.set_loss(loss_by_error(&error));
-                        set_losses(&mut in_progress, loss_by_error(&error));
-                        return PipelineEnd::Closed;
-                    }
-                    Err(WriteError::Body(_)) => {
-                        done.set_loss(Loss::ResponseBrokeOff);
-                        set_losses(&mut in_progress, Loss::EarlierResponseBrokeOff);
-                        return PipelineEnd::Closed;
-                    }
-                }
-                if close {
-                    return PipelineEnd::Closed;
+                if let Some(stop) = write_response(conn, response, stopping).await {
+                    return stop;
                 }
                 idle_since = Instant::now();
             }
@@ -188,6 +188,62 @@
     }
 }
 
+/// Waits for the next event on a connection. `hand_over` tells that nothing more is to be read.
+async fn next_event(
+    conn: &mut Connection,
+    phase: &mut watch::Receiver<ShutdownPhase>,
+    idle_until: Instant,
+    hand_over: bool,
+) -> Event {
+    let Connection { rx, buf, in_progress, .. } = conn;
+    let idle = in_progress.is_empty();
+    let wants_more =
+        !hand_over && in_progress.len() < MAX_CALLS_IN_PROGRESS && buf.len() < MAX_HEAD_BYTES;
+    let closing = *phase.borrow() == ShutdownPhase::Closing;
+    tokio::select! {
+        read = rx.read_buf(buf), if wants_more => Event::Read(read),
+        response = next_response(in_progress), if !idle => Event::Responded(response),
+        // Only idle connections have to wake: others check the phase with their next response.
+        changed = phase.changed(), if !closing && idle => match changed {
+            Ok(()) => Event::PhaseChanged,
+            Err(_) => Event::DaemonEnded,
+        },
+        () = tokio::time::sleep_until(idle_until), if idle => Event::IdleTimeout,
+    }
+}
+
+/// Writes the response to the first call in progress. Returns why serving stops, if it does.
+async fn write_response(
+    conn: &mut Connection,
+    response: Response<ResponseBody>,
+    stopping: bool,
+) -> Option<Stop> {
+    let mut done = conn.in_progress.pop_front()?;
+    let response = match conn.in_progress.is_empty() {
+        true => response,
+        false => receive_whole(response).await,
+    };
+    let nothing_left = conn.in_progress.is_empty() && conn.buf.is_empty();
+    let close = done.close_after || stopping && nothing_left;
+    let after = if close { AfterResponse::Close } else { AfterResponse::KeepAlive };
+    match response_writer::write(&mut conn.tx, response, after).await {
+        Ok(()) => {
+            done.complete();
+            close.then_some(Stop::Close)
+        }
+        Err(WriteError::Connection(error)) => {
+            done.set_loss(loss_by_error(&error));
+            set_losses(&mut conn.in_progress, loss_by_error(&error));
+            Some(Stop::PeerClosed)
+        }
+        Err(WriteError::Body(_)) => {
+            done.set_loss(Loss::ResponseBrokeOff);
+            set_losses(&mut conn.in_progress, Loss::EarlierResponseBrokeOff);
+            Some(Stop::Close)
+        }
+    }
+}
+
 /// Sets what is recorded for all calls of a connection that ends.
 fn set_losses(in_progress: &mut VecDeque<CallInProgress>, loss: Loss) {
     for call in in_progress {
@@ -203,27 +259,6 @@
     }
 }
 
-/// Receives the body of a response before any of it is written, if its length is known and at most
-/// [`MAX_WHOLE_RESPONSE_BYTES`]. If it breaks off, the caller gets a failure in its place. Otherwise
-/// the connection would have to be closed, and the answers to the calls behind it would be lost.
-async fn receive_whole(response: Response<ResponseBody>) -> Response<ResponseBody> {
-    let len = response.body().size_hint().exact();
-    if len.is_none_or(|len| len > MAX_WHOLE_RESPONSE_BYTES) {
-        return response;
-    }
-    let (parts, body) = response.into_parts();
-    match body.collect().await {
-        Ok(whole) => Response::from_parts(parts, ResponseBody::buffered(whole.to_bytes())),
-        Err(_) => local_reply::broken_off(),
-    }
-}
-
-/// Whether a change of phase has to wake the connection. Only idle ones need it: others check the
-/// phase with their next response.
-fn phase_change_matters(in_progress: &VecDeque<CallInProgress>) -> bool {
-    in_progress.is_empty()
-}
-
 /// Whether pipelining can continue on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Pipelining {
@@ -232,26 +267,22 @@
 }
 
 /// Starts the calls whose heads have been read whole, up to the limit.
-fn start_calls(
-    ctx: &CallContext,
-    buf: &mut BytesMut,
-    in_progress: &mut VecDeque<CallInProgress>,
-) -> Pipelining {
-    while in_progress.len() < MAX_CALLS_IN_PROGRESS
-        && !in_progress.back().is_some_and(|call| call.close_after)
+fn start_calls(ctx: &CallContext, conn: &mut Connection) -> Pipelining {
+    while conn.in_progress.len() < MAX_CALLS_IN_PROGRESS
+        && !conn.in_progress.back().is_some_and(|call| call.close_after)
     {
-        let (head, len) = parse_head(buf);
+        let (head, len) = parse_head(&conn.buf);
         let parts = match head {
             ParsedHead::Call(parts) => parts,
             ParsedHead::Partial => return Pipelining::Continue,
             ParsedHead::HandOver => return Pipelining::HandOver,
         };
-        buf.advance(len);
+        conn.buf.advance(len);
         let close_after = asks_to_close(&parts.headers);
         let delivery = Some(Delivery::start(ctx, &parts.headers, Loss::Stopped));
         let call = outbound::serve_received(ctx.clone(), *parts, RequestBody::empty());
         let response = tokio::spawn(call);
-        in_progress.push_back(CallInProgress { response, close_after, delivery });
+        conn.in_progress.push_back(CallInProgress { response, close_after, delivery });
     }
     Pipelining::Continue
 }
@@ -262,3 +293,18 @@
     let first = in_progress.front_mut()?;
     (&mut first.response).await.ok()
 }
+
+/// Receives the body of a response before any of it is written, if its length is known and at most
+/// [`MAX_WHOLE_RESPONSE_BYTES`]. If it breaks off, the caller gets a failure in its place. Otherwise
+/// the connection would have to be closed, and the answers to the calls behind it would be lost.
+async fn receive_whole(response: Response<ResponseBody>) -> Response<ResponseBody> {
+    let len = response.body().size_hint().exact();
+    if len.is_none_or(|len| len > MAX_WHOLE_RESPONSE_BYTES) {
+        return response;
+    }
+    let (parts, body) = response.into_parts();
+    match body.collect().await {
+        Ok(whole) => Response::from_parts(parts, ResponseBody::buffered(whole.to_bytes())),
+        Err(_) => local_reply::broken_off(),
+    }
+}
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -21,6 +21,7 @@
 use crate::calls::context::CallContext;
 use crate::calls::delivery::Delivery;
 use crate::calls::hop::HopError;
+use crate::calls::lingering::LingeringStream;
 use crate::calls::local_reply::{self, Rejection};
 use crate::calls::{inbound, outbound, pipeline, tcp_options};
 
@@ -156,7 +157,8 @@
     tcp_options::set_accepted(&stream);
     if clients == AcceptedClients::Callers {
         match pipeline::serve(&ctx, stream, &mut phase, HEAD_TIMEOUT).await {
-            pipeline::PipelineEnd::Closed => {}
+            pipeline::PipelineEnd::PeerClosed => {}
+            pipeline::PipelineEnd::Close(stream) => close(*stream).await,
             pipeline::PipelineEnd::HandOver(handover) => {
                 serve_sequentially(ctx, *handover, phase, clients).await;
             }
@@ -166,6 +168,12 @@
     serve_sequentially(ctx, stream, phase, clients).await;
 }
 
+/// Closes a connection in whose direction nothing more is to be written.
+async fn close<S: AsyncRead + AsyncWrite + Unpin>(stream: S) {
+    // An error means that the peer has ended the connection already.
+    let _ = LingeringStream::new(stream).shutdown().await;
+}
+
 /// Serves the calls of a connection one after the other with hyper.
 async fn serve_sequentially<S>(
     ctx: CallContext,
@@ -189,7 +197,8 @@
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
-    let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut serving =
+        pin!(builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service));
     tokio::select! {
         // An error of the connection affects only its own client.
         _ = serving.as_mut() => return,
