Pipelined calls: an answer that breaks off takes no answers behind it, whatever its length

Cause: with calls behind it an answer was received whole before its head was written only if its length was known and at most 256 KiB. Answers without a length, such as a server's 504 at its deadline, and larger ones were written as they came.

Answers with calls behind them are now received whole up to 2 MiB, with or without a length, within a budget of 8 MiB for all connections; one that breaks off becomes a 502 of its own call. While one is received the connection is still read, so a caller that leaves is noticed. What remains: an answer beyond those bounds is written as it comes, and if it breaks off, the calls behind it are lost (logged as `earlier-response-broke-off`).

--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -228,8 +228,11 @@
 /// connection to the pool if the body was complete; otherwise the connection is closed.
 #[derive(Default)]
 pub(super) struct ResponseBody {
+    /// The whole body, or the part of it that comes before `incoming`.
     buffered: Option<Bytes>,
     incoming: Option<Incoming>,
+    /// Accounts for the buffered bytes.
+    permit: Option<OwnedSemaphorePermit>,
     lease: Option<Lease>,
     slot: Option<SlotGuard>,
     body_end: Option<BodyEndGuard>,
@@ -246,6 +249,18 @@
         Self { buffered: Some(bytes), ..Self::default() }
     }
 
+    /// Accounts for the buffered bytes until the body is dropped.
+    pub(super) fn with_permit(mut self, permit: Option<OwnedSemaphorePermit>) -> Self {
+        self.permit = permit;
+        self
+    }
+
+    /// Puts `bytes`, which were taken from this body, before the rest of it.
+    pub(super) fn with_prefix(mut self, bytes: Bytes) -> Self {
+        self.buffered = Some(bytes);
+        self
+    }
+
     /// A body received over `lease`. After `deadline` it fails once no data has arrived for
     /// [`LATE_BODY_SILENCE`].
     pub(super) fn streamed(incoming: Incoming, lease: Lease, deadline: Instant) -> Self {
@@ -345,8 +360,12 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(buffered) = self.buffered.take() {
-            self.end_delivery(BodyEnd::Complete);
-            return Poll::Ready((!buffered.is_empty()).then(|| Ok(Frame::data(buffered))));
+            if self.incoming.is_none() {
+                self.end_delivery(BodyEnd::Complete);
+            }
+            if !buffered.is_empty() {
+                return Poll::Ready(Some(Ok(Frame::data(buffered))));
+            }
         }
         let Some(incoming) = &mut self.incoming else {
             return Poll::Ready(None);
@@ -378,10 +397,16 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        match (&self.incoming, &self.buffered) {
-            (Some(incoming), _) => incoming.size_hint(),
-            (None, Some(buffered)) => SizeHint::with_exact(buffered.len() as u64),
-            (None, None) => SizeHint::with_exact(0),
+        let buffered = self.buffered.as_ref().map_or(0, |bytes| bytes.len() as u64);
+        let Some(incoming) = &self.incoming else {
+            return SizeHint::with_exact(buffered);
+        };
+        let rest = incoming.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(buffered + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(buffered + upper);
         }
+        hint
     }
 }
--- a/crates/daemon/src/calls/context.rs
+++ b/crates/daemon/src/calls/context.rs
@@ -28,6 +28,10 @@
 /// Most bytes of request bodies buffered at a time, over all calls.
 const MAX_TOTAL_BUFFERED_BODY_BYTES: usize = 32 * 1024 * 1024;
 
+/// Most bytes of responses held at a time, over all connections, because calls behind them are in
+/// progress.
+const MAX_TOTAL_HELD_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
 /// A handle to the shared state; cheap to clone.
 #[derive(Clone, Deref)]
 pub(super) struct CallContext(Arc<Inner>);
@@ -50,6 +54,8 @@
     pub(super) daemon_pool: Pool,
     /// One permit per byte of request body that may still be buffered.
     pub(super) body_budget: Arc<Semaphore>,
+    /// One permit per byte of response that may still be held.
+    pub(super) held_response_budget: Arc<Semaphore>,
     /// Calls running on local backend servers, by request id.
     pub(super) running_calls: RunningCalls,
     last_call_id: AtomicU64,
@@ -74,6 +80,7 @@
             server_pool: Pool::new(crate::calls::pool::MAX_SERVER_CONNECTIONS),
             daemon_pool: Pool::new(MAX_CONNECTIONS_PER_DAEMON),
             body_budget: Arc::new(Semaphore::new(MAX_TOTAL_BUFFERED_BODY_BYTES)),
+            held_response_budget: Arc::new(Semaphore::new(MAX_TOTAL_HELD_RESPONSE_BYTES)),
             running_calls: RunningCalls::default(),
             last_call_id: AtomicU64::new(0),
             max_caller_connections,
--- a/crates/daemon/src/calls/pipeline/mod.rs
+++ b/crates/daemon/src/calls/pipeline/mod.rs
@@ -8,6 +8,7 @@
 //! hyper, with the bytes already read, once the requests before it are answered.
 
 mod head;
+mod held_response;
 
 use std::collections::VecDeque;
 use std::io::{Cursor, ErrorKind};
@@ -16,8 +17,6 @@
 use bytes::{Buf, Bytes, BytesMut};
 use cyclamen_decisions::Loss;
 use http::Response;
-use http_body::Body;
-use http_body_util::BodyExt;
 use log::warn;
 use tokio::io::{AsyncReadExt, Join};
 use tokio::net::TcpStream;
@@ -29,19 +28,15 @@
 use crate::calls::body::{RequestBody, ResponseBody};
 use crate::calls::context::CallContext;
 use crate::calls::delivery::Delivery;
-use crate::calls::local_reply;
 use crate::calls::outbound;
 use crate::calls::pipeline::head::{ParsedHead, asks_to_close, parse_head};
+use crate::calls::pipeline::held_response::HeldResponse;
 use crate::calls::response_writer::{self, AfterResponse, WriteError};
 use crate::calls::serve::{MAX_HEAD_BYTES, ShutdownPhase};
 
 /// Most calls in progress on a connection; further ones stay unread.
 const MAX_CALLS_IN_PROGRESS: usize = 32;
 
-/// Largest response, in bytes, that is received whole before it is written while calls behind it are
-/// in progress.
-const MAX_WHOLE_RESPONSE_BYTES: u64 = 256 * 1024;
-
 /// Initial capacity of the read buffer.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -61,7 +56,7 @@
 
 /// A call in progress; aborted when dropped.
 struct CallInProgress {
-    response: JoinHandle<Response<ResponseBody>>,
+    progress: Progress,
     /// Whether the caller asked to close the connection after the response.
     close_after: bool,
     delivery: Option<Delivery>,
@@ -85,10 +80,20 @@
 
 impl Drop for CallInProgress {
     fn drop(&mut self) {
-        self.response.abort();
+        if let Progress::Running(response) = &self.progress {
+            response.abort();
+        }
     }
 }
 
+/// How far a call is.
+enum Progress {
+    /// There is no response yet.
+    Running(JoinHandle<Response<ResponseBody>>),
+    /// The head of the response has arrived.
+    Responded(Option<Box<HeldResponse>>),
+}
+
 /// What woke a connection.
 #[expect(clippy::large_enum_variant, reason = "only one exists at a time, and most are responses")]
 enum Event {
@@ -159,7 +164,7 @@
         if closing && conn.in_progress.is_empty() && conn.buf.is_empty() {
             return Stop::Close;
         }
-        let event = next_event(conn, phase, idle_since + idle_timeout, hand_over).await;
+        let event = next_event(ctx, conn, phase, idle_since + idle_timeout, hand_over).await;
         match event {
             Event::Read(Ok(0)) => {
                 set_losses(&mut conn.in_progress, Loss::CallerLeft);
@@ -190,6 +195,7 @@
 
 /// Waits for the next event on a connection. `hand_over` tells that nothing more is to be read.
 async fn next_event(
+    ctx: &CallContext,
     conn: &mut Connection,
     phase: &mut watch::Receiver<ShutdownPhase>,
     idle_until: Instant,
@@ -202,7 +208,7 @@
     let closing = *phase.borrow() == ShutdownPhase::Closing;
     tokio::select! {
         read = rx.read_buf(buf), if wants_more => Event::Read(read),
-        response = next_response(in_progress), if !idle => Event::Responded(response),
+        response = next_response(ctx, in_progress), if !idle => Event::Responded(response),
         // Only idle connections have to wake: others check the phase with their next response.
         changed = phase.changed(), if !closing && idle => match changed {
             Ok(()) => Event::PhaseChanged,
@@ -219,10 +225,6 @@
     stopping: bool,
 ) -> Option<Stop> {
     let mut done = conn.in_progress.pop_front()?;
-    let response = match conn.in_progress.is_empty() {
-        true => response,
-        false => receive_whole(response).await,
-    };
     let nothing_left = conn.in_progress.is_empty() && conn.buf.is_empty();
     let close = done.close_after || stopping && nothing_left;
     let after = if close { AfterResponse::Close } else { AfterResponse::KeepAlive };
@@ -281,30 +283,29 @@
         let close_after = asks_to_close(&parts.headers);
         let delivery = Some(Delivery::start(ctx, &parts.headers, Loss::Stopped));
         let call = outbound::serve_received(ctx.clone(), *parts, RequestBody::empty());
-        let response = tokio::spawn(call);
-        conn.in_progress.push_back(CallInProgress { response, close_after, delivery });
+        let progress = Progress::Running(tokio::spawn(call));
+        conn.in_progress.push_back(CallInProgress { progress, close_after, delivery });
     }
     Pipelining::Continue
 }
 
+/// The next response to write; `None` if its call ended without one. It is received whole first if
+/// calls behind it are in progress. Can be cancelled and called again.
 async fn next_response(
+    ctx: &CallContext,
     in_progress: &mut VecDeque<CallInProgress>,
 ) -> Option<Response<ResponseBody>> {
+    let calls_behind = in_progress.len() > 1;
     let first = in_progress.front_mut()?;
-    (&mut first.response).await.ok()
-}
-
-/// Receives the body of a response before any of it is written, if its length is known and at most
-/// [`MAX_WHOLE_RESPONSE_BYTES`]. If it breaks off, the caller gets a failure in its place. Otherwise
-/// the connection would have to be closed, and the answers to the calls behind it would be lost.
-async fn receive_whole(response: Response<ResponseBody>) -> Response<ResponseBody> {
-    let len = response.body().size_hint().exact();
-    if len.is_none_or(|len| len > MAX_WHOLE_RESPONSE_BYTES) {
-        return response;
+    if let Progress::Running(response) = &mut first.progress {
+        let response = response.await.ok()?;
+        first.progress = Progress::Responded(Some(Box::new(HeldResponse::new(response))));
     }
-    let (parts, body) = response.into_parts();
-    match body.collect().await {
-        Ok(whole) => Response::from_parts(parts, ResponseBody::buffered(whole.to_bytes())),
-        Err(_) => local_reply::broken_off(),
+    let Progress::Responded(response) = &mut first.progress else {
+        return None;
+    };
+    if calls_behind {
+        response.as_mut()?.receive(&ctx.held_response_budget).await;
     }
+    Some(response.take()?.into_response())
 }
