Stops: a caller that always pipelines is told to close, and loses no call

Cause: while a daemon stops, a response says `connection: close` only if no call is in progress behind it and no byte of another has arrived. A caller that always has a call in progress was never told, went on for the whole stop grace, and lost what was in progress at its end.

A daemon that stops starts no call behind another, and the response to the last one closes the connection. What the caller had sent behind it is unread, as the close tells it.

--- a/crates/daemon/src/calls/pipeline/mod.rs
+++ b/crates/daemon/src/calls/pipeline/mod.rs
@@ -156,11 +156,12 @@
     let mut idle_since = Instant::now();
     let mut hand_over = false;
     loop {
-        hand_over |= start_calls(ctx, conn) == Pipelining::HandOver;
+        let stopping = *phase.borrow_and_update() != ShutdownPhase::Serving;
+        hand_over |= start_calls(ctx, conn, stopping) == Pipelining::HandOver;
         if hand_over && conn.in_progress.is_empty() {
             return Stop::HandOver;
         }
-        let closing = *phase.borrow_and_update() == ShutdownPhase::Closing;
+        let closing = *phase.borrow() == ShutdownPhase::Closing;
         if closing && conn.in_progress.is_empty() && conn.buf.is_empty() {
             return Stop::Close;
         }
@@ -225,8 +226,7 @@
     stopping: bool,
 ) -> Option<Stop> {
     let mut done = conn.in_progress.pop_front()?;
-    let nothing_left = conn.in_progress.is_empty() && conn.buf.is_empty();
-    let close = done.close_after || stopping && nothing_left;
+    let close = done.close_after || stopping && conn.in_progress.is_empty();
     let after = if close { AfterResponse::Close } else { AfterResponse::KeepAlive };
     match response_writer::write(&mut conn.tx, response, after).await {
         Ok(()) => {
@@ -268,9 +268,12 @@
     HandOver,
 }
 
-/// Starts the calls whose heads have been read whole, up to the limit.
-fn start_calls(ctx: &CallContext, conn: &mut Connection) -> Pipelining {
-    while conn.in_progress.len() < MAX_CALLS_IN_PROGRESS
+/// Starts the calls whose heads have been read whole, up to the limit. A daemon that is stopping
+/// starts none behind another: the response to the last one closes the connection, and a caller
+/// that never lets its connection become idle would have calls cut off in the end.
+fn start_calls(ctx: &CallContext, conn: &mut Connection, stopping: bool) -> Pipelining {
+    let max_calls = if stopping { 1 } else { MAX_CALLS_IN_PROGRESS };
+    while conn.in_progress.len() < max_calls
         && !conn.in_progress.back().is_some_and(|call| call.close_after)
     {
         let (head, len) = parse_head(&conn.buf);
