A cut-off member that leaves is no longer counted as cut off

Seen by operators, if their mesh is partitioned: a daemon that left beyond the partition stays in the member list (`left`, cut off) without end instead of five minutes. When its failure domain is heard again it turns `alive`, and is then probed, suspected and declared dead like a failed one.

Cause: `merge_state_update` set the state of the departed member but left `cut_off`, which `merge_member` clears. `prune` keeps whatever is cut off, and `mark_reconnected` makes it alive.

Change: a state update other than a suspicion ends `cut_off`, so that only suspect members are cut off, as `cut_off_member` documents. A suspicion of a higher incarnation still leaves it as it is.

Evidence: two tests in tests/detection.rs, seen to fail before the change: cut_off_member_that_left_is_pruned found the member after 310 s as `Left, cut_off: true`; cut_off_member_that_left_stays_departed_when_its_domain_returns found it `Alive`. Run: the tests of cyclamen-membership and cyclamenmoor, all passed.

--- a/crates/membership/src/merging.rs
+++ b/crates/membership/src/merging.rs
@@ -105,6 +105,9 @@
             known.record.incarnation = incarnation;
             known.state = state;
             known.state_since = now.mono;
+            // Members that are cut off are kept and turn alive on reconnection. One that left or
+            // died must not.
+            known.cut_off &= state == MemberState::Suspect;
         });
         self.queue_member_update(id);
     }
--- a/crates/membership/tests/detection.rs
+++ b/crates/membership/tests/detection.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use cyclamen_membership::{MemberState, ServerState};
-use support::{Cluster, Faults};
+use cyclamen_membership::{MemberState, MemberView, Membership, ServerState};
+use support::{Cluster, Faults, address};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -114,3 +114,64 @@
     assert_eq!(cluster.count_in_state(0, MemberState::Dead), 0);
     assert_eq!(cluster.nodes[0].membership.members().len(), 9);
 }
+
+/// How `viewer` sees node `index`; `None` if it does not know it.
+fn view_of(viewer: &Membership, index: usize) -> Option<MemberView> {
+    let name = format!("node-{index}");
+    viewer.members().into_iter().find(|view| view.record.instance.as_str() == name)
+}
+
+/// A mesh in which domain 2 is cut off and node 0 has just heard, from a node that still reaches
+/// both sides, that node 5 of that domain left.
+fn mesh_with_departure_beyond_partition() -> Cluster {
+    let mut cluster = Cluster::new(18, 3, 9);
+    cluster.run_until(SECOND * 30, Cluster::converged);
+    cluster.partitions = vec![(0, 2), (1, 2)];
+    cluster.run_until(SECOND * 30, |cluster| {
+        view_of(&cluster.nodes[0].membership, 5).is_some_and(|view| view.cut_off)
+    });
+    let now = cluster.now;
+    let mut bridge = cluster.membership(18);
+    let mut joins = Vec::new();
+    bridge.tick(now, &mut joins);
+    for index in [0, 5] {
+        let mut replies = Vec::new();
+        let node = &mut cluster.nodes[index].membership;
+        node.on_datagram(now, address(18), &joins[index % 2].bytes, &mut replies).unwrap();
+        for reply in replies {
+            bridge.on_datagram(now, address(index), &reply.bytes, &mut Vec::new()).unwrap();
+        }
+    }
+    let mut departure = Vec::new();
+    cluster.nodes[5].membership.leave(now, &mut departure);
+    bridge.on_datagram(now, address(5), &departure[0].bytes, &mut Vec::new()).unwrap();
+    cluster.send(5, departure);
+    cluster.nodes[5].up = false;
+    let mut pushed = Vec::new();
+    bridge.tick(now, &mut pushed);
+    let to_first = pushed.iter().find(|datagram| datagram.to == address(0)).unwrap();
+    let first = &mut cluster.nodes[0].membership;
+    first.on_datagram(now, address(18), &to_first.bytes, &mut Vec::new()).unwrap();
+    assert_eq!(view_of(first, 5).unwrap().state, MemberState::Left);
+    cluster
+}
+
+#[test]
+fn cut_off_member_that_left_is_pruned() {
+    let mut cluster = mesh_with_departure_beyond_partition();
+    cluster.run(SECOND * 310);
+    assert_eq!(view_of(&cluster.nodes[0].membership, 5), None);
+}
+
+#[test]
+fn cut_off_member_that_left_stays_departed_when_its_domain_returns() {
+    let mut cluster = mesh_with_departure_beyond_partition();
+    // By then its domain no longer gossips that it left.
+    cluster.run(SECOND * 20);
+    cluster.partitions.clear();
+    for _ in 0..300 {
+        cluster.run(Duration::from_millis(100));
+        let view = view_of(&cluster.nodes[0].membership, 5).unwrap();
+        assert_eq!(view.state, MemberState::Left);
+    }
+}
