Departures still queued when their domain is cut off are gossiped

Seen by operators, if their mesh is partitioned: a daemon that left just before its failure domain was cut off stays `suspect, cut off` on the others, and its backend servers with it, until anti-entropy tells them.

Cause: `cut_off_member` dropped the queued update of every member of the domain, also of those that it does not mark: members that left, and deaths of longer ago. The queue holds an urgent update until the next tick, or longer if the budget of bytes is spent; if that tick cuts the domain off, nobody hears of the departure from this daemon.

Change: only the updates of members that become cut off are dropped.

Evidence: departure_heard_as_its_domain_is_cut_off_is_passed_on (30 nodes, 3 domains) failed before the change with "0 were told" of the 6 that an urgent update is pushed to. Run: the tests of cyclamen-membership and cyclamenmoor, all passed.

--- a/crates/membership/src/partitions.rs
+++ b/crates/membership/src/partitions.rs
@@ -162,20 +162,23 @@
         }
     }
 
-    /// Stops gossiping a member's state. If the member is live or was declared dead recently, also
-    /// marks it as cut off: it is then suspect, but that suspicion does not expire.
+    /// Marks a member as cut off and stops gossiping its state: it is then suspect, but that
+    /// suspicion does not expire. One that left, or was declared dead longer ago, is not affected.
     fn cut_off_member(&mut self, now: Now, id: MemberId) {
         if id == self.id {
             return;
         }
+        let Some(known) = self.roster.get(id) else {
+            return;
+        };
         let recent_since =
             now.mono - self.settings.suspicion_timeout * RECENT_DEATH_SUSPICION_TIMEOUTS;
+        let just_died = known.state == MemberState::Dead && known.state_since >= recent_since;
+        if !known.is_live() && !just_died {
+            return;
+        }
         self.update_queue.remove(&UpdateKey::Member(id));
         self.roster.update(id, |known| {
-            let just_died = known.state == MemberState::Dead && known.state_since >= recent_since;
-            if !known.is_live() && !just_died {
-                return;
-            }
             known.state = MemberState::Suspect;
             known.cut_off = true;
         });
--- a/crates/membership/tests/detection.rs
+++ b/crates/membership/tests/detection.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cyclamen_membership::{MemberState, MemberView, Membership, ServerState};
+use cyclamen_types::Mono;
 use support::{Cluster, Faults, address};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -175,3 +176,41 @@
         assert_eq!(view.state, MemberState::Left);
     }
 }
+
+#[test]
+fn departure_heard_as_its_domain_is_cut_off_is_passed_on() {
+    let partitioned = || {
+        let mut cluster = Cluster::new(30, 3, 10);
+        cluster.run_until(SECOND * 30, Cluster::converged);
+        cluster.partitions = vec![(0, 2), (1, 2)];
+        cluster
+    };
+    let cut_off_count = |cluster: &Cluster| {
+        let members = cluster.nodes[0].membership.members();
+        members.iter().filter(|view| view.cut_off).count()
+    };
+    // Periods begin at whole seconds, so the domain is cut off at one.
+    let mut rehearsal = partitioned();
+    rehearsal.run_until(SECOND * 30, |cluster| cut_off_count(cluster) > 0);
+    let at = Mono(rehearsal.now.mono.0 / 1_000_000 * 1_000_000);
+
+    let mut cluster = partitioned();
+    let before = at.since(cluster.now.mono) - Duration::from_micros(1);
+    cluster.run(before);
+    assert_eq!(cut_off_count(&cluster), 0);
+    cluster.now = cluster.now + Duration::from_micros(1);
+    let (now, mut departure, mut out) = (cluster.now, Vec::new(), Vec::new());
+    cluster.nodes[5].membership.leave(now, &mut departure);
+    let first = &mut cluster.nodes[0].membership;
+    first.on_datagram(now, address(5), &departure[0].bytes, &mut Vec::new()).unwrap();
+    first.tick(now, &mut out);
+    assert_eq!(cut_off_count(&cluster), 9, "the members of the domain that did not leave");
+    let mut told = 0;
+    for datagram in out {
+        let node = &mut cluster.nodes[usize::from(datagram.to.port()) - 1].membership;
+        node.on_datagram(now, address(0), &datagram.bytes, &mut Vec::new()).unwrap();
+        told += usize::from(view_of(node, 5).unwrap().state == MemberState::Left);
+    }
+    // Six members are told of an urgent update at once.
+    assert!(told >= 6, "{told} were told");
+}
