Tests of the bound on replay windows

It was suspected that the windows against replayed datagrams outgrow their limit. They don't: above the limit, the window of each further sender first drops those of all senders that are not members, so that there are at most the limit, or one more than the roster has entries where that is larger, which is what `MAX_REPLAY_WINDOWS` says. Only holders of the mesh key get a window at all.

The tests guard both bounds, and that a flood of strangers does not let a member's datagram be replayed.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -388,3 +388,6 @@
         &self.counters
     }
 }
+
+#[cfg(test)]
+mod tests;
