A late withdrawal of an earlier incarnation leaves the later one withdrawn

Seen by callers on the platform, if leave messages of two incarnations of a backend server arrive out of order (the host withdraws 9, then 5 arrives late): an announcement of 9 that is still on the way makes the server ready again, and calls go to a process that has gone, until its lease ends.

Cause: `withdraw_server` replaced the start time of the withdrawn incarnation with an earlier one, both for a server that is no longer known and for one that was announced without an order.

Change: the latest start time stays. That the withdrawal of an earlier incarnation returns Ok while a later one is announced is as documented and as withdraw_outlasts_announcements_of_same_incarnation asserts: it does nothing.

Evidence: withdraw_of_earlier_incarnation_does_not_undo_that_of_a_later_one and withdraw_of_earlier_incarnation_keeps_later_mark_beside_server_without_order (tests/store.rs) failed before the change, the server being `Ready` instead of `Gone`. Run: the tests of cyclamenmoor, all passed.

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -39,8 +39,8 @@
     pub(crate) moves: Moves,
     pub(crate) router: Router,
     pub(crate) local_servers: FastMap<ServerName, LocalServer>,
-    /// Start time, in Unix milliseconds, of the most recently withdrawn incarnation of each backend
-    /// server.
+    /// Start time, in Unix milliseconds, of the latest incarnation of each backend server that was
+    /// withdrawn.
     pub(crate) withdrawn: FastMap<ServerName, u64>,
     pub(crate) queue_order: QueueOrder,
     pub(crate) appends: Appends,
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -104,7 +104,7 @@
     ) -> Result<(), AnnounceError> {
         let Some(local) = self.local_servers.get(name) else {
             if let Some(started_at_ms) = started_at_ms {
-                self.withdrawn.insert(name.clone(), started_at_ms);
+                self.mark_withdrawn(name, started_at_ms);
             }
             return Err(AnnounceError::Unknown(name.clone()));
         };
@@ -113,7 +113,7 @@
             return Ok(());
         }
         if let Some(withdrawn) = started_at_ms.or(known) {
-            self.withdrawn.insert(name.clone(), withdrawn);
+            self.mark_withdrawn(name, withdrawn);
         }
         self.set_server_state(now, name, ServerState::Gone);
         self.remove_if_gone_and_idle(name);
@@ -121,6 +121,13 @@
         Ok(())
     }
 
+    /// Records that an incarnation of a server was withdrawn. A withdrawal that arrives after that
+    /// of a later incarnation changes nothing.
+    fn mark_withdrawn(&mut self, name: &ServerName, started_at_ms: u64) {
+        let latest = self.withdrawn.entry(name.clone()).or_default();
+        *latest = started_at_ms.max(*latest);
+    }
+
     /// Checks an announcement against the ones known for its name and address.
     fn freshness(&self, announcement: &Announcement) -> Freshness {
         let Some(order) = announcement.order else {
--- a/crates/cyclamenmoor/tests/store.rs
+++ b/crates/cyclamenmoor/tests/store.rs
@@ -13,7 +13,9 @@
 use cyclamen_membership::{Addresses, MemberRecord, MembershipSettings, MeshKey, ServerState};
 use cyclamen_routing::{CallHead, RefusalKind};
 use cyclamen_types::{ConfigVersion, Incarnation, Mono, Now, Offset, Wall};
-use cyclamenmoor::{Announcement, AnnouncementOrder, Effect, Event, Instance, InstanceSettings};
+use cyclamenmoor::{
+    AnnounceError, Announcement, AnnouncementOrder, Effect, Event, Instance, InstanceSettings,
+};
 
 const START_MS: u64 = 1_000_000;
 
@@ -306,6 +308,31 @@
     );
 }
 
+#[test]
+fn withdraw_of_earlier_incarnation_does_not_undo_that_of_a_later_one() {
+    let mut instance = new_instance();
+    let name = "s-1".parse().unwrap();
+    announce(&mut instance, 1, &announcement("s-1", "v1", 9, 1));
+    instance.withdraw_server(time(2), &name, Some(9), &mut Vec::new()).unwrap();
+    let late = instance.withdraw_server(time(3), &name, Some(5), &mut Vec::new());
+    assert_eq!(late, Err(AnnounceError::Unknown(name)));
+    announce(&mut instance, 4, &announcement("s-1", "v1", 9, 2));
+    assert_eq!(server_state(&instance, "s-1"), Some(ServerState::Gone));
+}
+
+#[test]
+fn withdraw_of_earlier_incarnation_keeps_later_mark_beside_server_without_order() {
+    let mut instance = new_instance();
+    let name = "s-1".parse().unwrap();
+    announce(&mut instance, 1, &announcement("s-1", "v1", 9, 1));
+    instance.withdraw_server(time(2), &name, Some(9), &mut Vec::new()).unwrap();
+    let unordered = Announcement { order: None, ..announcement("s-1", "v1", 0, 0) };
+    announce(&mut instance, 3, &unordered);
+    instance.withdraw_server(time(4), &name, Some(5), &mut Vec::new()).unwrap();
+    announce(&mut instance, 5, &announcement("s-1", "v1", 9, 2));
+    assert_eq!(server_state(&instance, "s-1"), Some(ServerState::Gone));
+}
+
 /// Wakes `from` and delivers the datagrams that it sends to `to`. Returns the effects of `to`; the
 /// datagrams among them are not delivered.
 fn deliver_gossip(millis: u64, from: &mut Instance, to: &mut Instance) -> Vec<Effect> {
