Values of a peer that are larger than the limit are refused

Seen by operators on the platform, if a daemon holds a value of the store of more than 8 MiB: the daemons that request it get its first 8 MiB as if that were all, and no line in the log. What then fails is the parsing of a configuration that is intact in the store.

Cause: `decompress` read at most MAX_VALUE_BYTES and took that as the value, so that a larger value looked like one of exactly that size.

Change: one byte more is read, and a value that has it is refused, as one that cannot be decompressed was: no record of the response is used and the next source is queried. Both cases are logged as a warning with the key, the daemon's address and the reason; the reason was dropped before whenever another source answered. The error is typed (`UnpackError`). The client of the store takes answers of at most 8 MiB, so that a value of that size can come only from a daemon with another limit or with a fault.

Evidence: decompress_records_value_above_limit (record_cache/tests.rs) failed before the change: the value of 8 MiB + 1 was accepted. One of exactly 8 MiB still is. The log line has no test. Run: the tests of cyclamen-daemon, all passed.

--- a/crates/daemon/src/store/fetch.rs
+++ b/crates/daemon/src/store/fetch.rs
@@ -11,6 +11,7 @@
 use cyclamen_platform::{Read, StoreError};
 use cyclamen_types::Offset;
 use futures::{FutureExt, future};
+use log::warn;
 use tokio::sync::watch;
 
 use crate::peers;
@@ -103,8 +104,10 @@
     let request = PeerRequest::Stored { from };
     match peers::send_request(peer, &request, &sync.key, begin).await {
         Some(PeerResponse::Stored { records, next }) if next > from => {
-            let records = record_cache::decompress_records(records)
-                .map_err(|why| unanswered(&why.to_string()))?;
+            let records = record_cache::decompress_records(records).map_err(|why| {
+                warn!("the records of the daemon at {peer} are not used: {why}");
+                unanswered(&why.to_string())
+            })?;
             Ok(Read { records, next })
         }
         _ => Err(unanswered("the peer returned no newer records in time")),
--- a/crates/daemon/src/store/record_cache.rs
+++ b/crates/daemon/src/store/record_cache.rs
@@ -4,21 +4,40 @@
 //! are sent compressed (deflate); [`decompress_records`] restores them on the requesting side.
 
 use std::collections::BTreeMap;
-use std::io::{Error, Read, Write};
+use std::io::{self, Read, Write};
 
 use cyclamen_distribution::{PeerResponse, StoredRecord};
 use cyclamen_platform::NewestRecord;
 use cyclamen_platform::era::era_of;
 use cyclamen_types::Offset;
+use derive_more::{Display, Error};
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use log::warn;
 
-/// Limit on the decompressed size of a value received from another daemon, in bytes. The rest of a
-/// larger value is cut off.
+/// Largest decompressed value accepted from another daemon, in bytes.
 const MAX_VALUE_BYTES: u64 = 8 * 1024 * 1024;
 
+/// Why the records received from another daemon cannot be used.
+#[derive(Debug, Display, Error)]
+pub(crate) enum UnpackError {
+    /// A value is not valid deflate data.
+    #[display("the value of `{key}` cannot be decompressed: {source}")]
+    Corrupt {
+        /// The key of the record.
+        key: String,
+        /// What the decoder found.
+        source: io::Error,
+    },
+    /// A value is larger than [`MAX_VALUE_BYTES`].
+    #[display("the value of `{key}` is larger than {MAX_VALUE_BYTES} bytes")]
+    TooLarge {
+        /// The key of the record.
+        key: String,
+    },
+}
+
 /// The newest record of each key of the topic `Orders`, and the offset to read on from.
 #[derive(Debug, Default)]
 pub(crate) struct RecordCache {
@@ -75,7 +94,7 @@
 }
 
 impl CachedRecord {
-    fn compressed(&mut self) -> Result<StoredRecord, Error> {
+    fn compressed(&mut self) -> io::Result<StoredRecord> {
         let packed = match &self.compressed {
             Some(packed) => packed.clone(),
             None => compress(&self.record.value)?,
@@ -88,28 +107,37 @@
 /// Restores records received from another daemon to the form in which the store returns them.
 ///
 /// # Errors
-/// A value cannot be decompressed. No record is returned then, because skipping one would
-/// leave a gap.
+/// A value cannot be decompressed or is too large. No record is returned then, because skipping one
+/// would leave a gap.
 pub(crate) fn decompress_records(
     compressed: Vec<StoredRecord>,
-) -> Result<Vec<NewestRecord>, Error> {
+) -> Result<Vec<NewestRecord>, UnpackError> {
     let mut records = Vec::new();
     for stored in compressed {
-        let value = decompress(&stored.packed)?.into();
-        records.push(NewestRecord { key: stored.key, value, offset: stored.offset });
+        let key = stored.key;
+        let value = match decompress(&stored.packed) {
+            Ok(value) => value,
+            Err(source) => return Err(UnpackError::Corrupt { key, source }),
+        };
+        if value.len() as u64 > MAX_VALUE_BYTES {
+            return Err(UnpackError::TooLarge { key });
+        }
+        records.push(NewestRecord { key, value: value.into(), offset: stored.offset });
     }
     Ok(records)
 }
 
-fn compress(value: &[u8]) -> Result<Vec<u8>, Error> {
+fn compress(value: &[u8]) -> io::Result<Vec<u8>> {
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
     encoder.write_all(value)?;
     encoder.finish()
 }
 
-fn decompress(packed: &[u8]) -> Result<Vec<u8>, Error> {
+/// Decompresses a value, but no more than one byte beyond [`MAX_VALUE_BYTES`], which shows that it
+/// is too large.
+fn decompress(packed: &[u8]) -> io::Result<Vec<u8>> {
     let mut value = Vec::new();
-    DeflateDecoder::new(packed).take(MAX_VALUE_BYTES).read_to_end(&mut value)?;
+    DeflateDecoder::new(packed).take(MAX_VALUE_BYTES + 1).read_to_end(&mut value)?;
     Ok(value)
 }
 
--- a/crates/daemon/src/store/record_cache/tests.rs
+++ b/crates/daemon/src/store/record_cache/tests.rs
@@ -4,7 +4,7 @@
 use cyclamen_platform::NewestRecord;
 use cyclamen_types::Offset;
 
-use super::{RecordCache, decompress_records};
+use super::{MAX_VALUE_BYTES, RecordCache, UnpackError, decompress_records};
 
 fn record(key: &str, offset: u64, value: &str) -> NewestRecord {
     NewestRecord { key: key.into(), value: value.to_owned().into(), offset: Offset(offset) }
@@ -49,3 +49,23 @@
     records[0].packed.truncate(half);
     assert!(decompress_records(records).is_err());
 }
+
+#[test]
+fn decompress_records_value_above_limit() {
+    let limit = MAX_VALUE_BYTES as usize;
+    let response = |bytes: usize| {
+        let mut cache = RecordCache::default();
+        cache.insert(
+            &[record("config", 0, "intact"), record("move", 1, &"x".repeat(bytes))],
+            Offset(2),
+        );
+        match cache.response_since(Offset(0)) {
+            PeerResponse::Stored { records, .. } => records,
+            other => panic!("unexpected response: {other:?}"),
+        }
+    };
+    let largest = decompress_records(response(limit)).expect("a value of the limit");
+    assert_eq!(largest[1].value.len(), limit);
+    let larger = decompress_records(response(limit + 1));
+    assert!(matches!(larger, Err(UnpackError::TooLarge { key }) if key == "move"));
+}
