Log service: a response with an error status is no success

Seen by operators, if the log service or a proxy in front of it answers an error with a body of the usual form: an append that failed counts as acknowledged and is repeated only after 10 s instead of 0.5 s, and the records of an error response are folded.

Cause: `LogClient` took any response whose body could be parsed, apart from 429 and 410.

Change: an append is done with 201 only and a read with 200 only; all else is `Unanswered` and `Down`. An append then stays pending and is sent again under the same change id, as without a response.

Evidence: append_error_status_with_offset_is_no_success and read_error_status_with_records_is_no_success (log_client/tests.rs) failed before the change: status 400 gave Ok with offset 7, and Ok with one record. Run: the tests of cyclamen-daemon, all passed.

--- a/crates/daemon/src/log_client.rs
+++ b/crates/daemon/src/log_client.rs
@@ -6,8 +6,8 @@
 //!   `{"first", "next", "records"}`, or with 410 and `{"first": N}` if the records at `from` have
 //!   been trimmed.
 //!
-//! If there is no answer within the timeout, or its body does not have the form above, the service
-//! counts as down. No other status is checked.
+//! If there is no answer within the timeout, or its status or body is another than above, the service
+//! counts as down.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -84,6 +84,9 @@
         if status == StatusCode::TOO_MANY_REQUESTS {
             return Err(AppendError::Busy);
         }
+        if status != StatusCode::CREATED {
+            return Err(AppendError::Unanswered);
+        }
         let response: AppendResponse =
             serde_json::from_slice(&bytes).map_err(|_| AppendError::Unanswered)?;
         Ok(response.offset)
@@ -104,6 +107,9 @@
                 serde_json::from_slice(&bytes).map_err(|_| LogReadError::Down)?;
             return Err(LogReadError::Trimmed { first: trimmed.first });
         }
+        if status != StatusCode::OK {
+            return Err(LogReadError::Down);
+        }
         let response: ReadResponse =
             serde_json::from_slice(&bytes).map_err(|_| LogReadError::Down)?;
         Ok(LogBatch { records: response.records, first: response.first, next: response.next })
@@ -132,3 +138,6 @@
         tokio::time::timeout(timeout, exchange).await.ok()?
     }
 }
+
+#[cfg(test)]
+mod tests;
