Tests that every payload of moves and verdicts can be encoded

It was suspected that a failure to encode becomes an empty payload, because the encoders end in `unwrap_or_default`. None of them can fail: postcard, writing to a `Vec`, refuses only sequences and maps of unknown length, and serde_json only map keys that are no text and `Serialize`s that fail. The payloads have neither: their types are derived, names are written as strings, and the one map of the generated border types has strings as keys. The same holds for the header of datagrams and for the body of an append to the log service. So nothing is to be logged or held back.

encode_any_payload (moves) and verdict_payload_any_reason (ledger) guard that: any evidence, rollback or verdict comes back from its payload as it was.

--- a/crates/ledger/tests/fold.rs
+++ b/crates/ledger/tests/fold.rs
@@ -10,7 +10,8 @@
     ChangeOutcome, ENDED_MOVES_KEPT, FoldOutcome, Ledger, LogRecord, MoveId, MoveVerdict,
     OUTCOMES_KEPT, VerdictKind,
 };
-use cyclamen_types::{ConfigVersion, Offset};
+use cyclamen_types::{ConfigVersion, Offset, Wall};
+use proptest::prelude::*;
 
 const MOVE: &str = "declarations: [{name: to-v2, move: {service: dvere, from: v1, to: v2, \
                     deadline: +10m}}]";
@@ -217,6 +218,19 @@
     assert_eq!(held.reason.chars().count(), 1_000);
 }
 
+proptest! {
+    /// No reason fails to encode, which would append an empty record.
+    #[test]
+    fn verdict_payload_any_reason(reason in any::<String>(), at in any::<u64>()) {
+        let mut ledger = moving();
+        let id = ledger.config().moves["to-v2"].id();
+        let reason = reason.as_str().into();
+        let verdict = MoveVerdict { reason, at: Wall(at), ..verdict_of(VerdictKind::Done) };
+        append(&mut ledger, &Ledger::verdict_payload(&id, &verdict));
+        prop_assert_eq!(ledger.config().moves["to-v2"].verdict.as_ref(), Some(&verdict));
+    }
+}
+
 #[test]
 fn moves_ended_bounded() {
     let mut ledger = mesh();
--- a/crates/moves/src/payload.rs
+++ b/crates/moves/src/payload.rs
@@ -147,3 +147,6 @@
     }
     limits
 }
+
+#[cfg(test)]
+mod tests;
