A settings file that is faulty at the start does not end the reloads

An operator whose settings file changed, or was half written, between the start of the daemon and the first look of the watch saw one warning, and then nothing: the watch ended, and a later correct file and every SIGHUP were ignored until the restart. A change in that time that had no faults was taken for the settings that the daemon runs with, and reported as "nothing has changed".

The cause is that `reload::watch` read the file itself to learn what to compare with, and returned when that failed. The program now hands it the fingerprint of the settings that it has started with, so that nothing has to be read first; the watch compares the file at once and then goes on whatever comes of it. Looking at once says nothing if nothing has changed.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use argh::{EarlyExit, FromArgs};
-use cyclamen_daemon::reload::SettingsFile;
+use cyclamen_daemon::reload::{SettingsFile, fingerprint};
 use cyclamen_daemon::settings::{ProcessSettings, RawSettings, SettingsFaults};
 use cyclamen_daemon::{StartError, logging, run_daemon};
 use tokio::runtime::Builder;
@@ -101,7 +101,8 @@
         }
     };
     let (signals, hup) = signals;
-    let file = SettingsFile { path: path.into(), hup };
+    let started_with = fingerprint(&settings);
+    let file = SettingsFile { path: path.into(), started_with, hup };
     match run_daemon(settings.daemon, Some(file), signals.received()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -6,11 +6,14 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
-use log::{info, warn};
+use log::info;
 use tokio::signal::unix::Signal;
 
 use crate::settings::{ProcessSettings, RawSettings, SettingsFaults};
 
+#[cfg(test)]
+mod tests;
+
 /// How often the modification time of the file is checked.
 const CHECK_PERIOD: Duration = Duration::from_secs(5);
 
@@ -19,6 +22,8 @@
 pub struct SettingsFile {
     /// The path given on the command line.
     pub path: PathBuf,
+    /// [`fingerprint`] of the settings that the daemon runs with.
+    pub started_with: String,
     /// SIGHUP, registered before the daemon started.
     pub hup: Signal,
 }
@@ -26,7 +31,7 @@
 /// The result of reading the file again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReloadResult {
-    /// The settings equal those first read by `watch`, apart from secrets.
+    /// The settings equal those that the daemon runs with, apart from secrets.
     Unchanged,
     /// The settings differ; the new ones apply from the next start on.
     Changed,
@@ -35,7 +40,7 @@
 }
 
 impl ReloadResult {
-    /// Compares the settings just read with the fingerprint of those that were read first.
+    /// Compares the settings just read with the fingerprint of those that the daemon runs with.
     pub fn compare(started_with: &str, read: Result<ProcessSettings, SettingsFaults>) -> Self {
         match read {
             Ok(settings) if fingerprint(&settings) == started_with => Self::Unchanged,
@@ -62,33 +67,31 @@
     format!("{settings:?}")
 }
 
-/// Reads the file again on SIGHUP and when its modification time has changed, and calls `report`
-/// with each result, until dropped. Returns at once if the file cannot be read or has faults at
-/// first, because there is nothing to compare with; also returns when the signal stream ends.
+/// Reads the file again at the start, on SIGHUP and when its modification time has changed, and
+/// calls `report` with each result, until dropped; at the start only if there is something to tell.
+/// Returns when the signal stream ends.
 pub(crate) async fn watch(mut file: SettingsFile, report: impl Fn(&ReloadResult)) {
-    let Ok(started_with) = read(&file.path).as_ref().map(fingerprint) else {
-        warn!(
-            "the settings file cannot be read or has faults; later changes to it will not be noticed"
-        );
-        return;
-    };
-    let mut modified_at = modified_at(&file.path);
+    // Outer `None` before the first look.
+    let mut seen = None;
+    let mut requested = false;
     loop {
-        let requested = tokio::select! {
+        let latest = modified_at(&file.path);
+        let first = seen.is_none();
+        if requested || seen != Some(latest) {
+            seen = Some(latest);
+            let result = ReloadResult::compare(&file.started_with, read(&file.path));
+            if !first || result != ReloadResult::Unchanged {
+                info!("settings read again: {}", result.description());
+                report(&result);
+            }
+        }
+        requested = tokio::select! {
             signal = file.hup.recv() => match signal {
                 Some(()) => true,
                 None => return,
             },
             () = tokio::time::sleep(CHECK_PERIOD) => false,
         };
-        let latest = self::modified_at(&file.path);
-        if !requested && latest == modified_at {
-            continue;
-        }
-        modified_at = latest;
-        let result = ReloadResult::compare(&started_with, read(&file.path));
-        info!("settings read again: {}", result.description());
-        report(&result);
     }
 }
 
