Reloads compare the content of the settings file, not its modification time

An operator whose new settings file had the modification time of the old one (a file put in place with its time kept, or one read half written and completed within the resolution of its time) saw no line about it, or only the one about the faulty half, until the next SIGHUP or change.

The cause is that the watch took an equal modification time for an equal file. It now compares a hash of the content, read every 5 s; the file is parsed again only when that differs.

--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -4,7 +4,7 @@
 //! its next start, even if the file has changed. A file with faults has no effect either.
 
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use log::info;
 use tokio::signal::unix::Signal;
@@ -14,7 +14,7 @@
 #[cfg(test)]
 mod tests;
 
-/// How often the modification time of the file is checked.
+/// How often the content of the file is compared with that last read.
 const CHECK_PERIOD: Duration = Duration::from_secs(5);
 
 /// A settings file and the signal that asks to read it again.
@@ -67,15 +67,18 @@
     format!("{settings:?}")
 }
 
-/// Reads the file again at the start, on SIGHUP and when its modification time has changed, and
-/// calls `report` with each result, until dropped; at the start only if there is something to tell.
-/// Returns when the signal stream ends.
+/// Reads the file again at the start, on SIGHUP and when its content has changed, and calls `report`
+/// with each result, until dropped; at the start only if there is something to tell. Returns when
+/// the signal stream ends.
+///
+/// Modification times are not enough: a file that is read half written may be completed within the
+/// resolution of its modification time, and a replaced file may keep the time of the old one.
 pub(crate) async fn watch(mut file: SettingsFile, report: impl Fn(&ReloadResult)) {
     // Outer `None` before the first look.
     let mut seen = None;
     let mut requested = false;
     loop {
-        let latest = modified_at(&file.path);
+        let latest = content_hash(&file.path);
         let first = seen.is_none();
         if requested || seen != Some(latest) {
             seen = Some(latest);
@@ -99,6 +102,7 @@
     RawSettings::read(path)?.try_into()
 }
 
-fn modified_at(path: &Path) -> Option<SystemTime> {
-    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+/// A hash of what a file contains; `None` if it cannot be read.
+fn content_hash(path: &Path) -> Option<blake3::Hash> {
+    std::fs::read(path).ok().map(|content| blake3::hash(&content))
 }
--- a/crates/daemon/src/reload/tests.rs
+++ b/crates/daemon/src/reload/tests.rs
@@ -1,7 +1,8 @@
 //! Tests that reloads go on after a faulty file, and that every change of the file is reported.
 
-use std::fs;
+use std::fs::{self, File};
 use std::process::Command;
+use std::time::SystemTime;
 
 use tempfile::TempDir;
 use tokio::signal::unix::{SignalKind, signal};
@@ -95,6 +96,11 @@
     assert!(sent.success());
 }
 
+fn set_modified(path: &Path, at: SystemTime) {
+    let file = File::options().write(true).open(path).expect("a file");
+    file.set_modified(at).expect("a modification time");
+}
+
 #[tokio::test]
 async fn watch_goes_on_after_faulty_file_at_start() {
     let case = Case::new();
@@ -128,3 +134,14 @@
     case.write(&right);
     assert_eq!(watch.next().await, ReloadResult::Changed);
 }
+
+#[tokio::test]
+async fn watch_reports_change_with_same_modification_time() {
+    let case = Case::new();
+    let modified = fs::metadata(case.path()).and_then(|file| file.modified()).expect("a time");
+    let mut watch = case.watch(NEVER_RAISED);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    case.write(&case.text("praha-b", KEY));
+    set_modified(&case.path(), modified);
+    assert_eq!(watch.next().await, ReloadResult::Changed);
+}
