A changed secret alone is reported as settings that differ

An operator who changed only the mesh key or the hash of a token and sent SIGHUP read "nothing has changed", although the daemon went on with the old secret and needed a restart. A change of the mesh key's file without SIGHUP was not seen at all, because only the settings file was looked at.

The cause is that the settings were compared by their debug text, in which secrets are hidden. They are now compared by a hash of that text and of the secrets, `Fingerprint`, from which neither can be read; and the watch looks at the content of the mesh key's file too. A secret counts from the next start on, like every other setting. A key from the environment cannot change under a running process, so it is compared only where the settings name another variable.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use argh::{EarlyExit, FromArgs};
-use cyclamen_daemon::reload::{SettingsFile, fingerprint};
+use cyclamen_daemon::reload::{Fingerprint, SettingsFile};
 use cyclamen_daemon::settings::{ProcessSettings, RawSettings, SettingsFaults};
 use cyclamen_daemon::{StartError, logging, run_daemon};
 use tokio::runtime::Builder;
@@ -101,7 +101,7 @@
         }
     };
     let (signals, hup) = signals;
-    let started_with = fingerprint(&settings);
+    let started_with = Fingerprint::of(&settings);
     let file = SettingsFile { path: path.into(), started_with, hup };
     match run_daemon(settings.daemon, Some(file), signals.received()).await {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -14,7 +14,7 @@
 #[cfg(test)]
 mod tests;
 
-/// How often the content of the file is compared with that last read.
+/// How often the contents of the files are compared with those last read.
 const CHECK_PERIOD: Duration = Duration::from_secs(5);
 
 /// A settings file and the signal that asks to read it again.
@@ -22,8 +22,8 @@
 pub struct SettingsFile {
     /// The path given on the command line.
     pub path: PathBuf,
-    /// [`fingerprint`] of the settings that the daemon runs with.
-    pub started_with: String,
+    /// The fingerprint of the settings that the daemon runs with.
+    pub started_with: Fingerprint,
     /// SIGHUP, registered before the daemon started.
     pub hup: Signal,
 }
@@ -31,9 +31,9 @@
 /// The result of reading the file again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReloadResult {
-    /// The settings equal those that the daemon runs with, apart from secrets.
+    /// The settings and their secrets equal those that the daemon runs with.
     Unchanged,
-    /// The settings differ; the new ones apply from the next start on.
+    /// The settings or their secrets differ; the new ones apply from the next start on.
     Changed,
     /// The file has faults, listed here as text; the settings are kept.
     Faults(String),
@@ -41,9 +41,12 @@
 
 impl ReloadResult {
     /// Compares the settings just read with the fingerprint of those that the daemon runs with.
-    pub fn compare(started_with: &str, read: Result<ProcessSettings, SettingsFaults>) -> Self {
+    pub fn compare(
+        started_with: Fingerprint,
+        read: Result<ProcessSettings, SettingsFaults>,
+    ) -> Self {
         match read {
-            Ok(settings) if fingerprint(&settings) == started_with => Self::Unchanged,
+            Ok(settings) if Fingerprint::of(&settings) == started_with => Self::Unchanged,
             Ok(_) => Self::Changed,
             Err(faults) => Self::Faults(faults.to_string()),
         }
@@ -61,28 +64,51 @@
     }
 }
 
-/// Returns a text that is equal for equal settings. Secrets are redacted in it, so a change of a
-/// secret alone does not show.
-pub fn fingerprint(settings: &ProcessSettings) -> String {
-    format!("{settings:?}")
+/// Equal for equal settings with equal secrets; neither can be read from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fingerprint(blake3::Hash);
+
+impl Fingerprint {
+    /// The fingerprint of these settings.
+    pub fn of(settings: &ProcessSettings) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        // The debug output hides the secrets.
+        hasher.update(format!("{settings:?}").as_bytes());
+        hasher.update(&settings.daemon.mesh_key.0);
+        for token in &settings.daemon.tokens {
+            hasher.update(&token.hash.0);
+        }
+        Self(hasher.finalize())
+    }
 }
 
-/// Reads the file again at the start, on SIGHUP and when its content has changed, and calls `report`
-/// with each result, until dropped; at the start only if there is something to tell. Returns when
-/// the signal stream ends.
+/// What the result of reading the settings depends on.
+#[derive(PartialEq)]
+struct Contents {
+    settings: Option<blake3::Hash>,
+    mesh_key: Option<blake3::Hash>,
+}
+
+/// Reads the file again at the start, on SIGHUP and when its content or that of the mesh key's file
+/// has changed, and calls `report` with each result, until dropped; at the start only if there is
+/// something to tell. Returns when the signal stream ends.
 ///
 /// Modification times are not enough: a file that is read half written may be completed within the
 /// resolution of its modification time, and a replaced file may keep the time of the old one.
 pub(crate) async fn watch(mut file: SettingsFile, report: impl Fn(&ReloadResult)) {
-    // Outer `None` before the first look.
     let mut seen = None;
+    let mut mesh_key_path = None;
     let mut requested = false;
     loop {
-        let latest = content_hash(&file.path);
+        let settings = content_hash(&file.path);
+        // A file that cannot be parsed tells no path; the last one known is kept.
+        mesh_key_path = mesh_key_path_in(&file.path).or(mesh_key_path);
+        let mesh_key = mesh_key_path.as_deref().and_then(content_hash);
+        let latest = Some(Contents { settings, mesh_key });
         let first = seen.is_none();
-        if requested || seen != Some(latest) {
-            seen = Some(latest);
-            let result = ReloadResult::compare(&file.started_with, read(&file.path));
+        if requested || seen != latest {
+            seen = latest;
+            let result = ReloadResult::compare(file.started_with, read(&file.path));
             if !first || result != ReloadResult::Unchanged {
                 info!("settings read again: {}", result.description());
                 report(&result);
@@ -102,6 +128,11 @@
     RawSettings::read(path)?.try_into()
 }
 
+/// The path of the mesh key's file that the settings name.
+fn mesh_key_path_in(path: &Path) -> Option<PathBuf> {
+    RawSettings::read(path).ok()?.mesh_key_path()
+}
+
 /// A hash of what a file contains; `None` if it cannot be read.
 fn content_hash(path: &Path) -> Option<blake3::Hash> {
     std::fs::read(path).ok().map(|content| blake3::hash(&content))
--- a/crates/daemon/src/reload/tests.rs
+++ b/crates/daemon/src/reload/tests.rs
@@ -1,4 +1,5 @@
-//! Tests that reloads go on after a faulty file, and that every change of the file is reported.
+//! Tests that reloads go on after a faulty file, and that every change of the file or of a secret
+//! is reported.
 
 use std::fs::{self, File};
 use std::process::Command;
@@ -21,12 +22,13 @@
 const NEVER_RAISED: SignalKind = SignalKind::user_defined2();
 
 const KEY: &str = "5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a";
+const OTHER_KEY: &str = "6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b6b";
 
 /// A folder with a settings file and the file of its mesh key.
 struct Case {
     dir: TempDir,
     /// What the daemon runs with: the first content of the file.
-    started_with: String,
+    started_with: Fingerprint,
 }
 
 impl Case {
@@ -35,7 +37,7 @@
         fs::write(dir.path().join("mesh.key"), KEY).expect("a key file");
         let path = dir.path().join("settings.yaml");
         fs::write(&path, settings_text(dir.path(), "praha-a", KEY)).expect("a settings file");
-        let started_with = fingerprint(&read(&path).expect("settings"));
+        let started_with = Fingerprint::of(&read(&path).expect("settings"));
         Self { dir, started_with }
     }
 
@@ -57,7 +59,7 @@
     fn watch(&self, kind: SignalKind) -> Watch {
         let hup = signal(kind).expect("a signal handler");
         let (tx, results) = mpsc::unbounded_channel();
-        let started_with = self.started_with.clone();
+        let started_with = self.started_with;
         let file = SettingsFile { path: self.path(), started_with, hup };
         let task = tokio::spawn(watch(file, move |result| {
             let _ = tx.send(result.clone());
@@ -145,3 +147,24 @@
     set_modified(&case.path(), modified);
     assert_eq!(watch.next().await, ReloadResult::Changed);
 }
+
+#[tokio::test]
+async fn watch_reports_changed_key_file() {
+    let case = Case::new();
+    let mut watch = case.watch(NEVER_RAISED);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fs::write(case.dir.path().join("mesh.key"), OTHER_KEY).expect("a key file");
+    assert_eq!(watch.next().await, ReloadResult::Changed);
+}
+
+#[test]
+fn compare_changed_secret_alone() {
+    let case = Case::new();
+    let result = || ReloadResult::compare(case.started_with, read(&case.path()));
+    assert_eq!(result(), ReloadResult::Unchanged);
+    case.write(&case.text("praha-a", OTHER_KEY));
+    assert_eq!(result(), ReloadResult::Changed);
+    case.write(&case.text("praha-a", KEY));
+    fs::write(case.dir.path().join("mesh.key"), OTHER_KEY).expect("a key file");
+    assert_eq!(result(), ReloadResult::Changed);
+}
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -66,6 +66,13 @@
             read_env: |name| std::env::var(name).ok(),
         })
     }
+
+    /// The file that the mesh key is read from; `None` if it comes from the environment, or if the
+    /// settings name no source.
+    pub(crate) fn mesh_key_path(&self) -> Option<PathBuf> {
+        let file = self.tree.get("mesh_key")?.get("file")?;
+        values::path(file).ok()
+    }
 }
 
 fn file_fault(path: &Path, problem: String, remedy: &str) -> SettingsFaults {
