A listener for callers alone honours no hop headers above its limit

Where daemons have a listener of their own, the listener for callers ignores hop headers; but its connections beyond `caller_connections` were served as those of daemons, so that whoever held an authentic hop header was given a slot of the local backend server there, past routing, although callers were being refused.

The cause is that `add_connection` turned every connection beyond the limit into one of a daemon. The reserve is meant for daemons that share a listener with callers, and has nothing to guard for them where they do not. A listener for callers now refuses every call there (`AcceptedClients::Nobody`), with the same response as before. The reserved connections themselves stay: on them a call is read before it is refused, so that the response cannot be lost to a reset, which the bare 503 of `refuse_connection` risks.

`accept_hop_call_beyond_limit_of_callers_is_refused` failed before: the response carried the hop header of a daemon. It also checks that the listener for daemons serves the call, and that the one for callers ignores the header below the limit.

--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -23,6 +23,8 @@
 mod response_writer;
 mod serve;
 mod tcp_options;
+#[cfg(test)]
+mod tests;
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -63,8 +65,7 @@
 impl CallServer {
     /// Starts serving calls on `listener`. Without `hops`, `listener` serves callers and other
     /// daemons. With it, other daemons connect to `hops`, and calls on `listener` are treated as
-    /// callers'; only on its connections beyond the limit for callers are calls from daemons served
-    /// instead.
+    /// callers', and refused on connections beyond the limit for callers.
     pub fn start(
         shared: SharedInstance,
         settings: &Settings,
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -28,8 +28,11 @@
 /// Largest request head, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 32 * 1024;
 
-/// Connections per listener beyond the limit for callers, on which only other daemons are served.
-const RESERVED_DAEMON_CONNECTIONS: usize = 1_024;
+/// Connections per listener beyond the limit for callers. A listener that daemons connect to serves
+/// only them there, so that callers cannot crowd them out. A listener for callers alone serves
+/// nobody there, but still reads a call before it refuses it: a connection that is closed with
+/// unread data is reset, and its response may be lost.
+const RESERVED_CONNECTIONS: usize = 1_024;
 
 /// Pause after a failed accept, so that a lasting failure does not keep the loop busy.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
@@ -70,6 +73,18 @@
     Callers,
     /// Daemons only; calls without a valid hop header are rejected.
     Daemons,
+    /// Nobody; every call is rejected.
+    Nobody,
+}
+
+impl AcceptedClients {
+    /// Whom the connections beyond the limit for callers serve.
+    fn beyond_caller_limit(self) -> Self {
+        match self {
+            Self::Any | Self::Daemons => Self::Daemons,
+            Self::Callers | Self::Nobody => Self::Nobody,
+        }
+    }
 }
 
 /// Accepts connections until [`ShutdownPhase::Closing`], or until none is open while draining, then
@@ -131,11 +146,12 @@
     connections: &mut JoinSet<()>,
 ) {
     let max_callers = ctx.max_caller_connections();
-    if connections.len() >= max_callers + RESERVED_DAEMON_CONNECTIONS {
+    if connections.len() >= max_callers + RESERVED_CONNECTIONS {
         connections.spawn(refuse_connection(stream));
         return;
     }
-    let clients = if connections.len() >= max_callers { AcceptedClients::Daemons } else { clients };
+    let beyond_limit = connections.len() >= max_callers;
+    let clients = if beyond_limit { clients.beyond_caller_limit() } else { clients };
     connections.spawn(serve_connection(ctx.clone(), stream, phase.clone(), clients));
 }
 
@@ -211,17 +227,24 @@
     req: Request<Incoming>,
     clients: AcceptedClients,
 ) -> Response<ResponseBody> {
-    if clients == AcceptedClients::Callers {
-        return outbound::serve(ctx, req).await;
+    match clients {
+        AcceptedClients::Callers => return outbound::serve(ctx, req).await,
+        AcceptedClients::Nobody => return reject_connection(),
+        AcceptedClients::Any | AcceptedClients::Daemons => {}
     }
     match ctx.hop_seal.verify_call(ctx.wall_now(), &req) {
         Ok(hop_call) => inbound::serve(ctx, hop_call, req).await,
         Err(HopError::Replayed(hop_call)) => inbound::refuse_replayed(&ctx, &hop_call),
         Err(HopError::Missing | HopError::Forged) if clients == AcceptedClients::Daemons => {
-            let mut response = local_reply::rejected(Rejection::TooManyConnections);
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            response
+            reject_connection()
         }
         Err(HopError::Missing | HopError::Forged) => outbound::serve(ctx, req).await,
     }
 }
+
+/// The response to a call on a connection that does not serve its client; it closes the connection.
+fn reject_connection() -> Response<ResponseBody> {
+    let mut response = local_reply::rejected(Rejection::TooManyConnections);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/calls/tests.rs
@@ -0,0 +1,119 @@
+//! Tests of the call proxy of one daemon with a listener of its own for daemons, by calls whose hop
+//! headers are authentic.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cyclamen_declarations::{Criticality, Labels};
+use cyclamen_membership::{Addresses, MeshKey};
+use http::Request;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::calls::hop::{HOP_REQUEST_HEADER, HOP_RESPONSE_HEADER, HopCall, HopSeal};
+use crate::calls::nested_calls::AncestorServices;
+use crate::settings::PlatformSettings;
+use crate::{LimitSettings, RunningDaemon, Settings, start};
+
+const KEY: MeshKey = MeshKey([7; 32]);
+
+/// A daemon that accepts one connection of a caller. Nothing serves its store.
+struct Daemon {
+    running: RunningDaemon,
+    callers: SocketAddr,
+    hop_seal: HopSeal,
+}
+
+impl Daemon {
+    async fn start() -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let callers = free_address();
+        let settings = Settings {
+            instance: "praha-a-1".parse().expect("a name"),
+            domain: "praha-a".parse().expect("a name"),
+            region: "cz-stred".parse().expect("a name"),
+            labels: Labels::default(),
+            listen: Addresses { calls: callers, peer: free, admin: free },
+            peers: Vec::new(),
+            log_service: SocketAddr::from(([127, 0, 0, 1], 9)),
+            platform: Some(PlatformSettings {
+                store: SocketAddr::from(([127, 0, 0, 1], 9)),
+                hops: free,
+                ready: free,
+                announcements: free,
+                service: "dvere".parse().expect("a name"),
+            }),
+            mesh_key: KEY,
+            tokens: Vec::new(),
+            limits: LimitSettings { caller_connections: 1, ..LimitSettings::default() },
+            statsd: None,
+            metrics_listen: None,
+            decision_log: None,
+            seed: Some(7),
+        };
+        let running = start(settings, None).await.expect("free ports");
+        Self { running, callers, hop_seal: HopSeal::new(&KEY) }
+    }
+
+    /// The listener for other daemons.
+    fn hops(&self) -> SocketAddr {
+        self.running.addresses.calls
+    }
+
+    /// A call for the backend server `server` with an authentic hop header.
+    fn sealed_call(&self, server: &str) -> String {
+        let hop_call = HopCall {
+            server: server.parse().expect("a name"),
+            route: "doors".parse().expect("a name"),
+            id: self.hop_seal.next_id(),
+            time_left: Duration::from_secs(5),
+            latency_target_left: None,
+            criticality: Criticality::Normal,
+            idempotent: false,
+            ancestors: AncestorServices::default(),
+        };
+        let req = Request::get("/").body(()).expect("a request");
+        let now = self.running.shared.now().wall;
+        let header = self.hop_seal.seal_call(now, &hop_call, &req).expect("a header");
+        let header = header.to_str().expect("text");
+        format!(
+            "GET / HTTP/1.1\r\nhost: dvere\r\n{HOP_REQUEST_HEADER}: {header}\r\n\
+             connection: close\r\n\r\n"
+        )
+    }
+}
+
+/// An address that was free a moment ago.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+/// Sends bytes over a new connection and reads until the daemon closes it.
+async fn exchange(to: SocketAddr, bytes: &str) -> String {
+    let mut stream = TcpStream::connect(to).await.expect("a connection");
+    stream.write_all(bytes.as_bytes()).await.expect("a daemon that reads");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.expect("a response");
+    response
+}
+
+#[tokio::test]
+async fn accept_hop_call_beyond_limit_of_callers_is_refused() {
+    let daemon = Daemon::start().await;
+    let at_hops = exchange(daemon.hops(), &daemon.sealed_call("dvere-1")).await;
+    assert!(at_hops.contains(HOP_RESPONSE_HEADER), "daemons are served there: {at_hops}");
+    let below = exchange(daemon.callers, &daemon.sealed_call("dvere-1")).await;
+    assert!(!below.contains(HOP_RESPONSE_HEADER), "a call of a caller: {below}");
+    let held = TcpStream::connect(daemon.callers).await.expect("a connection");
+    let plain = "GET / HTTP/1.1\r\nhost: dvere\r\n\r\n".to_owned();
+    for call in [daemon.sealed_call("dvere-1"), plain] {
+        let beyond = exchange(daemon.callers, &call).await;
+        assert!(!beyond.contains(HOP_RESPONSE_HEADER), "only callers are served: {beyond}");
+        assert!(beyond.starts_with("HTTP/1.1 503 "), "{beyond}");
+        assert!(beyond.contains("retry-after: 1"), "{beyond}");
+        assert!(beyond.contains("x-cyclamen-outcome: not-run"), "{beyond}");
+    }
+    drop(held);
+    daemon.running.kill().await;
+}
