run_seconds leaves out calls that no server ran

An operator who read `cyclamen_run_seconds` beside a backend server that could not be connected to, or that shed, saw its calls as runs of a fraction of a millisecond, so that the server looked faster the worse it was, and its count did not fit the calls that had run.

The cause is that every send was recorded, whatever came of it. Recorded is now what the server ran or may have run: a response, unless it reports the call as not run and the call was sent only once; a connection that broke, and a timeout.

`run_seconds_without_calls_that_never_ran` failed before: 1 run after a call to an address where nothing listens (0 wanted); it goes on with a server that sheds (0) and one that answers (1).

--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -136,7 +136,8 @@
         self.slots.get_or_create(&EndLabel { end }).inc();
     }
 
-    /// Records the time from sending a call to a local backend server to its response or failure.
+    /// Records the time from sending a call to a local backend server to its response or failure,
+    /// of a call that the server ran or may have run.
     pub(crate) fn record_run(&self, took: Duration) {
         self.run_seconds.observe(took.as_secs_f64());
     }
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -202,7 +202,9 @@
     let resend = if call.idempotent { ResendPolicy::Allowed } else { ResendPolicy::Never };
     let sent = ctx.server_pool.send(call.address, req, until, resend).await;
     let latency = ctx.mono_now().since(started);
-    ctx.metrics.record_run(latency);
+    if may_have_run(&ctx.headers, &sent) {
+        ctx.metrics.record_run(latency);
+    }
     if let Some(sample) = served_sample(&sent, latency) {
         slot.report(sample);
     }
@@ -222,7 +224,7 @@
     if !echoes_request_id(&ctx.headers, response_headers, request_id.as_ref()) {
         return InboundOutcome::Unknown;
     }
-    if ctx.headers.not_run.as_ref().is_some_and(|name| response_headers.contains_key(name)) {
+    if reports_not_run(&ctx.headers, response_headers) {
         slot.outcome = RunOutcome::Shed(latency);
         // If the call was resent, the server may have run it when it was first sent.
         return if exchange.resent {
@@ -362,6 +364,21 @@
     echo.is_none() || echo == request_id
 }
 
+/// Whether the backend server may have run the call, by how sending it ended.
+fn may_have_run(names: &CallHeaders, sent: &Result<Exchange, SendFailure>) -> bool {
+    match sent {
+        Ok(exchange) => exchange.resent || !reports_not_run(names, exchange.response.headers()),
+        Err(SendFailure::Reset | SendFailure::TimedOut) => true,
+        Err(SendFailure::NotConnected | SendFailure::Unsent) => false,
+    }
+}
+
+/// Whether a response carries the header by which a backend server reports that it did not run the
+/// call; false if no such header is configured.
+fn reports_not_run(names: &CallHeaders, headers: &HeaderMap) -> bool {
+    names.not_run.as_ref().is_some_and(|name| headers.contains_key(name))
+}
+
 /// Whether a response carries the header that proves that a backend server created it; true if no
 /// such header is configured.
 fn has_proof(names: &CallHeaders, headers: &HeaderMap) -> bool {
--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -6,9 +6,11 @@
 
 use cyclamen_declarations::{Criticality, Labels};
 use cyclamen_membership::{Addresses, MeshKey};
+use cyclamenmoor::Announcement;
 use http::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 
 use crate::calls::hop::{HOP_REQUEST_HEADER, HOP_RESPONSE_HEADER, HopCall, HopSeal};
 use crate::calls::nested_calls::AncestorServices;
@@ -21,13 +23,14 @@
 struct Daemon {
     running: RunningDaemon,
     callers: SocketAddr,
+    metrics: SocketAddr,
     hop_seal: HopSeal,
 }
 
 impl Daemon {
     async fn start() -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
-        let callers = free_address();
+        let (callers, metrics) = (free_address(), free_address());
         let settings = Settings {
             instance: "praha-a-1".parse().expect("a name"),
             domain: "praha-a".parse().expect("a name"),
@@ -47,12 +50,12 @@
             tokens: Vec::new(),
             limits: LimitSettings { caller_connections: 1, ..LimitSettings::default() },
             statsd: None,
-            metrics_listen: None,
+            metrics_listen: Some(metrics),
             decision_log: None,
             seed: Some(7),
         };
         let running = start(settings, None).await.expect("free ports");
-        Self { running, callers, hop_seal: HopSeal::new(&KEY) }
+        Self { running, callers, metrics, hop_seal: HopSeal::new(&KEY) }
     }
 
     /// The listener for other daemons.
@@ -81,6 +84,36 @@
              connection: close\r\n\r\n"
         )
     }
+
+    /// Announces the local backend server `server` at `address`, with one slot.
+    fn announce(&self, server: &str, address: SocketAddr) {
+        let announcement = Announcement {
+            order: None,
+            cold: Duration::ZERO,
+            name: server.parse().expect("a name"),
+            service: "dvere".parse().expect("a name"),
+            version: "v1".parse().expect("a name"),
+            labels: Labels::default(),
+            slots: 1,
+            connections: 8,
+            address,
+            draining: false,
+        };
+        self.running.shared.with(|instance, now, out| {
+            instance.announce_server(now, &announcement, out).expect("an announcement that holds");
+        });
+    }
+
+    /// Sends a call to the backend server `server`; returns the response and the number of runs
+    /// that the metrics show afterwards.
+    async fn call_and_count_runs(&self, server: &str) -> (String, u64) {
+        let response = exchange(self.hops(), &self.sealed_call(server)).await;
+        let get = "GET / HTTP/1.1\r\nhost: praha-a-1\r\nconnection: close\r\n\r\n";
+        let metrics = exchange(self.metrics, get).await;
+        let count =
+            metrics.lines().find_map(|line| line.strip_prefix("cyclamen_run_seconds_count "));
+        (response, count.expect("the count").parse().expect("a number"))
+    }
 }
 
 /// An address that was free a moment ago.
@@ -98,6 +131,31 @@
     response
 }
 
+/// A backend server that gives one response, with the header `name`, on each connection.
+async fn raw_server(status: &'static str, name: String) -> (SocketAddr, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("its address");
+    let serve = async move {
+        let response = format!("HTTP/1.1 {status}\r\n{name}: 1\r\ncontent-length: 0\r\n\r\n");
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn({
+                let response = response.clone();
+                async move {
+                    let mut head = Vec::new();
+                    while let Ok(byte) = stream.read_u8().await {
+                        head.push(byte);
+                        if head.ends_with(b"\r\n\r\n") {
+                            let _ = stream.write_all(response.as_bytes()).await;
+                            head.clear();
+                        }
+                    }
+                }
+            });
+        }
+    };
+    (address, tokio::spawn(serve))
+}
+
 #[tokio::test]
 async fn accept_hop_call_beyond_limit_of_callers_is_refused() {
     let daemon = Daemon::start().await;
@@ -117,3 +175,26 @@
     drop(held);
     daemon.running.kill().await;
 }
+
+#[tokio::test]
+async fn run_seconds_without_calls_that_never_ran() {
+    let daemon = Daemon::start().await;
+    let names = cyclamen_platform::call_headers();
+    let not_run = names.not_run.expect("a header").to_string();
+    let (shedding, _shedding_task) = raw_server("503 Service Unavailable", not_run).await;
+    let proof = names.proof.expect("a header").to_string();
+    let (answering, _answering_task) = raw_server("200 OK", proof).await;
+    daemon.announce("absent-1", free_address());
+    let (response, runs) = daemon.call_and_count_runs("absent-1").await;
+    assert!(response.contains("v2 down "), "{response}");
+    assert_eq!(runs, 0, "nothing listens at the address of the server");
+    daemon.announce("shedding-1", shedding);
+    let (response, runs) = daemon.call_and_count_runs("shedding-1").await;
+    assert!(response.contains("v2 shed "), "{response}");
+    assert_eq!(runs, 0, "the server did not run the call");
+    daemon.announce("answering-1", answering);
+    let (response, runs) = daemon.call_and_count_runs("answering-1").await;
+    assert!(response.contains("v2 ran "), "{response}");
+    assert_eq!(runs, 1);
+    daemon.running.kill().await;
+}
