explain keeps the steps of attempts within a millisecond apart

An operator who had a call explained that made two attempts within a millisecond, as calls do that are shed or refused at once, read the slots and runs of all attempts first and the placings of the later attempts after them: the steps of two attempts were mixed.

The cause is that lines of the hosting daemon carry no number of their attempt and were sorted as those of the first. They carry the name of the server, as `placed` does, so they now sort as those of the first attempt at that server that was under way at their time. Only attempts at one server that share a millisecond cannot be told apart, and sort as before.

`explain_attempts_within_a_millisecond` (three servers, lines in reverse and by daemon) and `explain_attempts_at_one_server_in_later_milliseconds` failed before: slot and run lines of attempts 2 and 3 stood before their placings.

--- a/crates/decisions/src/explain.rs
+++ b/crates/decisions/src/explain.rs
@@ -32,7 +32,10 @@
             call_lines.push((line, decision));
         }
     }
-    call_lines.sort_by_key(|(line, decision)| (line.at_ms, order_within_millisecond(decision)));
+    let times = attempt_times(&call_lines);
+    call_lines.sort_by_key(|(line, decision)| {
+        (line.at_ms, order_within_millisecond(line, decision, &times))
+    });
     let mut explanation = Explanation::default();
     for (line, decision) in &call_lines {
         explanation.steps.push(format!("{} {}: {}", line.at_ms, line.instance, describe(decision)));
@@ -42,13 +45,61 @@
     explanation
 }
 
-/// Sort key that puts decisions of the same millisecond into the order in which they are made. The
-/// decisions of the hosting daemon carry no attempt number and sort as those of the first attempt.
-fn order_within_millisecond(decision: &CallDecision) -> u32 {
+/// Where an attempt of a call was made, and when.
+struct AttemptTime<'a> {
+    attempt: u32,
+    server: &'a str,
+    placed_at_ms: u64,
+    /// `u64::MAX` if no line tells.
+    ended_at_ms: u64,
+}
+
+/// The placed attempts of a call, in the order in which they were made.
+fn attempt_times<'a>(call_lines: &[(&LogLine, &'a CallDecision)]) -> Vec<AttemptTime<'a>> {
+    let mut times = Vec::new();
+    for (line, decision) in call_lines {
+        let CallDecision::Placed { attempt, server, .. } = decision else {
+            continue;
+        };
+        let ended = call_lines.iter().find(|(_, decision)| {
+            matches!(decision, CallDecision::Attempted { attempt: ended, .. } if ended == attempt)
+        });
+        times.push(AttemptTime {
+            attempt: *attempt,
+            server,
+            placed_at_ms: line.at_ms,
+            ended_at_ms: ended.map_or(u64::MAX, |(line, _)| line.at_ms),
+        });
+    }
+    times.sort_by_key(|time| time.attempt);
+    times
+}
+
+/// The attempt that a line of the hosting daemon of `server` belongs to, which carries no attempt
+/// number: the first one there that was under way at the time of the line, or else the first one
+/// there. Attempts at one server that share the millisecond of the line cannot be told apart. The
+/// line counts as of the first attempt if none at that server is known.
+fn attempt_of_hosting_line(line: &LogLine, server: &str, times: &[AttemptTime<'_>]) -> u32 {
+    let there = || times.iter().filter(|time| time.server == server);
+    let under_way =
+        |time: &&AttemptTime<'_>| (time.placed_at_ms..=time.ended_at_ms).contains(&line.at_ms);
+    there().find(under_way).or_else(|| there().next()).map_or(1, |time| time.attempt)
+}
+
+/// Sort key that puts decisions of the same millisecond into the order in which they are made.
+fn order_within_millisecond(
+    line: &LogLine,
+    decision: &CallDecision,
+    times: &[AttemptTime<'_>],
+) -> u32 {
     match decision {
         CallDecision::Placed { attempt, .. } => attempt * STEPS_PER_ATTEMPT,
-        CallDecision::Slot { .. } => STEPS_PER_ATTEMPT + 1,
-        CallDecision::Ran { .. } => STEPS_PER_ATTEMPT + 2,
+        CallDecision::Slot { server, .. } => {
+            attempt_of_hosting_line(line, server, times) * STEPS_PER_ATTEMPT + 1
+        }
+        CallDecision::Ran { server, .. } => {
+            attempt_of_hosting_line(line, server, times) * STEPS_PER_ATTEMPT + 2
+        }
         CallDecision::Attempted { attempt, .. } => attempt * STEPS_PER_ATTEMPT + 3,
         CallDecision::Ended { .. } => u32::MAX,
     }
--- a/crates/decisions/tests/lines.rs
+++ b/crates/decisions/tests/lines.rs
@@ -1,5 +1,7 @@
 //! Log lines: their JSON form, sampling, rate limit, and explanations of calls.
 
+use std::sync::Arc;
+
 use cyclamen_decisions::{
     AttemptEnd, Belief, CallDecision, CallEnd, Decision, LineBudget, LineKind, LogLine, Sampling,
     SlotAnswer, explain,
@@ -75,6 +77,57 @@
     insta::assert_debug_snapshot!(explain("c-1", &lines));
 }
 
+/// The decisions of an attempt at `server` that it shed, all made at 10 ms.
+fn shed_attempt(attempt: u32, server: &str) -> [LogLine; 4] {
+    let server: Arc<str> = server.into();
+    let mut placed = placed(attempt);
+    if let CallDecision::Placed { server: placed_at, .. } = &mut placed {
+        *placed_at = server.clone();
+    }
+    let (answer, running, waiting, limit, left_ms) = (SlotAnswer::Run, 1, 0, 13, 1_170);
+    let slot =
+        CallDecision::Slot { server: server.clone(), answer, running, waiting, limit, left_ms };
+    let end = AttemptEnd::Shed;
+    let ran = CallDecision::Ran { server: server.clone(), end, took_ms: 0.1 };
+    let attempted = CallDecision::Attempted { attempt, server, end, took_ms: 0.2 };
+    [
+        call_line(10, "a", placed),
+        call_line(10, "b", slot),
+        call_line(10, "b", ran),
+        call_line(10, "a", attempted),
+    ]
+}
+
+#[test]
+fn explain_attempts_within_a_millisecond() {
+    let mut lines = Vec::new();
+    for (attempt, server) in [(1, "dvere-1"), (2, "dvere-2"), (3, "dvere-3")] {
+        lines.extend(shed_attempt(attempt, server));
+    }
+    lines.push(call_line(10, "a", ended(CallEnd::Refused, 503)));
+    let wanted: Vec<String> =
+        lines.iter().flat_map(|line| explain("c-1", std::slice::from_ref(line)).steps).collect();
+    lines.reverse();
+    assert_eq!(explain("c-1", &lines).steps, wanted);
+    // As daemons write them: each its own lines.
+    lines.sort_by_key(|line| line.instance.clone());
+    assert_eq!(explain("c-1", &lines).steps, wanted);
+}
+
+#[test]
+fn explain_attempts_at_one_server_in_later_milliseconds() {
+    let mut lines = Vec::new();
+    for (attempt, at_ms) in [(1, 10), (2, 12)] {
+        for line in shed_attempt(attempt, "dvere-1") {
+            lines.push(LogLine { at_ms, ..line });
+        }
+    }
+    let wanted: Vec<String> =
+        lines.iter().flat_map(|line| explain("c-1", std::slice::from_ref(line)).steps).collect();
+    lines.reverse();
+    assert_eq!(explain("c-1", &lines).steps, wanted);
+}
+
 #[test]
 fn explain_each_end() {
     let cases = [
