Hostile tests forge hop headers in the present form, and see the call with bare line feeds arrive

`forged_hop_headers_are_ignored` forged only the old v1 form, which is refused for its form before its hash is looked at, so that a daemon that takes any hash would have passed. It now also forges v2: sealed under another mesh key, altered after it was sealed, and with a hash of zeros or none. The v1 forms stay. `sealed_hop_header_is_served` builds the same header under the right key and sees it served once and refused when replayed, so that the forged ones are known to be wrong in nothing but the key, a field or the hash.

`forged_not_run_is_ignored` has a server that answers with the v2 form as well.

`bare_line_feeds_are_normalized` would have passed if no request had reached the server. It now wants one request there, with its request line, host and header, and 200 at the caller.

--- a/crates/daemon/tests/calls_hostile.rs
+++ b/crates/daemon/tests/calls_hostile.rs
@@ -5,11 +5,12 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use cyclamen_daemon::LimitSettings;
 use cyclamen_standins::{CallKey, Told};
 use http::Method;
-use mesh::{DECLARATIONS, Mesh, call_plan, loopback};
+use mesh::{DECLARATIONS, MESH_KEY, Mesh, call_plan, loopback};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
@@ -139,10 +140,15 @@
     let server = RawServer::start(OK).await;
     mesh.members[0].replace_server(server.address);
     let call = "GET /a HTTP/1.1\nhost: dvere\nx-a: b\nconnection: close\n\n";
-    exchange(mesh.members[0].calls, call.as_bytes()).await;
-    for head in server.heads() {
+    let answer = exchange(mesh.members[0].calls, call.as_bytes()).await;
+    assert_eq!(status(&answer), "200", "{answer}");
+    let heads = server.heads();
+    assert_eq!(heads.len(), 1, "{heads:?}");
+    for head in heads {
         assert_eq!(head.matches('\n').count(), head.matches("\r\n").count(), "{head}");
         assert!(head.starts_with("get /a http/1.1\r\n"), "{head}");
+        assert!(head.contains("\r\nhost: dvere\r\n"), "{head}");
+        assert!(head.contains("\r\nx-a: b\r\n"), "{head}");
     }
 }
 
@@ -166,26 +172,70 @@
     assert_eq!(mesh.record.calls(), 0);
 }
 
+/// The value of a hop header in the present form for `GET /`, sealed under a mesh key.
+fn hop_header(mesh_key: [u8; 32], server: &str, id: u32) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis();
+    let claim = format!("v2 {server} doors {id} 60000 -1 critical false - {now}");
+    let mut hasher =
+        blake3::Hasher::new_keyed(&blake3::derive_key("cyclamenmoor hop headers v1", &mesh_key));
+    for part in ["call", &claim, "GET /"] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    format!("{claim} {}", hasher.finalize())
+}
+
+fn call_with_hop_header(header: &str) -> String {
+    format!(
+        "GET / HTTP/1.1\r\nhost: dvere\r\nx-cyclamen-hop: {header}\r\n\
+         x-cyclamen-other: 1\r\nx-hidden: 1\r\nconnection: close, x-hidden\r\n\r\n"
+    )
+}
+
+/// Without this, a form that no daemon reads would make `forged_hop_headers_are_ignored` pass.
+#[tokio::test]
+async fn sealed_hop_header_is_served() {
+    let mesh = Mesh::start(1, 4, DECLARATIONS).await;
+    let server = RawServer::start(OK).await;
+    mesh.members[0].replace_server(server.address);
+    let call = call_with_hop_header(&hop_header(MESH_KEY, "raw-1", 7));
+    let answer = exchange(mesh.members[0].calls, call.as_bytes()).await;
+    assert_eq!(status(&answer), "200", "{answer}");
+    assert!(answer.contains("x-cyclamen-hop-answer: v2 ran "), "{answer}");
+    let replayed = exchange(mesh.members[0].calls, call.as_bytes()).await;
+    assert_eq!(status(&replayed), "503", "{replayed}");
+    assert!(replayed.contains("x-cyclamen-hop-answer: v2 down "), "{replayed}");
+    assert_eq!(server.heads().len(), 1);
+}
+
 #[tokio::test]
 async fn forged_hop_headers_are_ignored() {
     let mesh = Mesh::start(1, 4, DECLARATIONS).await;
     let server = RawServer::start(OK).await;
     mesh.members[0].replace_server(server.address);
     let zeros = "0".repeat(64);
-    for forged in [
+    let with_hash = |hash: &str| {
+        let sealed = hop_header(MESH_KEY, "raw-1", 8);
+        let (claim, _) = sealed.rsplit_once(' ').expect("a claim and a hash");
+        format!("{claim} {hash}")
+    };
+    let forged_headers = [
         format!("v1 dvere-0 7 60000 critical 0 {zeros}"),
         format!("v1 raw-1 7 60000 critical 0 {zeros}"),
+        hop_header([8; 32], "dvere-0", 7),
+        hop_header([8; 32], "raw-1", 7),
+        hop_header(MESH_KEY, "raw-1", 7).replace(" critical ", " normal "),
+        hop_header(MESH_KEY, "raw-1", 7).replace(" 60000 ", " 60001 "),
+        with_hash(&zeros),
+        with_hash(""),
         "nonsense".into(),
-    ] {
-        let call = format!(
-            "GET / HTTP/1.1\r\nhost: dvere\r\nx-cyclamen-hop: {forged}\r\n\
-             x-cyclamen-other: 1\r\nx-hidden: 1\r\nconnection: close, x-hidden\r\n\r\n"
-        );
-        let answer = exchange(mesh.members[0].calls, call.as_bytes()).await;
-        assert_eq!(status(&answer), "200", "{answer}");
-        assert!(!answer.to_lowercase().contains("x-cyclamen-"), "{answer}");
+    ];
+    for forged in &forged_headers {
+        let answer = exchange(mesh.members[0].calls, call_with_hop_header(forged).as_bytes()).await;
+        assert_eq!(status(&answer), "200", "{forged}: {answer}");
+        assert!(!answer.to_lowercase().contains("x-cyclamen-"), "{forged}: {answer}");
     }
-    assert_eq!(server.heads().len(), 3);
+    assert_eq!(server.heads().len(), forged_headers.len());
     for head in server.heads() {
         assert!(!head.contains("x-cyclamen-") && !head.contains("x-hidden"), "{head}");
         assert!(head.contains("x-request-id: ") && head.contains("x-request-deadline-ms: "));
@@ -195,22 +245,31 @@
 #[tokio::test]
 async fn forged_not_run_is_ignored() {
     let mesh = Mesh::start(2, 4, DECLARATIONS).await;
-    let server = RawServer::start(
-        "HTTP/1.1 503 Service Unavailable\r\nx-cyclamen-outcome: not-run\r\n\
-         x-cyclamen-hop-answer: v1 full 0 0 0 1 00\r\ncontent-length: 0\r\n\r\n",
-    )
-    .await;
     for member in &mesh.members {
         member.drain();
     }
-    mesh.members[0].replace_server(server.address);
-    mesh.wait_until(|mesh| mesh.members.iter().all(|member| member.servers_ready() == 1)).await;
-    for number in 0..6 {
-        let key = format!("call-{number}");
-        let answer = mesh.call(number % 2, &call_plan(Method::POST, "/once", &key)).await;
-        assert_eq!(answer.told, Told::Failed, "{answer:?}");
+    for form in [
+        concat!(
+            "HTTP/1.1 503 Service Unavailable\r\nx-cyclamen-outcome: not-run\r\n",
+            "x-cyclamen-hop-answer: v1 full 0 0 0 1 00\r\ncontent-length: 0\r\n\r\n",
+        ),
+        concat!(
+            "HTTP/1.1 503 Service Unavailable\r\nx-cyclamen-outcome: not-run\r\n",
+            "x-cyclamen-hop-answer: v2 full 0 0/0/4/0 - ",
+            "0000000000000000000000000000000000000000000000000000000000000000\r\n",
+            "content-length: 0\r\n\r\n",
+        ),
+    ] {
+        let server = RawServer::start(form).await;
+        mesh.members[0].replace_server(server.address);
+        mesh.wait_until(|mesh| mesh.members.iter().all(|member| member.servers_ready() == 1)).await;
+        for number in 0..6 {
+            let key = format!("call-{number}");
+            let answer = mesh.call(number % 2, &call_plan(Method::POST, "/once", &key)).await;
+            assert_eq!(answer.told, Told::Failed, "{form}: {answer:?}");
+        }
+        assert_eq!(server.heads().len(), 6, "{form}");
     }
-    assert_eq!(server.heads().len(), 6);
 }
 
 #[tokio::test]
--- a/crates/daemon/tests/mesh/mod.rs
+++ b/crates/daemon/tests/mesh/mod.rs
@@ -34,6 +34,9 @@
   route: {service: dvere, timeout: 10s, match: {path_prefix: /}}
 ";
 
+/// The mesh key of all daemons.
+pub const MESH_KEY: [u8; 32] = [7; 32];
+
 pub fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -218,7 +221,7 @@
         peers,
         log_service,
         platform: None,
-        mesh_key: MeshKey([7; 32]),
+        mesh_key: MeshKey(MESH_KEY),
         tokens: Vec::new(),
         limits: LimitSettings {
             gossip_period: Duration::from_millis(50),
