--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -169,7 +169,8 @@
         self.losses.get_or_create(&CauseLabel { cause }).inc();
     }
 
-    /// Records the time from sending a call to a local backend server to its response or failure.
+    /// Records the time from sending a call to a local backend server to its response or failure,
+    /// of a call that the server ran or may have run.
     pub(crate) fn record_run(&self, took: Duration) {
         self.run_seconds.observe(took.as_secs_f64());
     }
