--- a/crates/cyclamenmoor/src/event.rs
+++ b/crates/cyclamenmoor/src/event.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_declarations::Labels;
 use cyclamen_distribution::{Fetch, LogBatch, LogReadError, PeerResponse};
@@ -51,6 +52,9 @@
     /// Position among the announcements for the same name or address. With `None`, the
     /// announcement that arrives last wins.
     pub order: Option<AnnouncementOrder>,
+    /// How much longer the server is slow because it has just started. The instance does not use
+    /// this value.
+    pub cold: Duration,
 }
 
 /// Orders the announcements of a backend server, and those of servers that listen on the same
--- a/crates/daemon/src/store/view.rs
+++ b/crates/daemon/src/store/view.rs
@@ -101,6 +101,11 @@
         self.config.as_ref().map(|(_, config)| config.number)
     }
 
+    /// The limits on requests of callers; `None` before a configuration was read.
+    pub fn limits(&self) -> Option<CallerLimits> {
+        self.config.as_ref().map(|(_, config)| config.limits)
+    }
+
     /// Applies records of operators, each with its offset; `next_offset` is the offset after the
     /// last record read. `now` becomes the start of moves that are new. A record older than the
     /// known one of its kind and service changes nothing, and neither does a configuration with a
--- a/crates/daemon/tests/mesh/mod.rs
+++ b/crates/daemon/tests/mesh/mod.rs
@@ -241,6 +241,7 @@
     let options = server.options();
     Announcement {
         order: None,
+        cold: Duration::ZERO,
         name: options.name.clone(),
         service: options.service.clone(),
         version: options.version.clone(),
--- a/crates/measure/src/converge/fleet.rs
+++ b/crates/measure/src/converge/fleet.rs
@@ -182,6 +182,7 @@
         settings.listen = running.addresses;
         let server = Announcement {
             order: None,
+            cold: Duration::ZERO,
             name: format!("server-of-{}", settings.instance).parse()?,
             service: "dvere".parse()?,
             version: "v1".parse()?,
--- a/crates/measure/src/slopes.rs
+++ b/crates/measure/src/slopes.rs
@@ -197,6 +197,7 @@
 fn announcement(number: usize) -> anyhow::Result<Announcement> {
     Ok(Announcement {
         order: None,
+        cold: Duration::ZERO,
         name: ServerName::try_from(format!("server-{number}"))?,
         service: ServiceName::try_from(format!("service-{}", number % SERVICES))?,
         version: VersionName::try_from("v1")?,
