Connections beyond all limits: the refusal is not lost to a reset

A caller whose connection was beyond the limits got a 503 that was written before its call had arrived, and a closed socket: its call met a reset, and often the refusal was lost with it.

The connection is closed as others are: the sending side first, then what arrives is discarded, 300 ms at most for all of it. At most 256 such connections are open at a time; further ones are closed at once.

connection_beyond_all_limits_is_not_reset_while_it_sends_its_call failed before (broken pipe).

--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -44,8 +44,11 @@
 /// one more call.
 const LAST_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest time to write [`OVERLOAD_RESPONSE`].
-const OVERLOAD_RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest time to write [`OVERLOAD_RESPONSE`] and to close its connection.
+const OVERLOAD_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Most connections that are sent [`OVERLOAD_RESPONSE`] at a time; further ones are closed at once.
+const MAX_REFUSED_CONNECTIONS: usize = 256;
 
 /// The response to a connection beyond the connection limits; its calls are not read.
 const OVERLOAD_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
@@ -149,7 +152,11 @@
     connections: &mut JoinSet<()>,
 ) {
     let max_callers = ctx.max_caller_connections();
-    if connections.len() >= max_callers + RESERVED_CONNECTIONS {
+    let max_served = max_callers + RESERVED_CONNECTIONS;
+    if connections.len() >= max_served + MAX_REFUSED_CONNECTIONS {
+        return;
+    }
+    if connections.len() >= max_served {
         connections.spawn(refuse_connection(stream));
         return;
     }
@@ -159,9 +166,13 @@
 }
 
 async fn refuse_connection(mut stream: TcpStream) {
-    let write = stream.write_all(OVERLOAD_RESPONSE);
-    // The client may not read the response, so the write is bounded and its result ignored.
-    let _ = tokio::time::timeout(OVERLOAD_RESPONSE_TIMEOUT, write).await;
+    let refuse = async {
+        if stream.write_all(OVERLOAD_RESPONSE).await.is_ok() {
+            close(stream).await;
+        }
+    };
+    // The client may not read the response or close, so the time is bounded and the end ignored.
+    let _ = tokio::time::timeout(OVERLOAD_RESPONSE_TIMEOUT, refuse).await;
 }
 
 async fn serve_connection(
--- a/crates/daemon/tests/calls_hostile.rs
+++ b/crates/daemon/tests/calls_hostile.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use cyclamen_daemon::LimitSettings;
@@ -321,3 +322,22 @@
     }
     drop(held);
 }
+
+#[tokio::test]
+async fn connection_beyond_all_limits_is_not_reset_while_it_sends_its_call() {
+    let limits = LimitSettings { caller_connections: 4, ..LimitSettings::default() };
+    let mesh = Mesh::start_with(1, 4, DECLARATIONS, limits).await;
+    let mut held = Vec::new();
+    for _ in 0..4 + 1_024 {
+        held.push(TcpStream::connect(mesh.members[0].calls).await.expect("a connection"));
+    }
+    let mut stream = TcpStream::connect(mesh.members[0].calls).await.expect("a connection");
+    for part in ["GET / HTTP/1.1\r\n", "host: dvere\r\n", "\r\n"] {
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        stream.write_all(part.as_bytes()).await.expect("an open connection");
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an orderly end");
+    assert_eq!(status(&answer), "503", "{answer}");
+    drop(held);
+}
