Slots: serve late calls newest first by when they were queued

Operators see nothing of it: daemons serve oldest first.

Cause: `next_late` looked for the end of the run of calls with the sort key of the first one by bisection, but late calls are not sorted by that key.

Evidence: `finish_late_calls_newest_first` gave [1, 3, 2] instead of [3, 2, 1] on the code before. `finish_late_calls_oldest_first` passed before and guards the order that daemons use.

Late calls of a class have one priority, in the order in which they were found late, so the newest is the last one; it agrees with `evict_for`, which removes the first one in that order.

--- a/crates/routing/src/slots/queue.rs
+++ b/crates/routing/src/slots/queue.rs
@@ -107,14 +107,18 @@
         next_in_class(&self.on_time[class], order)
     }
 
-    /// The next late call of a class, without removing it. Late calls are not ordered by
-    /// [`sort_key`], so [`QueueOrder::NewestFirst`] does not always give the newest one.
+    /// The next late call of a class, without removing it. Late calls all have the same priority,
+    /// whatever their latest start.
     pub(super) fn next_late(
         &self,
         criticality: Criticality,
         order: QueueOrder,
     ) -> Option<QueuedCall> {
-        next_in_class(&self.late[class_index(criticality)], order)
+        let late = &self.late[class_index(criticality)];
+        match order {
+            QueueOrder::OldestFirst => late.front().copied(),
+            QueueOrder::NewestFirst => late.back().copied(),
+        }
     }
 
     /// Removes a call to make room for one of this class: a late one of any class, else one of a
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -18,14 +18,18 @@
 
 const TEN_MS: RunOutcome = RunOutcome::Answered(Duration::from_millis(10));
 
-fn slots(slots: u32, queue: u32) -> Slots {
-    Slots::new(SlotsSettings {
+fn settings(slots: u32, queue: u32) -> SlotsSettings {
+    SlotsSettings {
         slots,
         queue,
         queue_wait: Duration::from_millis(200),
         adaptive: true,
         order: QueueOrder::OldestFirst,
-    })
+    }
+}
+
+fn slots(slots: u32, queue: u32) -> Slots {
+    Slots::new(settings(slots, queue))
 }
 
 fn admit(slots: &mut Slots, micros: u64, call: u64, class: Criticality) -> Admission {
@@ -188,6 +192,39 @@
     assert_eq!(limit_after(&mut slots, 3_000_000, 2 * second, TEN_MS), 16);
 }
 
+/// The order in which calls that can no longer meet their targets are served.
+fn late_calls_served(order: QueueOrder) -> Vec<u64> {
+    let mut slots = slots(1, 10);
+    let settings = SlotsSettings { order, ..settings(1, 10) };
+    slots.set_settings(settings);
+    admit(&mut slots, 0, 0, Normal);
+    slots.finish(at(40_000), CallId(0), TEN_MS);
+    admit(&mut slots, 40_000, 0, Normal);
+    for (call, target) in [(1, 60_000), (2, 80_000), (3, 70_000)] {
+        let target_at = Mono(target);
+        let request = SlotRequest { target_at, ..SlotRequest::new(Normal, Mono::NEVER) };
+        let admission = slots.admit(at(40_000 + call), CallId(call), &request, &mut Vec::new());
+        assert_eq!(admission, Admission::Queued);
+    }
+    let mut served = Vec::new();
+    let mut last = CallId(0);
+    while let [next] = slots.finish(at(50_000), last, TEN_MS)[..] {
+        served.push(next.0);
+        last = next;
+    }
+    served
+}
+
+#[test]
+fn finish_late_calls_newest_first() {
+    assert_eq!(late_calls_served(QueueOrder::NewestFirst), [3, 2, 1]);
+}
+
+#[test]
+fn finish_late_calls_oldest_first() {
+    assert_eq!(late_calls_served(QueueOrder::OldestFirst), [1, 2, 3]);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Admit(Criticality, u64),
