Router: the pause before a retry is no latency of the server it goes to

Operators would see a server that gets retries appear slower than it is, by up to the 100 ms of the longest pause, and get fewer calls for it; routes with retries appear to take longer, so that answers with a server error are delivered although there is time for another attempt.

Cause: the start of an attempt was taken when its server was picked. For a retry that is before the pause that `Next::Retry` asks for.

An attempt now starts at the end of the pause. An attempt that ends within the pause has taken no time, since `Mono::since` does not go below zero. Not covered: the at most 50 ms in which the daemon collects the answer that it keeps while it retries a server error still count.

--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -134,8 +134,8 @@
     split_point: SplitPoint,
     /// Servers of earlier attempts.
     tried: FastSet<ServerName>,
-    /// When the server of the latest attempt was picked. The delay of [`Next::Retry`] follows only
-    /// then, so times measured from here include it.
+    /// When the latest attempt is sent: when its server was picked, or for a retry the delay of
+    /// [`Next::Retry`] later.
     attempt_started: Mono,
     /// Whether the latest attempt was answered and its body is under way.
     answered: bool,
@@ -383,6 +383,7 @@
             tried: FastSet::default(),
             previous_attempts: 0,
             may_have_run: false,
+            starts_at: now,
         };
         self.start_attempt(now, plan)
     }
@@ -441,7 +442,7 @@
             route: plan.route,
             split_point: plan.split_point,
             tried: plan.tried,
-            attempt_started: now,
+            attempt_started: plan.starts_at,
             answered: false,
             reached_attempts: plan.reached_attempts,
             may_have_run: plan.may_have_run,
@@ -514,6 +515,8 @@
     deadline: Mono,
     previous_attempts: u32,
     may_have_run: bool,
+    /// When the attempt is sent.
+    starts_at: Mono,
 }
 
 fn idempotent(rule: Idempotence, method: &str) -> bool {
--- a/crates/routing/src/router/retries.rs
+++ b/crates/routing/src/router/retries.rs
@@ -74,6 +74,7 @@
             deadline: last.deadline,
             previous_attempts: last.previous_attempts + 1,
             may_have_run: true,
+            starts_at: now,
         };
         let service = plan.service.clone();
         let Ok(retry) = self.start_attempt(now, plan) else {
@@ -151,6 +152,7 @@
             route: call.route,
             split_point: call.split_point,
             tried: call.tried,
+            starts_at: now + delay,
         };
         let service = plan.service.clone();
         match self.start_attempt(now, plan) {
--- a/crates/routing/src/router/route_times.rs
+++ b/crates/routing/src/router/route_times.rs
@@ -1,4 +1,4 @@
-//! Average time of attempts by route, from picking a server to the head of the answer, measured at
+//! Average time of attempts by route, from sending one to the head of the answer, measured at
 //! this daemon over all servers.
 //!
 //! Where the routes of a service take very different times, a server that happened to get more of
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -515,3 +515,58 @@
 fn cancelled_early_says_nothing_about_the_server() {
     assert_eq!(cancelled_in_own_domain(300), 40);
 }
+
+/// Makes calls whose first two attempts are refused, so that the third one waits, and that are
+/// answered 1 ms after that wait. Returns the last time in microseconds.
+fn answer_after_waits(router: &mut Router) -> u64 {
+    let refused = Outcome::RefusedByDaemon { retry_after: Duration::ZERO };
+    let mut now = at(0);
+    for _ in 0..20 {
+        let mut attempt = router.begin(now, &head("GET", "/")).expect("a server is picked");
+        for _ in 0..2 {
+            let Next::Retry(next, pause) = router.finish(now, attempt.id, refused) else {
+                panic!("a refused call is retried");
+            };
+            now = now + pause;
+            attempt = next;
+        }
+        now = now + Duration::from_millis(1);
+        assert_eq!(router.finish(now, attempt.id, OK), Next::Deliver);
+        router.end_body(now, attempt.id, true);
+    }
+    now.mono.0
+}
+
+/// A call takes 1 ms, so 3 ms are enough for a retry.
+#[test]
+fn finish_pause_before_a_retry_is_no_time_of_the_route() {
+    let mut router = router_with_extra_attempts();
+    let now = at(answer_after_waits(&mut router));
+    let deadline = now.mono + Duration::from_millis(3);
+    let call = CallHead { deadline, ..head("GET", "/") };
+    let attempt = router.begin(now, &call).expect("a server is picked");
+    let next = router.finish(now, attempt.id, SERVER_ERROR);
+    assert!(matches!(next, Next::Retry(..)), "{next:?}");
+}
+
+/// Each server answers 1 ms after a call is sent.
+#[test]
+fn finish_pause_before_a_retry_is_no_latency_of_its_server() {
+    let mut router = router_with_extra_attempts();
+    let now = at(answer_after_waits(&mut router));
+    let attempt = router.begin(now, &head("GET", "/")).expect("a server is picked");
+    assert!(attempt.selection.expected < Duration::from_millis(4), "{:?}", attempt.selection);
+}
+
+/// A router that makes two more attempts of calls that have not reached a server.
+fn router_with_extra_attempts() -> Router {
+    let settings = RouterSettings {
+        retries: RetryLimits { extra_unsent_attempts: 2, ..Default::default() },
+        domain: "praha-a".try_into().expect("valid name"),
+        region: "cz-stred".try_into().expect("valid name"),
+    };
+    let mut router = Router::new(settings, 1);
+    assert!(router.install(Arc::new(common::table(TWO_VERSIONS))));
+    router.set_servers(at(0), &three_servers());
+    router
+}
