Router: a call of unknown outcome is told why, of the attempt that may have run

Seen by callers: "the connection broke before the answer" after a last attempt that was surely not run, or was cancelled, whatever happened to the earlier one that may have run: it may have timed out, or its server may have answered with an error that was not kept.

Cause: the router kept only whether an earlier attempt may have run, and made the reason from the outcome of the last one. `not_retryable_refusal` of the daemon had one text for all.

Evidence: `finish_refusal_is_true_of_all_attempts` goes through each pair of (earlier, last) outcomes, with one more attempt cancelled. Kinds were right for all on the code before; the reason was false after `TimedOut` and an attempt that was not run, where it stopped first. `finish_refusal_names_an_earlier_server_error` got "the connection broke" after an answer with status 500.

The router now keeps the outcome of the last earlier attempt that may have run and gives its reason, unless the last attempt may have run itself. The daemon takes the text from the same place, `Refusal::outcome_unknown`. There is one new text, for a server error of which no answer is left.

--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cyclamen_decisions::CallEnd;
-use cyclamen_routing::{Attempt, CallHead, Next, Refusal, RefusalKind};
+use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal, RefusalKind};
 use cyclamen_types::{Mono, ServiceName};
 use http::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use http::request::Parts;
@@ -147,7 +147,7 @@
     mut trace: Option<DecisionTrace>,
 ) -> Response<ResponseBody> {
     let mut current = first_attempt;
-    let mut may_have_run = false;
+    let mut possible_run = None;
     let mut fallback = None;
     loop {
         let Some(attempt_body) = body.for_attempt() else {
@@ -164,7 +164,9 @@
         if let Some(trace) = &mut trace {
             trace.record_attempt(number, &server, result.outcome, began);
         }
-        may_have_run |= !result.outcome.not_run();
+        if !result.outcome.not_run() {
+            possible_run = Some(result.outcome);
+        }
         let current_ancestors = current.ancestors().clone();
         let (next, body_end) = current.finish(&result);
         if body.exceeded_limit() && next != Next::Deliver {
@@ -187,7 +189,7 @@
                 if !body.is_retryable() {
                     return match fallback {
                         Some(response) => answered(ctx, arrived, trace, response),
-                        None => refuse(ctx, arrived, trace, &not_retryable_refusal(may_have_run)),
+                        None => refuse(ctx, arrived, trace, &not_retryable_refusal(possible_run)),
                     };
                 }
                 tokio::time::sleep(pause).await;
@@ -197,16 +199,15 @@
 }
 
 /// The refusal of a call that would be retried if its body were not partly sent already.
-fn not_retryable_refusal(may_have_run: bool) -> Refusal {
-    let (kind, reason) = match may_have_run {
-        false => (
-            RefusalKind::Unavailable,
-            "the call was not run and its body is too large to be held: send it again",
-        ),
-        true => (
-            RefusalKind::OutcomeUnknown,
-            "the connection broke before the answer; the call may have run: look up whether it did",
-        ),
-    };
-    Refusal { kind, reason: reason.into(), retry_after: None }
+/// `possible_run` is the outcome of its last attempt that may have run.
+fn not_retryable_refusal(possible_run: Option<Outcome>) -> Refusal {
+    match possible_run {
+        Some(outcome) => Refusal::outcome_unknown(outcome),
+        None => Refusal {
+            kind: RefusalKind::Unavailable,
+            reason: "the call was not run and its body is too large to be held: send it again"
+                .into(),
+            retry_after: None,
+        },
+    }
 }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -142,9 +142,9 @@
     /// Earlier attempts of which bytes may have reached a backend server, see
     /// [`Outcome::reached_server`]. They include attempts that the server shed.
     reached_attempts: u32,
-    /// Whether an earlier attempt may have run, see [`Outcome::not_run`]. An attempt that the
-    /// server shed did not run.
-    may_have_run: bool,
+    /// The outcome of the last earlier attempt that may have run, see [`Outcome::not_run`]; `None`
+    /// if none may have. An attempt that the server shed did not run.
+    earlier_run: Option<Outcome>,
 }
 
 /// Matches calls to routes and backend servers, and decides on retries.
@@ -382,7 +382,7 @@
             split_point,
             tried: FastSet::default(),
             previous_attempts: 0,
-            may_have_run: false,
+            earlier_run: None,
             starts_at: now,
         };
         self.start_attempt(now, plan)
@@ -445,7 +445,7 @@
             attempt_started: plan.starts_at,
             answered: false,
             reached_attempts: plan.reached_attempts,
-            may_have_run: plan.may_have_run,
+            earlier_run: plan.earlier_run,
         };
         self.calls.insert(attempt.id, call);
         Ok(attempt)
@@ -514,7 +514,7 @@
     idempotent: bool,
     deadline: Mono,
     previous_attempts: u32,
-    may_have_run: bool,
+    earlier_run: Option<Outcome>,
     /// When the attempt is sent.
     starts_at: Mono,
 }
--- a/crates/routing/src/router/refusals.rs
+++ b/crates/routing/src/router/refusals.rs
@@ -44,16 +44,25 @@
     refusal(RefusalKind::OutcomeUnknown, reason, None)
 }
 
-pub(super) fn outcome_unknown(outcome: Outcome) -> Refusal {
-    let reason = match outcome {
-        Outcome::TimedOut => {
-            "no answer came in time; the call may have run: look up whether it did"
-        }
-        _ => {
-            "the connection broke before the answer; the call may have run: look up whether it did"
-        }
-    };
-    refusal(RefusalKind::OutcomeUnknown, reason, None)
+impl Refusal {
+    /// The refusal of a call that may have run in an attempt with this outcome, and that no answer
+    /// is left of.
+    pub fn outcome_unknown(outcome: Outcome) -> Self {
+        let reason = match outcome {
+            Outcome::TimedOut => {
+                "no answer came in time; the call may have run: look up whether it did"
+            }
+            Outcome::Answered { .. } => {
+                "a backend server failed the call, and nothing is left of its answer; the call may \
+                 have run: look up whether it did"
+            }
+            _ => {
+                "the connection broke before the answer; the call may have run: look up whether \
+                 it did"
+            }
+        };
+        refusal(RefusalKind::OutcomeUnknown, reason, None)
+    }
 }
 
 /// The refusal after an attempt that is not followed by another one.
@@ -68,7 +77,7 @@
                 "no backend server could be reached; the call was not run: come back later";
             refusal(RefusalKind::Unavailable, reason, Some(DEFAULT_RETRY_AFTER))
         }
-        _ => outcome_unknown(outcome),
+        _ => Refusal::outcome_unknown(outcome),
     }
 }
 
@@ -76,6 +85,6 @@
 pub(super) fn no_time_to_retry(outcome: Outcome) -> Refusal {
     match outcome {
         _ if outcome.not_run() => expired(),
-        _ => outcome_unknown(outcome),
+        _ => Refusal::outcome_unknown(outcome),
     }
 }
--- a/crates/routing/src/router/retries.rs
+++ b/crates/routing/src/router/retries.rs
@@ -8,7 +8,7 @@
 
 use cyclamen_types::{Mono, ServiceName};
 
-use crate::call::{Attempt, AttemptId, MIN_SERVER_ERROR_STATUS, Next, Outcome};
+use crate::call::{Attempt, AttemptId, MIN_SERVER_ERROR_STATUS, Next, Outcome, Refusal};
 use crate::router::{ActiveCall, AttemptPlan, Router, RouterMode, refusals};
 
 /// HTTP status of a server that ran out of time. An answer with it is delivered without a retry.
@@ -73,7 +73,7 @@
             idempotent: true,
             deadline: last.deadline,
             previous_attempts: last.previous_attempts + 1,
-            may_have_run: true,
+            earlier_run: Some(Outcome::Answered { status }),
             starts_at: now,
         };
         let service = plan.service.clone();
@@ -91,19 +91,20 @@
     }
 
     /// Decides what follows an attempt without an answer. If any attempt of the call may have run,
-    /// the refusal says that the outcome is unknown, even if the last attempt was not run.
+    /// the refusal says that the outcome is unknown, for the reason of the last such attempt.
     pub(super) fn after_unanswered(
         &mut self,
         now: Mono,
         call: ActiveCall,
         outcome: Outcome,
     ) -> Next {
-        let earlier_may_have_run = call.may_have_run;
-        match self.retry_or_refuse(now, call, outcome) {
-            Next::Refuse(_) if earlier_may_have_run => {
-                Next::Refuse(refusals::outcome_unknown(outcome))
+        let earlier_run = call.earlier_run;
+        let next = self.retry_or_refuse(now, call, outcome);
+        match earlier_run {
+            Some(earlier) if outcome.not_run() && matches!(next, Next::Refuse(_)) => {
+                Next::Refuse(Refusal::outcome_unknown(earlier))
             }
-            next => next,
+            _ => next,
         }
     }
 
@@ -115,7 +116,7 @@
             return Next::Refuse(refusals::cancelled());
         }
         if !not_run && !last.idempotent && !baseline {
-            return Next::Refuse(refusals::outcome_unknown(outcome));
+            return Next::Refuse(Refusal::outcome_unknown(outcome));
         }
         let refusal = refusals::after_attempt(outcome);
         let delay = retry_delay(outcome, last.previous_attempts);
@@ -148,7 +149,7 @@
             deadline: last.deadline,
             idempotent: last.idempotent,
             previous_attempts: last.previous_attempts + 1,
-            may_have_run: call.may_have_run || !not_run,
+            earlier_run: if not_run { call.earlier_run } else { Some(outcome) },
             route: call.route,
             split_point: call.split_point,
             tried: call.tried,
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -570,3 +570,81 @@
     router.set_servers(at(0), &three_servers());
     router
 }
+
+/// The ends of attempts that are retried, and of which the call may have run.
+const MAY_HAVE_RUN: [Outcome; 2] = [Outcome::Reset, Outcome::TimedOut];
+
+fn surely_not_run() -> [Outcome; 3] {
+    let retry_after = Duration::from_millis(20);
+    [Outcome::NotConnected, Outcome::RefusedByDaemon { retry_after }, Outcome::Shed { retry_after }]
+}
+
+/// What a caller is told after attempts that end like this; the last one gets no retry, because
+/// there is no fourth server.
+fn refusal_after(outcomes: &[Outcome]) -> cyclamen_routing::Refusal {
+    let mut router = router_with_extra_attempts();
+    router.set_servers(at(0), &three_servers()[..outcomes.len()]);
+    let mut now = at(0);
+    let mut attempt = router.begin(now, &head("GET", "/")).expect("a server is picked");
+    for (number, outcome) in outcomes.iter().enumerate() {
+        now = now + Duration::from_millis(1);
+        match router.finish(now, attempt.id, *outcome) {
+            Next::Retry(next, pause) if number + 1 < outcomes.len() => {
+                now = now + pause;
+                attempt = next;
+            }
+            Next::Refuse(refusal) if number + 1 == outcomes.len() => return refusal,
+            next => panic!("{next:?} after attempt {number} of {outcomes:?}"),
+        }
+    }
+    unreachable!("the last attempt returns");
+}
+
+#[test]
+fn finish_refusal_is_true_of_all_attempts() {
+    let reason_of = |outcome| match outcome {
+        Outcome::TimedOut => "no answer came in time",
+        _ => "the connection broke before the answer",
+    };
+    for last in surely_not_run() {
+        for earlier in surely_not_run() {
+            let refusal = refusal_after(&[earlier, last]);
+            assert_ne!(refusal.kind, RefusalKind::OutcomeUnknown, "{earlier:?}, {last:?}");
+            assert!(refusal.reason.contains("the call was not run"), "{refusal:?}");
+        }
+        for earlier in MAY_HAVE_RUN {
+            let refusal = refusal_after(&[earlier, last]);
+            assert_eq!(refusal.kind, RefusalKind::OutcomeUnknown, "{earlier:?}, {last:?}");
+            assert!(refusal.reason.starts_with(reason_of(earlier)), "{refusal:?}");
+        }
+    }
+    for last in MAY_HAVE_RUN {
+        for earlier in surely_not_run().into_iter().chain(MAY_HAVE_RUN) {
+            let refusal = refusal_after(&[earlier, last]);
+            assert_eq!(refusal.kind, RefusalKind::OutcomeUnknown, "{earlier:?}, {last:?}");
+            assert!(refusal.reason.starts_with(reason_of(last)), "{refusal:?}");
+        }
+    }
+    for earlier in surely_not_run().into_iter().chain(MAY_HAVE_RUN) {
+        let refusal = refusal_after(&[earlier, Outcome::Cancelled]);
+        assert_eq!(refusal.kind, RefusalKind::OutcomeUnknown);
+        assert!(refusal.reason.starts_with("the caller went away"), "{refusal:?}");
+    }
+}
+
+/// The answer to the first attempt, a server error, is not there any more when the retry ends.
+#[test]
+fn finish_refusal_names_an_earlier_server_error() {
+    let mut router = router_with_measured_calls();
+    let now = at(1_000_000);
+    let first = router.begin(now, &head("GET", "/")).expect("a server is picked");
+    let Next::Retry(second, _) = router.finish(now, first.id, SERVER_ERROR) else {
+        panic!("a server error is retried on another server");
+    };
+    router.set_servers(now, &three_servers()[..1]);
+    let Next::Refuse(refusal) = router.finish(now, second.id, Outcome::NotConnected) else {
+        panic!("no server is left for another attempt");
+    };
+    assert_eq!(refusal.kind, RefusalKind::OutcomeUnknown);
+    assert!(refusal.reason.starts_with("a backend server failed the call"), "{refusal:?}");
+}
