Slots: an expired call in the queue does not hold up the calls behind it

Callers would see calls refused after the whole queue wait although the backend server is idle; with few slots it lasts until the queue has emptied by expiry, because nothing runs whose end would start the next call.

Cause: a call whose wait is over stays queued until the timer of the daemon collects it. If a slot became free in between, `finish` looked at that call only and started none; `expire` starts none either. A call that arrived then was queued behind the expired one, and nothing started it.

Evidence, on the code before: `finish_starts_calls_behind_an_expired_one` got [] instead of [CallId(2)], `admit_runs_past_an_expired_call` got `Queued` instead of `Run`.

Expired calls are now passed over when the next call is sought, and do not count as ahead of a new one. They are still returned by `expire` alone.

--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -126,7 +126,7 @@
             return Admission::Refused(refusal);
         }
         let priority = QueuePriority { criticality, ancestors: request.ancestors };
-        if self.can_start_now(priority) {
+        if self.can_start_now(now, priority) {
             self.start(now, call, priority, request.route.clone());
             return Admission::Run;
         }
@@ -253,8 +253,8 @@
         (request.deadline <= now).then(expired)
     }
 
-    fn can_start_now(&self, priority: QueuePriority) -> bool {
-        self.queue.ahead_of(priority, Mono::NEVER) == 0 && self.has_slot(priority)
+    fn can_start_now(&self, now: Mono, priority: QueuePriority) -> bool {
+        !self.queue.is_any_ahead_of(now, priority) && self.has_slot(priority)
     }
 
     /// Records the origin of a call and returns whether its route carries nested calls: calls that
@@ -377,7 +377,7 @@
             }
         }
         for criticality in CLASSES {
-            while let Some(next) = self.queue.next_late(criticality, self.settings.order) {
+            while let Some(next) = self.queue.next_late(now, criticality, self.settings.order) {
                 if !self.start_next(now, criticality, next, &mut run) {
                     break;
                 }
@@ -396,9 +396,7 @@
         run: &mut Vec<CallId>,
     ) -> bool {
         let priority = QueuePriority { criticality, ancestors: next.ancestors };
-        // An expired call stays in the queue until `expire` returns it, so that its caller gets a
-        // refusal.
-        if next.expires_at <= now || !self.has_slot(priority) {
+        if !self.has_slot(priority) {
             return false;
         }
         self.queue.remove(next.call);
--- a/crates/routing/src/slots/queue.rs
+++ b/crates/routing/src/slots/queue.rs
@@ -79,6 +79,17 @@
         in_higher_classes + self.on_time[class].partition_point(|queued| queued.sort_key() <= key)
     }
 
+    /// Whether a call that has not expired goes before a new one with this priority that may wait
+    /// for as long as it takes. Late calls do not.
+    pub(super) fn is_any_ahead_of(&self, now: Mono, priority: QueuePriority) -> bool {
+        let class = class_index(priority.criticality);
+        let key = sort_key(priority.ancestors, Mono::NEVER);
+        let mut in_higher_classes = self.on_time[..class].iter().flatten();
+        let mut in_class = self.on_time[class].iter().take_while(|queued| queued.sort_key() <= key);
+        let alive = |queued: &QueuedCall| queued.expires_at > now;
+        in_higher_classes.any(alive) || in_class.any(alive)
+    }
+
     /// Adds a call that can still meet its target or has none.
     pub(super) fn push(&mut self, criticality: Criticality, queued: QueuedCall) {
         let class = &mut self.on_time[class_index(criticality)];
@@ -91,9 +102,9 @@
         self.late[class_index(criticality)].push_back(queued);
     }
 
-    /// The next call of a class that is not late, without removing it. Calls at the front that have
-    /// missed their latest start are moved to the late ones first; one behind a more deeply nested
-    /// call is found to be late only when it reaches the front.
+    /// The next call of a class that is neither late nor expired, without removing it. Calls at the
+    /// front that have missed their latest start are moved to the late ones first; one behind a
+    /// more deeply nested call is found to be late only when it reaches the front.
     pub(super) fn next_on_time(
         &mut self,
         now: Mono,
@@ -104,20 +115,22 @@
         while self.on_time[class].front().is_some_and(|queued| queued.start_by < now) {
             self.late[class].extend(self.on_time[class].pop_front());
         }
-        next_in_class(&self.on_time[class], order)
+        next_in_class(&self.on_time[class], now, order)
     }
 
-    /// The next late call of a class, without removing it. Late calls all have the same priority,
-    /// whatever their latest start.
+    /// The next late call of a class that has not expired, without removing it. Late calls all have
+    /// the same priority, whatever their latest start.
     pub(super) fn next_late(
         &self,
+        now: Mono,
         criticality: Criticality,
         order: QueueOrder,
     ) -> Option<QueuedCall> {
         let late = &self.late[class_index(criticality)];
+        let mut alive = late.iter().filter(|queued| queued.expires_at > now);
         match order {
-            QueueOrder::OldestFirst => late.front().copied(),
-            QueueOrder::NewestFirst => late.back().copied(),
+            QueueOrder::OldestFirst => alive.next().copied(),
+            QueueOrder::NewestFirst => alive.next_back().copied(),
         }
     }
 
@@ -188,15 +201,18 @@
     (Reverse(ancestors.depth), start_by)
 }
 
-/// The call of a class that goes first; `order` decides among those with the same sort key as the
-/// first one.
-fn next_in_class(class: &VecDeque<QueuedCall>, order: QueueOrder) -> Option<QueuedCall> {
+/// The call of a class that goes first and has not expired; `order` decides among those with the
+/// same sort key as the first one. An expired call stays queued until [`Queue::expire`] returns it,
+/// so that its caller gets a refusal, and must not hold up those behind it until then.
+fn next_in_class(class: &VecDeque<QueuedCall>, now: Mono, order: QueueOrder) -> Option<QueuedCall> {
+    let mut alive = class.iter().filter(|queued| queued.expires_at > now);
+    let first = alive.next()?;
     match order {
-        QueueOrder::OldestFirst => class.front().copied(),
+        QueueOrder::OldestFirst => Some(*first),
         QueueOrder::NewestFirst => {
-            let key = class.front()?.sort_key();
-            let equal_keys = class.partition_point(|queued| queued.sort_key() <= key);
-            class.get(equal_keys - 1).copied()
+            let key = first.sort_key();
+            let equal_keys = alive.take_while(|queued| queued.sort_key() == key);
+            Some(*equal_keys.last().unwrap_or(first))
         }
     }
 }
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -225,6 +225,26 @@
     assert_eq!(late_calls_served(QueueOrder::OldestFirst), [1, 2, 3]);
 }
 
+#[test]
+fn finish_starts_calls_behind_an_expired_one() {
+    let mut slots = slots(1, 10);
+    admit(&mut slots, 0, 0, Normal);
+    slots.admit(at(0), CallId(1), &SlotRequest::new(Normal, Mono(50_000)), &mut Vec::new());
+    admit(&mut slots, 0, 2, Normal);
+    assert_eq!(slots.finish(at(50_001), CallId(0), TEN_MS), [CallId(2)]);
+    assert_eq!(slots.expire(at(50_002)), [CallId(1)]);
+}
+
+#[test]
+fn admit_runs_past_an_expired_call() {
+    let mut slots = slots(1, 10);
+    admit(&mut slots, 0, 0, Normal);
+    slots.admit(at(0), CallId(1), &SlotRequest::new(Normal, Mono(50_000)), &mut Vec::new());
+    assert_eq!(slots.finish(at(50_001), CallId(0), TEN_MS), []);
+    assert_eq!(admit(&mut slots, 50_002, 2, Normal), Admission::Run);
+    assert_eq!(slots.expire(at(50_003)), [CallId(1)]);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Admit(Criticality, u64),
