Slots: without adjustment the limit is the announced slots

With `limits.adaptive_slots: false`, operators would see a backend server that announced fewer slots for a while run only that many calls at a time for ever, and the calls beyond refused as overloaded. A limit that was lowered by adjustment stayed as well once that was turned off; no daemon does that while it runs (a reload of the settings does not change it), only users of the crate.

Cause: only outcomes of calls raise the limit, and without adjustment they are not recorded.

Evidence, on the code before: in `set_settings_without_adjustment_takes_all_announced_slots` the limit stayed at 4 of 16 slots after 16, 4 and 16 were announced; in `set_settings_without_adjustment_ends_a_lowered_limit` it stayed at 4 of 16.

Settings without adjustment now start the limit anew at the announced slots. With adjustment nothing changes: there the limit rises again by itself.

--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -102,9 +102,14 @@
         }
     }
 
-    /// Replaces the settings. Calls that are running or queued are kept.
+    /// Replaces the settings. Calls that are running or queued are kept. Without
+    /// [`SlotsSettings::adaptive`], the limit becomes the announced slots.
     pub fn set_settings(&mut self, settings: SlotsSettings) {
-        self.limit.set_slots(settings.slots);
+        match settings.adaptive {
+            true => self.limit.set_slots(settings.slots),
+            // No outcome would raise a limit that was lowered before, or by fewer announced slots.
+            false => self.limit = AdaptiveLimit::new(settings.slots),
+        }
         self.settings = settings;
     }
 
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -245,6 +245,24 @@
     assert_eq!(slots.expire(at(50_003)), [CallId(1)]);
 }
 
+#[test]
+fn set_settings_without_adjustment_ends_a_lowered_limit() {
+    let mut slots = slots(16, 0);
+    let shed = RunOutcome::Shed(Duration::from_millis(1));
+    assert_eq!(limit_after(&mut slots, 1_000_000, Duration::from_secs(1), shed), 4);
+    slots.set_settings(SlotsSettings { adaptive: false, ..settings(16, 0) });
+    assert_eq!(slots.load().limit, 16);
+}
+
+#[test]
+fn set_settings_without_adjustment_takes_all_announced_slots() {
+    let mut slots = Slots::new(SlotsSettings { adaptive: false, ..settings(16, 0) });
+    for announced in [4, 16] {
+        slots.set_settings(SlotsSettings { adaptive: false, ..settings(announced, 0) });
+        assert_eq!(slots.load().limit, announced);
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Admit(Criticality, u64),
