Moves: a verdict of done ends a pause instead of leaving it at the full share

In that state the new version is not watched (no check starts), the watch never ends, and evidence is reported for ever. After the verdict the log takes only take-back, so no resume ends it.

Cause: `apply_done` goes to the last stage in every state, but a paused move has no transition to the watch; and the pause of the log goes on to hold afterwards.

The full share itself is right: the log orders, and the verdict also makes the new version that of the service, as at a daemon that starts after it. What was wrong is the pause beyond it. `apply_done` now resumes a paused move first, and an order to pause no longer holds once the log has a verdict of done, so that a move does not become paused after a check either.

Evidence, on the code before: `verdict_done_ends_a_pause` got Paused instead of Watched; `verdict_done_outranks_a_pause_after_a_check` got Paused instead of Moving.

--- a/crates/moves/src/active_move.rs
+++ b/crates/moves/src/active_move.rs
@@ -234,6 +234,13 @@
         }
     }
 
+    /// Whether an order to pause holds. It ends with a verdict of done, after which the log takes no
+    /// order to resume.
+    pub(crate) fn is_ordered_to_pause(&self) -> bool {
+        let done = |verdict: &MoveVerdict| verdict.kind == VerdictKind::Done;
+        self.order == Some(OrderAction::Pause) && !self.verdict.as_ref().is_some_and(done)
+    }
+
     /// Rolls the move back and keeps, of several rollbacks, the one with the least
     /// [`Rollback::precedence`]. Returns whether the move was not rolled back before.
     pub(crate) fn roll_back(&mut self, rollback: Rollback) -> bool {
@@ -354,11 +361,12 @@
     }
 
     /// Applies a verdict of done from the log: goes to the last stage without waiting for own
-    /// evidence. A move that is scheduled or moving is watched from now on; one
-    /// that is paused or in a check keeps its state. The watch ends at the latest one watch period
-    /// after the verdict or the deadline, whichever is later.
+    /// evidence. A move that is scheduled, moving or paused is watched from now on; one in a check
+    /// keeps its state. The watch ends at the latest one watch period after the verdict or the
+    /// deadline, whichever is later.
     fn apply_done(&mut self, now: Now, verdict: &MoveVerdict) {
         self.fire(MoveEvent::Start);
+        self.fire(MoveEvent::Resume);
         if self.stage != LAST_STAGE {
             self.mark_share_change(now);
         }
--- a/crates/moves/src/progress.rs
+++ b/crates/moves/src/progress.rs
@@ -20,7 +20,7 @@
     /// Enters at most one further stage.
     pub(crate) fn advance(&mut self, now: Now, slots: AnnouncedSlots) {
         self.announced_slots = Some(slots);
-        let paused = self.order == Some(OrderAction::Pause);
+        let paused = self.is_ordered_to_pause();
         match self.state() {
             MovePhase::Scheduled if !paused => self.start(now),
             MovePhase::Moving if paused => {
--- a/crates/moves/tests/orders_and_verdicts.rs
+++ b/crates/moves/tests/orders_and_verdicts.rs
@@ -110,6 +110,55 @@
     assert_eq!(phase(&moves), MovePhase::Watched);
 }
 
+/// After the verdict the log takes no order to resume, so the pause must not last beyond it.
+#[test]
+fn verdict_done_ends_a_pause() {
+    let pause = Some(OrderAction::Pause);
+    let mut moves = adopted(&config(None, None));
+    run(&mut moves, 0, 150, &even_slots);
+    moves.apply_config(at(150), &config(pause, None), &mut Vec::new());
+    run(&mut moves, 150, 160, &even_slots);
+    assert_eq!(phase(&moves), MovePhase::Paused);
+    let done = config(pause, Some(verdict(VerdictKind::Done)));
+    moves.apply_config(at(160), &done, &mut Vec::new());
+    assert_eq!(phase(&moves), MovePhase::Watched);
+    assert_eq!(moves.splits()[0].share_ppm, 1_000_000);
+    run(&mut moves, 160, 899, &even_slots);
+    assert_eq!(phase(&moves), MovePhase::Watched);
+    run(&mut moves, 899, 910, &even_slots);
+    assert_eq!(phase(&moves), MovePhase::Done);
+}
+
+/// After a check, the new version lacks slots for a while, so that the move is not watched at once.
+#[test]
+fn verdict_done_outranks_a_pause_after_a_check() {
+    let names = CallNames::new("lookup", 1);
+    let few_new = |_: &ServiceName, version: &VersionName| match version.as_str() {
+        "v2" => 10,
+        _ => 30,
+    };
+    let mut moves = adopted(&config(None, None));
+    run(&mut moves, 0, 150, &even_slots);
+    let done = config(Some(OrderAction::Pause), Some(verdict(VerdictKind::Done)));
+    moves.apply_config(at(150), &done, &mut Vec::new());
+    run(&mut moves, 150, 200, &even_slots);
+    let mut second = 200;
+    while phase(&moves) == MovePhase::Watched && second < 400 {
+        moves.record_call(at(second), &names.sample(true, true), &mut Vec::new());
+        run(&mut moves, second, second + 1, &even_slots);
+        second += 1;
+    }
+    assert_eq!(phase(&moves), MovePhase::Checking, "at second {second}");
+    while phase(&moves) == MovePhase::Checking && second < 800 {
+        run(&mut moves, second, second + 1, &few_new);
+        second += 1;
+    }
+    run(&mut moves, second, second + 5, &few_new);
+    assert_eq!(phase(&moves), MovePhase::Moving, "at second {second}");
+    run(&mut moves, second + 5, second + 10, &even_slots);
+    assert_eq!(phase(&moves), MovePhase::Watched, "at second {second}");
+}
+
 #[test]
 fn verdict_taken_back_after_done() {
     let mut moves = adopted(&config(None, None));
