Moves: a chart that does not fit the code is reported as that

Whoever edits the chart would be told something false when a daemon or a test panics on it: an event that the chart lacks was reported as "no state takes the event", a state that the code does not know as "no transitions lead to" it; an event that the code never fires and a state that is missing were not reported.

Cause: `MoveChart::load` borrowed two variants of `ChartError` for the misfits.

Evidence, on the code before, with the chart edited: `watch-over` renamed gave [UnusedEvent("watch-over")], `paused` renamed gave [Unreachable("halted")] and nothing about the state that was missing.

`MoveChartError` has a variant for each misfit. The tests in move_chart/tests.rs need `parse`, which takes the text of a chart, so they do not build on the code before; the output above was got by editing the chart.

Run: unit tests and tests/charts of cyclamen-moves, clippy.

--- a/crates/moves/src/move_chart.rs
+++ b/crates/moves/src/move_chart.rs
@@ -1,6 +1,9 @@
 //! The state chart of a move, with event and state names resolved to enum variants.
 
+use std::sync::Arc;
+
 use cyclamen_charts::{Chart, ChartError, EventIndex, StateIndex};
+use derive_more::{Display, Error};
 
 use crate::status::MovePhase;
 
@@ -45,6 +48,26 @@
     (MovePhase::TakenBack, "taken-back"),
 ];
 
+/// Why the chart of a move cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub(crate) enum MoveChartError {
+    /// The chart itself has an error.
+    #[display("{_0}")]
+    Chart(ChartError),
+    /// The code fires an event that the chart does not list.
+    #[display("the chart lists no event `{_0}`, which the code fires: list it")]
+    MissingEvent(#[error(not(source))] Arc<str>),
+    /// The chart lists an event that the code does not fire.
+    #[display("the code fires no event `{_0}`: remove it from the chart")]
+    UnknownEvent(#[error(not(source))] Arc<str>),
+    /// The chart lists no state for a phase.
+    #[display("the chart lists no state `{_0}`, which stands for a phase: list it")]
+    MissingState(#[error(not(source))] Arc<str>),
+    /// The chart lists a state that stands for no phase.
+    #[display("the state `{_0}` stands for no phase: remove it from the chart")]
+    UnknownState(#[error(not(source))] Arc<str>),
+}
+
 /// The chart of a move with its names resolved.
 #[derive(Clone, Debug)]
 pub(crate) struct MoveChart {
@@ -56,28 +79,45 @@
 }
 
 impl MoveChart {
-    /// Loads the chart and resolves its names.
+    /// Loads [`MOVE_CHART`] and resolves its names.
+    ///
+    /// # Errors
+    /// See [`MoveChart::parse`].
+    pub(crate) fn load() -> Result<Self, Vec<MoveChartError>> {
+        Self::parse(MOVE_CHART)
+    }
+
+    /// Loads a chart and resolves its names.
     ///
     /// # Errors
-    /// All errors of the chart. If the chart itself has none, names that do not match the enums are
-    /// reported with two of its variants, whose messages do not fit this case: a [`MoveEvent`] that
-    /// the chart does not list as [`ChartError::UnusedEvent`], and a chart state without a
-    /// [`MovePhase`] as [`ChartError::Unreachable`].
-    pub(crate) fn load() -> Result<Self, Vec<ChartError>> {
-        let chart = Chart::load(MOVE_CHART)?;
+    /// All errors of the chart. If the chart itself has none, every event and state that only the
+    /// chart or only the code has.
+    fn parse(yaml: &str) -> Result<Self, Vec<MoveChartError>> {
+        let chart = Chart::load(yaml)
+            .map_err(|errors| errors.into_iter().map(MoveChartError::Chart).collect::<Vec<_>>())?;
         let mut errors = Vec::new();
         let mut events = Vec::new();
         for (_, name) in EVENT_NAMES {
             match chart.event(name) {
                 Some(event) => events.push(event),
-                None => errors.push(ChartError::UnusedEvent(name.into())),
+                None => errors.push(MoveChartError::MissingEvent(name.into())),
+            }
+        }
+        for name in &chart.events {
+            if !EVENT_NAMES.iter().any(|(_, listed)| **listed == **name) {
+                errors.push(MoveChartError::UnknownEvent(name.clone()));
             }
         }
         let mut states = Vec::new();
         for name in &chart.states {
             match STATE_NAMES.iter().find(|(_, listed)| **listed == **name) {
                 Some((state, _)) => states.push(*state),
-                None => errors.push(ChartError::Unreachable(name.clone())),
+                None => errors.push(MoveChartError::UnknownState(name.clone())),
+            }
+        }
+        for (_, name) in STATE_NAMES {
+            if chart.state(name).is_none() {
+                errors.push(MoveChartError::MissingState(name.into()));
             }
         }
         if errors.is_empty() { Ok(Self { chart, events, states }) } else { Err(errors) }
@@ -99,3 +139,6 @@
         self.states[usize::from(state.0)]
     }
 }
+
+#[cfg(test)]
+mod tests;
