Calls: a body that outgrows its limit leaves no attempt in flight

Operators would see servers appear loaded by calls that have long ended, and get fewer for it, until the daemon restarts: each idempotent call with a streamed body beyond `body_bytes` left one attempt in flight. Such a call is also counted as a failure of the backend server, although its caller is at fault.

Cause: the daemon reports the broken attempt to the router, which plans another one, and returns the 413 without starting or reporting that one.

The daemon now reports the attempt as cancelled when the body broke it off, so that no other one is planned and no failure is counted. `attempts_in_flight` of the instance is new, for the test. The hosting daemon of another instance is not covered: it still sees a broken connection.

--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -64,6 +64,11 @@
         self.router.finish(now, attempt.id, outcome)
     }
 
+    /// Number of attempts under way, including those whose response body is still being forwarded.
+    pub fn attempts_in_flight(&self) -> usize {
+        self.router.in_flight()
+    }
+
     /// Reports how forwarding the response body of an attempt ended. Only a truncated body counts
     /// against the backend server.
     pub fn end_body(&mut self, now: Now, attempt: &Attempt, end: BodyEnd) {
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -246,6 +246,11 @@
         self.response.as_ref()?.body().size_hint().exact()
     }
 
+    /// Whether the head of a response arrived.
+    pub(super) fn is_answered(&self) -> bool {
+        matches!(self.outcome, Outcome::Answered { .. })
+    }
+
     /// Buffers the response, as a fallback in case later attempts get no better one. `None` without
     /// a response, or if its body is longer than [`MAX_FALLBACK_BODY_BYTES`] or does not arrive
     /// within [`FALLBACK_BODY_TIMEOUT`].
--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -167,11 +167,14 @@
         if !result.outcome.not_run() {
             possible_run = Some(result.outcome);
         }
-        let current_ancestors = current.ancestors().clone();
-        let (next, body_end) = current.finish(&result);
-        if body.exceeded_limit() && next != Next::Deliver {
+        if body.exceeded_limit() && !result.is_answered() {
+            // The drop reports the attempt as cancelled: the server did not fail, and no other one
+            // is to be tried.
+            drop(current);
             return local_reply::rejected(Rejection::GrewTooLarge);
         }
+        let current_ancestors = current.ancestors().clone();
+        let (next, body_end) = current.finish(&result);
         match next {
             Next::Deliver => {
                 return answered(ctx, arrived, trace, result.into_response(body_end));
--- a/crates/daemon/tests/calls_hostile.rs
+++ b/crates/daemon/tests/calls_hostile.rs
@@ -166,6 +166,31 @@
     assert_eq!(mesh.record.calls(), 0);
 }
 
+/// A PUT is idempotent, so the attempt that ends with the body could be followed by another one.
+#[tokio::test]
+async fn oversized_bodies_leave_no_attempt_and_no_failure() {
+    let mesh = Mesh::start(2, 4, DECLARATIONS_WITH_BODY_LIMIT).await;
+    let mut call = b"PUT / HTTP/1.1\r\nhost: dvere\r\nconnection: close\r\n\
+        transfer-encoding: chunked\r\n\r\n"
+        .to_vec();
+    for _ in 0..50 {
+        call.extend_from_slice(b"1000\r\n");
+        call.extend_from_slice(&[b'x'; 0x1000]);
+        call.extend_from_slice(b"\r\n");
+    }
+    for _ in 0..10 {
+        for member in &mesh.members {
+            let answer = exchange(member.calls, &call).await;
+            assert_eq!(status(&answer), "413", "{answer}");
+        }
+    }
+    for member in &mesh.members {
+        let shared = &member.daemon().shared;
+        assert_eq!(shared.read(|instance| instance.attempts_in_flight()), 0);
+        assert_eq!(shared.read(|instance| instance.dump().router.ejections), 0);
+    }
+}
+
 #[tokio::test]
 async fn forged_hop_headers_are_ignored() {
     let mesh = Mesh::start(1, 4, DECLARATIONS).await;
