Calls: a streamed body ends a call with the answer there is, or as unknown

Seen by callers: 502, outcome unknown, in place of the server's own answer with status 500 or above, where that answer is longer than 16 KiB and the body of an idempotent call was partly sent. By reading only: 408, which promises that the call was not run, where the body is found partly read at the start of a further attempt although an earlier one may have run.

Cause: the daemon collected the answer of a server error to hold it during a retry, and only then saw that the body allows none; an answer too long to hold was lost. The start of an attempt used `Rejection::BodyTimeout` for a body that did not arrive, which says nothing of earlier attempts.

Evidence: `long_server_error_to_a_streamed_body_is_passed_on` got 502 instead of 500 on the code before.

The daemon now looks at the body first and passes the answer on as it comes. A body that is found partly read later ends the call in the same way: with the answer kept, else as unknown (502) if an attempt may have run, else as not run (503). `BodyTimeout` remains for bodies that arrive too late before any attempt.

Run: calls_hostile and calls_path of cyclamen-daemon.

--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -261,6 +261,11 @@
         Some(Response::from_parts(parts, ResponseBody::buffered(body.to_bytes())))
     }
 
+    /// The response, if there is one, of an attempt that has ended for the instance.
+    pub(super) fn into_answer(self) -> Option<Response<ResponseBody>> {
+        self.response
+    }
+
     /// The response for the caller, whose body reports its end through `body_end`.
     pub(super) fn into_response(self, body_end: Option<BodyEndGuard>) -> Response<ResponseBody> {
         let response = self.response.unwrap_or_default();
--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -152,7 +152,7 @@
     loop {
         let Some(attempt_body) = body.for_attempt() else {
             // An earlier attempt read a part of the body after `is_retryable` was checked.
-            return local_reply::rejected(Rejection::BodyTimeout);
+            return give_up(ctx, arrived, trace, fallback, possible_run);
         };
         let (number, server) = (current.number(), current.server().clone());
         let began = ctx.mono_now();
@@ -188,19 +188,32 @@
             Next::Retry(attempt, pause) => {
                 let ancestors = current_ancestors;
                 current = ActiveAttempt::start(ctx, attempt, ancestors);
-                fallback = result.into_buffered().await.or(fallback);
                 if !body.is_retryable() {
-                    return match fallback {
-                        Some(response) => answered(ctx, arrived, trace, response),
-                        None => refuse(ctx, arrived, trace, &not_retryable_refusal(possible_run)),
-                    };
+                    let answer = result.into_answer().or(fallback);
+                    return give_up(ctx, arrived, trace, answer, possible_run);
                 }
+                fallback = result.into_buffered().await.or(fallback);
                 tokio::time::sleep(pause).await;
             }
         }
     }
 }
 
+/// Ends a call that would be retried if its body were not partly sent already: with the answer of
+/// an earlier attempt, if one is left.
+fn give_up(
+    ctx: &CallContext,
+    began: Mono,
+    trace: Option<DecisionTrace>,
+    answer: Option<Response<ResponseBody>>,
+    possible_run: Option<Outcome>,
+) -> Response<ResponseBody> {
+    match answer {
+        Some(response) => answered(ctx, began, trace, response),
+        None => refuse(ctx, began, trace, &not_retryable_refusal(possible_run)),
+    }
+}
+
 /// The refusal of a call that would be retried if its body were not partly sent already.
 /// `possible_run` is the outcome of its last attempt that may have run.
 fn not_retryable_refusal(possible_run: Option<Outcome>) -> Refusal {
--- a/crates/daemon/tests/calls_hostile.rs
+++ b/crates/daemon/tests/calls_hostile.rs
@@ -191,6 +191,37 @@
     }
 }
 
+/// An answer that is too long to be kept while another server is tried, to a call whose body is
+/// partly sent, so that none can be tried.
+#[tokio::test]
+async fn long_server_error_to_a_streamed_body_is_passed_on() {
+    let mesh = Mesh::start(2, 4, DECLARATIONS).await;
+    // A server error is retried only once the usual time of the route is known.
+    for number in 0..20 {
+        let call = call_plan(Method::GET, "/records", &format!("call-{number}"));
+        assert_eq!(mesh.call(0, &call).await.told, Told::Answered);
+    }
+    let long = "y".repeat(20_000);
+    let error =
+        format!("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 20000\r\n\r\n{long}");
+    let server = RawServer::start(error.leak()).await;
+    mesh.members[0].replace_server(server.address);
+    mesh.wait_until(|mesh| mesh.members[0].servers_ready() == 2).await;
+    let head = "PUT / HTTP/1.1\r\nhost: dvere\r\nconnection: close\r\ncontent-length: 90000";
+    let call = format!("{head}\r\n\r\n{}", "x".repeat(90_000));
+    let mut errors = 0;
+    for _ in 0..20 {
+        let answer = exchange(mesh.members[0].calls, call.as_bytes()).await;
+        if status(&answer) == "200" {
+            continue;
+        }
+        assert_eq!(status(&answer), "500", "{}", answer.get(..400).unwrap_or(&answer));
+        assert!(answer.ends_with(&long));
+        errors += 1;
+    }
+    assert!(errors > 0, "no call got to the server that fails");
+}
+
 #[tokio::test]
 async fn forged_hop_headers_are_ignored() {
     let mesh = Mesh::start(1, 4, DECLARATIONS).await;
