Metrics: calls that the daemon rejects itself are counted

Operators saw nothing of calls that end with `rejected` (400, 408, 413, 501, and 503 for the connection limit): `cyclamen_calls_total` left them out.

Cause: they end before `record_call`, in four places of the outbound side and one of the dispatch.

They are now counted with the new label value end="Rejected". Their time is not in `cyclamen_call_seconds`.

Settings are not touched here.

--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -40,6 +40,7 @@
     Refused,
     Unknown,
     NoRoute,
+    Rejected,
     NoSlot,
     Shed,
     NotConnected,
@@ -96,8 +97,8 @@
 impl CallMetrics {
     /// Records that a caller got the answer to a call, `took` after the call arrived.
     ///
-    /// An answer with a status of 500 or above counts as failed. Calls rejected for their head
-    /// or their body are not recorded.
+    /// An answer with a status of 500 or above counts as failed. For calls that the daemon rejects
+    /// itself, see [`CallMetrics::record_rejection`].
     pub(crate) fn record_call(&self, end: CallEnd, status: u16, took: Duration) {
         let end = match end {
             CallEnd::Answered if status >= 500 => End::Failed,
@@ -110,6 +111,12 @@
         self.call_seconds.observe(took.as_secs_f64());
     }
 
+    /// Records that a call was rejected for its head, its body or the connection limit. The time
+    /// that it took is not recorded.
+    pub(crate) fn record_rejection(&self) {
+        self.calls.get_or_create(&EndLabel { end: End::Rejected }).inc();
+    }
+
     /// Records the end of an attempt; an answer with a status of 500 or above counts as failed.
     pub(crate) fn record_attempt(&self, end: AttemptEnd) {
         let end = match end {
--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -29,7 +29,7 @@
     let until = Instant::now() + BODY_TIMEOUT;
     match RequestBody::receive(incoming, &ctx.body_budget, until).await {
         Ok(body) => serve_call(ctx, arrived, parts, body).await,
-        Err(rejection) => local_reply::rejected(rejection),
+        Err(rejection) => reject(&ctx, rejection),
     }
 }
 
@@ -50,7 +50,7 @@
     body: RequestBody,
 ) -> Response<ResponseBody> {
     if let Some(rejection) = check_head(&parts) {
-        return local_reply::rejected(rejection);
+        return reject(&ctx, rejection);
     }
     headers::strip_request(&mut parts.headers);
     add_request_id(&ctx, &mut parts);
@@ -66,7 +66,7 @@
     // Started before the body is checked, so that the planned attempt is reported on every return.
     let first_attempt = ActiveAttempt::start(&ctx, attempt, ancestors);
     if limit.is_some_and(|bytes| !body.set_limit(bytes)) {
-        return local_reply::rejected(Rejection::TooLarge);
+        return reject(&ctx, Rejection::TooLarge);
     }
     run_attempts(&ctx, arrived, &parts, &body, first_attempt, trace).await
 }
@@ -85,6 +85,11 @@
     response
 }
 
+fn reject(ctx: &CallContext, rejection: Rejection) -> Response<ResponseBody> {
+    ctx.metrics.record_rejection();
+    local_reply::rejected(rejection)
+}
+
 fn refuse(
     ctx: &CallContext,
     began: Mono,
@@ -171,7 +176,7 @@
             // The drop reports the attempt as cancelled: the server did not fail, and no other one
             // is to be tried.
             drop(current);
-            return local_reply::rejected(Rejection::GrewTooLarge);
+            return reject(ctx, Rejection::GrewTooLarge);
         }
         let current_ancestors = current.ancestors().clone();
         let (next, body_end) = current.finish(&result);
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -218,6 +218,7 @@
         Ok(hop_call) => inbound::serve(ctx, hop_call, req).await,
         Err(HopError::Replayed(hop_call)) => inbound::refuse_replayed(&ctx, &hop_call),
         Err(HopError::Missing | HopError::Forged) if clients == AcceptedClients::Daemons => {
+            ctx.metrics.record_rejection();
             let mut response = local_reply::rejected(Rejection::TooManyConnections);
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             response
--- a/crates/daemon/tests/calls_hostile.rs
+++ b/crates/daemon/tests/calls_hostile.rs
@@ -166,6 +166,32 @@
     assert_eq!(mesh.record.calls(), 0);
 }
 
+/// One call for each reason that can be provoked at once, and a good one.
+#[tokio::test]
+async fn rejected_calls_are_counted() {
+    let (mesh, metrics) = Mesh::start_with_metrics(4, DECLARATIONS_WITH_BODY_LIMIT).await;
+    let long = format!("content-length: 100001\r\n\r\n{}", "x".repeat(100_001));
+    let grown = format!("transfer-encoding: chunked\r\n\r\n30000\r\n{}", "x".repeat(0x30000));
+    for (head, rest, wanted) in [
+        ("GET /", "host: other\r\n\r\n", "400"),
+        ("CONNECT dvere:80", "\r\n", "501"),
+        ("PUT /", long.as_str(), "413"),
+        ("PUT /", grown.as_str(), "413"),
+        ("GET /", "\r\n", "200"),
+    ] {
+        let call = format!("{head} HTTP/1.1\r\nhost: dvere\r\nconnection: close\r\n{rest}");
+        let answer = exchange(mesh.members[0].calls, call.as_bytes()).await;
+        assert_eq!(status(&answer), wanted, "{answer}");
+    }
+    let scrape = b"GET / HTTP/1.1\r\nhost: metrics\r\nconnection: close\r\n\r\n";
+    let text = exchange(metrics, scrape).await;
+    let calls: Vec<&str> =
+        text.lines().filter(|line| line.starts_with("cyclamen_calls_total")).collect();
+    assert!(calls.contains(&"cyclamen_calls_total{end=\"Rejected\"} 4"), "{calls:?}");
+    assert!(calls.contains(&"cyclamen_calls_total{end=\"Answered\"} 1"), "{calls:?}");
+    assert_eq!(calls.len(), 2, "{calls:?}");
+}
+
 /// A PUT is idempotent, so the attempt that ends with the body could be followed by another one.
 #[tokio::test]
 async fn oversized_bodies_leave_no_attempt_and_no_failure() {
--- a/crates/daemon/tests/mesh/mod.rs
+++ b/crates/daemon/tests/mesh/mod.rs
@@ -67,12 +67,31 @@
         slots: u32,
         declarations: &str,
         limits: LimitSettings,
+    ) -> Self {
+        Self::start_members(count, slots, declarations, limits, None).await
+    }
+
+    /// Like [`Mesh::start`] with one daemon, whose metrics are served at the address returned.
+    pub async fn start_with_metrics(slots: u32, declarations: &str) -> (Self, SocketAddr) {
+        let free_port = std::net::TcpListener::bind(loopback()).expect("a free port");
+        let address = free_port.local_addr().expect("an address");
+        drop(free_port);
+        let limits = LimitSettings::default();
+        (Self::start_members(1, slots, declarations, limits, Some(address)).await, address)
+    }
+
+    async fn start_members(
+        count: usize,
+        slots: u32,
+        declarations: &str,
+        limits: LimitSettings,
+        metrics_listen: Option<SocketAddr>,
     ) -> Self {
         let log = LogService::start(loopback(), LogOptions::default()).await.expect("a free port");
         let record = RunRecord::default();
         let mut mesh = Self { log, record, members: Vec::new(), client: Client::default() };
         for index in 0..count {
-            let member = mesh.start_member(index, slots, limits).await;
+            let member = mesh.start_member(index, slots, limits, metrics_listen).await;
             mesh.members.push(member);
         }
         mesh.publish(declarations).await;
@@ -81,7 +100,13 @@
         mesh
     }
 
-    async fn start_member(&self, index: usize, slots: u32, limits: LimitSettings) -> Member {
+    async fn start_member(
+        &self,
+        index: usize,
+        slots: u32,
+        limits: LimitSettings,
+        metrics_listen: Option<SocketAddr>,
+    ) -> Member {
         let options = backend(index, slots);
         let server = BackendServer::start(loopback(), options, self.record.clone())
             .await
@@ -91,6 +116,7 @@
             peers.push(member.daemon().addresses.peer);
         }
         let settings = settings(index, self.log.address(), peers, limits);
+        let settings = Settings { metrics_listen, ..settings };
         let daemon = start(settings, None).await.expect("free ports");
         let calls = daemon.addresses.calls;
         let announcement = announcement(&server);
