--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -246,6 +246,11 @@
         self.response.as_ref()?.body().size_hint().exact()
     }
 
+    /// Whether the head of a response arrived.
+    pub(super) fn is_answered(&self) -> bool {
+        matches!(self.outcome, Outcome::Answered { .. })
+    }
+
     /// Buffers the response, as a fallback in case later attempts get no better one. `None` without
     /// a response, or if its body is longer than [`MAX_FALLBACK_BODY_BYTES`] or does not arrive
     /// within [`FALLBACK_BODY_TIMEOUT`].
@@ -256,6 +261,11 @@
         Some(Response::from_parts(parts, ResponseBody::buffered(body.to_bytes())))
     }
 
+    /// The response, if there is one, of an attempt that has ended for the instance.
+    pub(super) fn into_answer(self) -> Option<Response<ResponseBody>> {
+        self.response
+    }
+
     /// The response for the caller, whose body reports its end through `body_end`.
     pub(super) fn into_response(self, body_end: Option<BodyEndGuard>) -> Response<ResponseBody> {
         let response = self.response.unwrap_or_default();
--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cyclamen_decisions::CallEnd;
-use cyclamen_routing::{Attempt, CallHead, Next, Refusal, RefusalKind};
+use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal, RefusalKind};
 use cyclamen_types::{Mono, ServiceName};
 use http::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use http::request::Parts;
@@ -29,7 +29,7 @@
     let until = Instant::now() + BODY_TIMEOUT;
     match RequestBody::receive(incoming, &ctx.body_budget, until).await {
         Ok(body) => serve_call(ctx, arrived, parts, body).await,
-        Err(rejection) => local_reply::rejected(rejection),
+        Err(rejection) => reject(&ctx, rejection),
     }
 }
 
@@ -50,7 +50,7 @@
     body: RequestBody,
 ) -> Response<ResponseBody> {
     if let Some(rejection) = check_head(&parts) {
-        return local_reply::rejected(rejection);
+        return reject(&ctx, rejection);
     }
     headers::strip_request(&mut parts.headers);
     add_request_id(&ctx, &mut parts);
@@ -66,7 +66,7 @@
     // Started before the body is checked, so that the planned attempt is reported on every return.
     let first_attempt = ActiveAttempt::start(&ctx, attempt, ancestors);
     if limit.is_some_and(|bytes| !body.set_limit(bytes)) {
-        return local_reply::rejected(Rejection::TooLarge);
+        return reject(&ctx, Rejection::TooLarge);
     }
     run_attempts(&ctx, arrived, &parts, &body, first_attempt, trace).await
 }
@@ -85,6 +85,11 @@
     response
 }
 
+fn reject(ctx: &CallContext, rejection: Rejection) -> Response<ResponseBody> {
+    ctx.metrics.record_rejection();
+    local_reply::rejected(rejection)
+}
+
 fn refuse(
     ctx: &CallContext,
     began: Mono,
@@ -147,12 +152,12 @@
     mut trace: Option<DecisionTrace>,
 ) -> Response<ResponseBody> {
     let mut current = first_attempt;
-    let mut may_have_run = false;
+    let mut possible_run = None;
     let mut fallback = None;
     loop {
         let Some(attempt_body) = body.for_attempt() else {
             // An earlier attempt read a part of the body after `is_retryable` was checked.
-            return local_reply::rejected(Rejection::BodyTimeout);
+            return give_up(ctx, arrived, trace, fallback, possible_run);
         };
         let (number, server) = (current.number(), current.server().clone());
         let began = ctx.mono_now();
@@ -164,12 +169,17 @@
         if let Some(trace) = &mut trace {
             trace.record_attempt(number, &server, result.outcome, began);
         }
-        may_have_run |= !result.outcome.not_run();
+        if !result.outcome.not_run() {
+            possible_run = Some(result.outcome);
+        }
+        if body.exceeded_limit() && !result.is_answered() {
+            // The drop reports the attempt as cancelled: the server did not fail, and no other one
+            // is to be tried.
+            drop(current);
+            return reject(ctx, Rejection::GrewTooLarge);
+        }
         let current_ancestors = current.ancestors().clone();
         let (next, body_end) = current.finish(&result);
-        if body.exceeded_limit() && next != Next::Deliver {
-            return local_reply::rejected(Rejection::GrewTooLarge);
-        }
         match next {
             Next::Deliver => {
                 return answered(ctx, arrived, trace, result.into_response(body_end));
@@ -183,30 +193,42 @@
             Next::Retry(attempt, pause) => {
                 let ancestors = current_ancestors;
                 current = ActiveAttempt::start(ctx, attempt, ancestors);
-                fallback = result.into_buffered().await.or(fallback);
                 if !body.is_retryable() {
-                    return match fallback {
-                        Some(response) => answered(ctx, arrived, trace, response),
-                        None => refuse(ctx, arrived, trace, &not_retryable_refusal(may_have_run)),
-                    };
+                    let answer = result.into_answer().or(fallback);
+                    return give_up(ctx, arrived, trace, answer, possible_run);
                 }
+                fallback = result.into_buffered().await.or(fallback);
                 tokio::time::sleep(pause).await;
             }
         }
     }
 }
 
+/// Ends a call that would be retried if its body were not partly sent already: with the answer of
+/// an earlier attempt, if one is left.
+fn give_up(
+    ctx: &CallContext,
+    began: Mono,
+    trace: Option<DecisionTrace>,
+    answer: Option<Response<ResponseBody>>,
+    possible_run: Option<Outcome>,
+) -> Response<ResponseBody> {
+    match answer {
+        Some(response) => answered(ctx, began, trace, response),
+        None => refuse(ctx, began, trace, &not_retryable_refusal(possible_run)),
+    }
+}
+
 /// The refusal of a call that would be retried if its body were not partly sent already.
-fn not_retryable_refusal(may_have_run: bool) -> Refusal {
-    let (kind, reason) = match may_have_run {
-        false => (
-            RefusalKind::Unavailable,
-            "the call was not run and its body is too large to be held: send it again",
-        ),
-        true => (
-            RefusalKind::OutcomeUnknown,
-            "the connection broke before the answer; the call may have run: look up whether it did",
-        ),
-    };
-    Refusal { kind, reason: reason.into(), retry_after: None }
+/// `possible_run` is the outcome of its last attempt that may have run.
+fn not_retryable_refusal(possible_run: Option<Outcome>) -> Refusal {
+    match possible_run {
+        Some(outcome) => Refusal::outcome_unknown(outcome),
+        None => Refusal {
+            kind: RefusalKind::Unavailable,
+            reason: "the call was not run and its body is too large to be held: send it again"
+                .into(),
+            retry_after: None,
+        },
+    }
 }
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -251,14 +251,14 @@
 ) -> Response<ResponseBody> {
     match clients {
         AcceptedClients::Callers => return serve_caller(ctx, req).await,
-        AcceptedClients::Nobody => return reject_connection(),
+        AcceptedClients::Nobody => return reject_connection(&ctx),
         AcceptedClients::Any | AcceptedClients::Daemons => {}
     }
     match ctx.hop_seal.verify_call(ctx.wall_now(), &req) {
         Ok(hop_call) => inbound::serve(ctx, hop_call, req).await,
         Err(HopError::Replayed(hop_call)) => inbound::refuse_replayed(&ctx, &hop_call),
         Err(HopError::Missing | HopError::Forged) if clients == AcceptedClients::Daemons => {
-            reject_connection()
+            reject_connection(&ctx)
         }
         Err(HopError::Missing | HopError::Forged) => serve_caller(ctx, req).await,
     }
@@ -275,7 +275,8 @@
 }
 
 /// The response to a call on a connection that does not serve its client; it closes the connection.
-fn reject_connection() -> Response<ResponseBody> {
+fn reject_connection(ctx: &CallContext) -> Response<ResponseBody> {
+    ctx.metrics.record_rejection();
     let mut response = local_reply::rejected(Rejection::TooManyConnections);
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
--- a/crates/daemon/tests/calls_hostile.rs
+++ b/crates/daemon/tests/calls_hostile.rs
@@ -209,6 +209,88 @@
     assert_eq!(server.heads().len(), 1);
 }
 
+/// One call for each reason that can be provoked at once, and a good one.
+#[tokio::test]
+async fn rejected_calls_are_counted() {
+    let (mesh, metrics) = Mesh::start_with_metrics(4, DECLARATIONS_WITH_BODY_LIMIT).await;
+    let long = format!("content-length: 100001\r\n\r\n{}", "x".repeat(100_001));
+    let grown = format!("transfer-encoding: chunked\r\n\r\n30000\r\n{}", "x".repeat(0x30000));
+    for (head, rest, wanted) in [
+        ("GET /", "host: other\r\n\r\n", "400"),
+        ("CONNECT dvere:80", "\r\n", "501"),
+        ("PUT /", long.as_str(), "413"),
+        ("PUT /", grown.as_str(), "413"),
+        ("GET /", "\r\n", "200"),
+    ] {
+        let call = format!("{head} HTTP/1.1\r\nhost: dvere\r\nconnection: close\r\n{rest}");
+        let answer = exchange(mesh.members[0].calls, call.as_bytes()).await;
+        assert_eq!(status(&answer), wanted, "{answer}");
+    }
+    let scrape = b"GET / HTTP/1.1\r\nhost: metrics\r\nconnection: close\r\n\r\n";
+    let text = exchange(metrics, scrape).await;
+    let calls: Vec<&str> =
+        text.lines().filter(|line| line.starts_with("cyclamen_calls_total")).collect();
+    assert!(calls.contains(&"cyclamen_calls_total{end=\"Rejected\"} 4"), "{calls:?}");
+    assert!(calls.contains(&"cyclamen_calls_total{end=\"Answered\"} 1"), "{calls:?}");
+    assert_eq!(calls.len(), 2, "{calls:?}");
+}
+
+/// A PUT is idempotent, so the attempt that ends with the body could be followed by another one.
+#[tokio::test]
+async fn oversized_bodies_leave_no_attempt_and_no_failure() {
+    let mesh = Mesh::start(2, 4, DECLARATIONS_WITH_BODY_LIMIT).await;
+    let mut call = b"PUT / HTTP/1.1\r\nhost: dvere\r\nconnection: close\r\n\
+        transfer-encoding: chunked\r\n\r\n"
+        .to_vec();
+    for _ in 0..50 {
+        call.extend_from_slice(b"1000\r\n");
+        call.extend_from_slice(&[b'x'; 0x1000]);
+        call.extend_from_slice(b"\r\n");
+    }
+    for _ in 0..10 {
+        for member in &mesh.members {
+            let answer = exchange(member.calls, &call).await;
+            assert_eq!(status(&answer), "413", "{answer}");
+        }
+    }
+    for member in &mesh.members {
+        let shared = &member.daemon().shared;
+        assert_eq!(shared.read(|instance| instance.attempts_in_flight()), 0);
+        assert_eq!(shared.read(|instance| instance.dump().router.ejections), 0);
+    }
+}
+
+/// An answer that is too long to be kept while another server is tried, to a call whose body is
+/// partly sent, so that none can be tried.
+#[tokio::test]
+async fn long_server_error_to_a_streamed_body_is_passed_on() {
+    let mesh = Mesh::start(2, 4, DECLARATIONS).await;
+    // A server error is retried only once the usual time of the route is known.
+    for number in 0..20 {
+        let call = call_plan(Method::GET, "/records", &format!("call-{number}"));
+        assert_eq!(mesh.call(0, &call).await.told, Told::Answered);
+    }
+    let long = "y".repeat(20_000);
+    let error =
+        format!("HTTP/1.1 500 Internal Server Error\r\ncontent-length: 20000\r\n\r\n{long}");
+    let server = RawServer::start(error.leak()).await;
+    mesh.members[0].replace_server(server.address);
+    mesh.wait_until(|mesh| mesh.members[0].servers_ready() == 2).await;
+    let head = "PUT / HTTP/1.1\r\nhost: dvere\r\nconnection: close\r\ncontent-length: 90000";
+    let call = format!("{head}\r\n\r\n{}", "x".repeat(90_000));
+    let mut errors = 0;
+    for _ in 0..20 {
+        let answer = exchange(mesh.members[0].calls, call.as_bytes()).await;
+        if status(&answer) == "200" {
+            continue;
+        }
+        assert_eq!(status(&answer), "500", "{}", answer.get(..400).unwrap_or(&answer));
+        assert!(answer.ends_with(&long));
+        errors += 1;
+    }
+    assert!(errors > 0, "no call got to the server that fails");
+}
+
 #[tokio::test]
 async fn forged_hop_headers_are_ignored() {
     let mesh = Mesh::start(1, 4, DECLARATIONS).await;
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -134,17 +134,17 @@
     split_point: SplitPoint,
     /// Servers of earlier attempts.
     tried: FastSet<ServerName>,
-    /// When the server of the latest attempt was picked. The delay of [`Next::Retry`] follows only
-    /// then, so times measured from here include it.
+    /// When the latest attempt is sent: when its server was picked, or for a retry the delay of
+    /// [`Next::Retry`] later.
     attempt_started: Mono,
     /// Whether the latest attempt was answered and its body is under way.
     answered: bool,
     /// Earlier attempts of which bytes may have reached a backend server, see
     /// [`Outcome::reached_server`]. They include attempts that the server shed.
     reached_attempts: u32,
-    /// Whether an earlier attempt may have run, see [`Outcome::not_run`]. An attempt that the
-    /// server shed did not run.
-    may_have_run: bool,
+    /// The outcome of the last earlier attempt that may have run, see [`Outcome::not_run`]; `None`
+    /// if none may have. An attempt that the server shed did not run.
+    earlier_run: Option<Outcome>,
 }
 
 /// Matches calls to routes and backend servers, and decides on retries.
@@ -382,7 +382,8 @@
             split_point,
             tried: FastSet::default(),
             previous_attempts: 0,
-            may_have_run: false,
+            earlier_run: None,
+            starts_at: now,
         };
         self.start_attempt(now, plan)
     }
@@ -441,10 +442,10 @@
             route: plan.route,
             split_point: plan.split_point,
             tried: plan.tried,
-            attempt_started: now,
+            attempt_started: plan.starts_at,
             answered: false,
             reached_attempts: plan.reached_attempts,
-            may_have_run: plan.may_have_run,
+            earlier_run: plan.earlier_run,
         };
         self.calls.insert(attempt.id, call);
         Ok(attempt)
@@ -513,7 +514,9 @@
     idempotent: bool,
     deadline: Mono,
     previous_attempts: u32,
-    may_have_run: bool,
+    earlier_run: Option<Outcome>,
+    /// When the attempt is sent.
+    starts_at: Mono,
 }
 
 fn idempotent(rule: Idempotence, method: &str) -> bool {
