A failed connection keeps calls away from its server, with single trials

Cause: a failed connection was remembered in two ways, and both gave up where many servers were away. An ejection needs a second failure and is refused once a third of the version's servers are out; then each further attempt only raised the failure rate. An ejected server returned to all calls at once, and each of them waited 400 ms. A new announcement did not bring it back.

Now one failed connection leaves the server without calls for 1 s, doubling to 16 s with each failed trial. After that one call at a time tries it; of the servers of one version only one is tried at a time, and none within 0.5 s of the last failed connection. An answer, a refusal with a time to come back, a new announcement (ServerInfo::announcement, the sequence of the record, with the host's incarnation) and the end of a suspicion bring it back at once. Where more than half of a version's servers are out of reach, the time stays 1 s, so that they come back together with the network; where all are, calls are still tried, so that a partition is no total refusal. Failed connections no longer lead to an ejection and do not count in the failure rate, which would delay the trial and the return. A failed connection that its attempt began before a newer sign says nothing new, so that the attempts of one moment do not double the time at once. Servers do not share it by address: HopOutcome::Down, the hosting daemon's word that it cannot reach its server, arrives as NotConnected too.

The counter `ejections` goes on counting servers taken out for a failed connection, now from the first failure on. Nothing changes on the wire, in settings or in logs.

--- a/crates/cyclamenmoor/src/conversions.rs
+++ b/crates/cyclamenmoor/src/conversions.rs
@@ -31,6 +31,7 @@
         slots: view.record.slots,
         ready: view.record.state == ServerState::Ready,
         suspected_down: view.cut_off || view.host_state == MemberState::Suspect,
+        announcement: view.record.sequence,
     })
 }
 
--- a/crates/routing/benches/route.rs
+++ b/crates/routing/benches/route.rs
@@ -8,7 +8,7 @@
 use cyclamen_declarations::{Labels, parse_change};
 use cyclamen_ledger::{Config, Ledger, LogRecord};
 use cyclamen_routing::{CallHead, Hop, Outcome, RouteTable, Router, RouterSettings, ServerInfo};
-use cyclamen_types::{Mono, Now, Offset, Wall};
+use cyclamen_types::{Incarnation, Mono, Now, Offset, Wall};
 
 const SERVERS: usize = 910;
 const SERVICES: usize = 90;
@@ -57,6 +57,7 @@
             slots: 15,
             ready: true,
             suspected_down: false,
+            announcement: (Incarnation(1), 1),
         });
     }
     servers
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -5,6 +5,7 @@
 //! delivered, the call is retried, or the caller gets a refusal. [`Router::end_body`] ends an
 //! attempt whose answer was delivered, once its body has been passed on.
 
+mod connect_backoff;
 mod placement;
 mod pool;
 mod refusals;
@@ -19,8 +20,8 @@
 
 use cyclamen_declarations::Idempotence;
 use cyclamen_types::{
-    ConfigVersion, FailureDomain, FastMap, FastSet, Mono, Now, RegionName, RouteName, ServerName,
-    ServiceName, VersionName,
+    ConfigVersion, FailureDomain, FastMap, FastSet, Incarnation, Mono, Now, RegionName, RouteName,
+    ServerName, ServiceName, VersionName,
 };
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
@@ -94,6 +95,9 @@
     /// Whether the daemon that hosts the server is suspected to be down, or its whole failure
     /// domain unreachable. Such servers are used only when no others are left.
     pub suspected_down: bool,
+    /// Identifies the server's announcement: the incarnation of the daemon that hosts it, and a
+    /// counter. It differs from that of the announcement before, and only then.
+    pub announcement: (Incarnation, u64),
 }
 
 /// How the calls of a service are divided between two versions while a move is under way.
@@ -122,7 +126,8 @@
     pub refused: u64,
     /// Calls that ended with an unknown outcome, including those that the caller cancelled.
     pub unknown: u64,
-    /// Times that a server was ejected from load balancing after failures.
+    /// Times that a server was taken out of load balancing for a while, after failures or after a
+    /// connection that could not be opened.
     pub ejections: u64,
 }
 
@@ -139,6 +144,8 @@
     attempt_started: Mono,
     /// Whether the latest attempt was answered and its body is under way.
     answered: bool,
+    /// Whether the latest attempt is a trial after a failed connection and its outcome is unknown.
+    connect_trial: bool,
     /// Earlier attempts of which bytes may have reached a backend server, see
     /// [`Outcome::reached_server`]. They include attempts that the server shed.
     reached_attempts: u32,
@@ -418,7 +425,7 @@
             return Err(refusals::unavailable(service, &version, !tried.is_empty()));
         };
         let server = self.pool.get_mut(chosen);
-        server.begin_attempt();
+        let connect_trial = server.begin_attempt();
         self.last_attempt_id += 1;
         let attempt = Attempt {
             id: AttemptId(self.last_attempt_id),
@@ -443,6 +450,7 @@
             tried: plan.tried,
             attempt_started: now,
             answered: false,
+            connect_trial,
             reached_attempts: plan.reached_attempts,
             may_have_run: plan.may_have_run,
         };
@@ -475,17 +483,22 @@
             let took = now.since(call.attempt_started).as_secs_f64();
             self.route_times.observe(&call.attempt.route, &call.attempt.service, took);
         }
+        let connect_trial = std::mem::take(&mut call.connect_trial);
         let name = &call.attempt.server;
         let Some(server) = self.pool.find_mut(name) else {
             return;
         };
-        let advice = server.observe_outcome(now, outcome, now.since(call.attempt_started));
-        if advice == EjectionAdvice::Eject
-            && self.mode == RouterMode::Full
-            && self.pool.eject(now, name)
-        {
-            self.counters.ejections += 1;
+        if connect_trial {
+            server.end_trial();
         }
+        let advice = server.observe_outcome(now, outcome, now.since(call.attempt_started));
+        let taken_out = match advice {
+            _ if self.mode == RouterMode::Baseline => false,
+            EjectionAdvice::Keep => false,
+            EjectionAdvice::Eject => self.pool.eject(now, name),
+            EjectionAdvice::BackedOff => true,
+        };
+        self.counters.ejections += u64::from(taken_out);
     }
 
     fn count_refusal(&mut self, next: &Next) {
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -21,6 +21,15 @@
 /// be ejected whatever its share.
 const MAX_EJECTED_PERCENT: usize = 34;
 
+/// Largest share of a version's servers, in percent, for which the time without calls after a failed
+/// connection doubles. Where more cannot be connected to, the cause may be the network rather than the
+/// servers, and all of them return with it.
+const MAX_DOUBLING_PERCENT: usize = 50;
+
+/// Time after a failed connection to a server of a version during which no trial call goes to any
+/// of its servers that could not be connected to, so that few calls wait for connections.
+const TRIAL_PAUSE: Duration = Duration::from_millis(500);
+
 /// Relative random noise, up or down, on each cost, so that servers with almost the same cost
 /// share the calls.
 const TIE_JITTER: f64 = 0.05;
@@ -74,12 +83,24 @@
 /// Which servers are considered for a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Eligibility {
-    /// Those that are neither suspected to be down nor ejected.
+    /// Those that are neither suspected to be down nor ejected, and can be connected to as far as
+    /// known or may get a trial call.
     Healthy,
+    /// Those of which no connection failed.
+    Connectable,
     /// All that accept calls.
     Any,
 }
 
+/// What failed connections to the servers of a version mean for the next call.
+#[derive(Clone, Copy, Debug)]
+struct ConnectTrials {
+    /// Whether the next call may be a trial, where one is due.
+    allowed: bool,
+    /// Whether the time without calls is that after the first failure, see [`MAX_DOUBLING_PERCENT`].
+    shortened: bool,
+}
+
 impl ServerPool {
     /// Replaces the servers. Measurements of those that stay are kept; new ones get a
     /// slow start, except in the first non-empty set.
@@ -161,7 +182,8 @@
     }
 
     /// Picks a server that the call has not tried: the one with the lowest cost among a few random
-    /// healthy ones, or among a few of all if none is healthy. `None` if there is no server left.
+    /// healthy ones; if none is healthy, among a few of those of which no connection failed, else of
+    /// all. `None` if there is no server left.
     pub(super) fn choose(
         &mut self,
         now: Mono,
@@ -185,7 +207,7 @@
         rng: &mut SmallRng,
     ) -> Option<(ServerIndex, ServerSelection)> {
         let group = self.group(request.service, request.version)?;
-        for eligibility in [Eligibility::Healthy, Eligibility::Any] {
+        for eligibility in [Eligibility::Healthy, Eligibility::Connectable, Eligibility::Any] {
             self.collect_eligible(now, &group.servers, eligibility, request.tried, candidates);
             if !candidates.is_empty() {
                 self.keep_few_of_each_distance(candidates, rng);
@@ -225,10 +247,12 @@
         out: &mut Vec<ServerIndex>,
     ) {
         out.clear();
+        let trials = self.connect_trials(now, servers);
         for index in servers {
             let server = &self.servers[*index];
             let eligible = match eligibility {
-                Eligibility::Healthy => self.is_healthy(now, server),
+                Eligibility::Healthy => is_healthy(now, server, trials),
+                Eligibility::Connectable => !server.connect_backoff().is_active(),
                 Eligibility::Any => true,
             };
             if eligible && !tried.contains(server.name()) {
@@ -248,8 +272,23 @@
         });
     }
 
-    fn is_healthy(&self, now: Mono, server: &Server) -> bool {
-        !server.info.suspected_down && !server.ejected(now)
+    /// Looks at the failed connections of a version's servers. Only one trial call of a version is
+    /// under way at a time.
+    fn connect_trials(&self, now: Mono, servers: &[ServerIndex]) -> ConnectTrials {
+        let mut unreachable = 0;
+        let mut allowed = true;
+        for index in servers {
+            let backoff = self.servers[*index].connect_backoff();
+            let Some(failed_at) = backoff.failed_at() else {
+                continue;
+            };
+            unreachable += 1;
+            allowed &= !backoff.in_trial() && failed_at + TRIAL_PAUSE <= now;
+        }
+        ConnectTrials {
+            allowed,
+            shortened: unreachable * 100 > servers.len() * MAX_DOUBLING_PERCENT,
+        }
     }
 
     /// Picks the candidate with the lowest cost. Candidates without recent measurements
@@ -314,3 +353,10 @@
         self.groups.get(service)?.get(version)
     }
 }
+
+fn is_healthy(now: Mono, server: &Server, trials: ConnectTrials) -> bool {
+    let backoff = server.connect_backoff();
+    let reachable =
+        !backoff.is_active() || trials.allowed && backoff.trial_due(now, trials.shortened);
+    reachable && !server.info.suspected_down && !server.ejected(now)
+}
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -6,6 +6,7 @@
 
 use crate::call::{MIN_SERVER_ERROR_STATUS, Outcome};
 use crate::router::ServerInfo;
+use crate::router::connect_backoff::ConnectBackoff;
 use crate::router::placement::{CallNeeds, Distance, PlacementInputs};
 
 /// Weight of a new sample in the moving average of the latency.
@@ -29,9 +30,6 @@
 /// Consecutive failures after which a server is ejected.
 const EJECT_AFTER_FAILURES: u32 = 5;
 
-/// Failures to connect, without an answer in between, after which a server is ejected.
-const EJECT_AFTER_CONNECT_FAILURES: u32 = 2;
-
 /// A call that its caller cancels counts as a failure of the server if it has waited for its answer for
 /// more than this many hold times, and [`MIN_OVERDUE`] besides. A server that is cut off would get calls
 /// until its daemon is suspected, since callers with short deadlines leave before a timeout tells.
@@ -98,6 +96,8 @@
 pub(super) enum EjectionAdvice {
     Keep,
     Eject,
+    /// No ejection is needed: the server gets no calls for a while after a failed connection.
+    BackedOff,
 }
 
 /// The state of one backend server.
@@ -112,7 +112,7 @@
     slow_start_since: Mono,
     skips_slow_start: bool,
     consecutive_failures: u32,
-    consecutive_connect_failures: u32,
+    connect_backoff: ConnectBackoff,
     ejected_until: Mono,
     ejections: u32,
     overloaded_until: Mono,
@@ -132,7 +132,7 @@
             slow_start_since: now,
             skips_slow_start,
             consecutive_failures: 0,
-            consecutive_connect_failures: 0,
+            connect_backoff: ConnectBackoff::default(),
             ejected_until: Mono(0),
             ejections: 0,
             overloaded_until: Mono(0),
@@ -146,7 +146,8 @@
 
     /// Takes over a new announcement. If the address or version has changed, all but the count of
     /// attempts in flight is reset, and the slow start begins. It also begins when the server
-    /// becomes ready again.
+    /// becomes ready again. A new announcement, and the end of a suspicion, are signs that the server
+    /// can be connected to.
     pub(super) fn update(&mut self, info: &ServerInfo, now: Mono) {
         if self.info.hop != info.hop || self.info.version != info.version {
             let in_flight = self.in_flight;
@@ -157,11 +158,26 @@
             self.slow_start_since = now;
             self.skips_slow_start = false;
         }
+        let announced = info.announcement != self.info.announcement;
+        if announced || (self.info.suspected_down && !info.suspected_down) {
+            self.connect_backoff.clear(now);
+        }
         self.info = info.clone();
     }
 
-    pub(super) fn begin_attempt(&mut self) {
+    /// Begins an attempt and returns whether it is a trial after a failed connection. A trial ends
+    /// with [`Server::end_trial`].
+    pub(super) fn begin_attempt(&mut self) -> bool {
         self.in_flight += 1;
+        self.connect_backoff.begin_attempt()
+    }
+
+    pub(super) fn end_trial(&mut self) {
+        self.connect_backoff.end_trial();
+    }
+
+    pub(super) fn connect_backoff(&self) -> &ConnectBackoff {
+        &self.connect_backoff
     }
 
     pub(super) fn end_attempt(&mut self) {
@@ -261,20 +277,24 @@
         (age < max_age).then_some(SharedLoad { server, load, age })
     }
 
-    /// Updates latency, failure rate, failure counts and overload penalty from the outcome of an
-    /// attempt. A shed call counts in the failure rate but does not lead to ejection.
+    /// Updates latency, failure rate, failure counts, overload penalty and the backoff after failed
+    /// connections from the outcome of an attempt. A shed call counts in the failure rate but does
+    /// not lead to ejection. A failed connection counts in the backoff only, so that the server gets
+    /// its share of calls as soon as it can be connected to.
     pub(super) fn observe_outcome(
         &mut self,
         now: Mono,
         outcome: Outcome,
         latency: Duration,
     ) -> EjectionAdvice {
-        if let Some(failed) = outcome.failed() {
+        if let Some(failed) = outcome.failed()
+            && outcome != Outcome::NotConnected
+        {
             self.update_failure_rate(now, failed);
         }
         match outcome {
             Outcome::Answered { status } => {
-                self.consecutive_connect_failures = 0;
+                self.connect_backoff.clear(now);
                 self.update_latency(now, latency);
                 if status < MIN_SERVER_ERROR_STATUS {
                     return self.record_success(now);
@@ -282,14 +302,17 @@
                 self.record_failure()
             }
             Outcome::RefusedByDaemon { retry_after } | Outcome::Shed { retry_after } => {
+                // This daemon's own refusal, for lack of time or connections, has no `retry_after`.
+                if !retry_after.is_zero() {
+                    self.connect_backoff.clear(now);
+                }
                 self.overloaded_until = now + retry_after;
                 EjectionAdvice::Keep
             }
             Outcome::NotConnected => {
-                self.consecutive_connect_failures += 1;
-                match self.consecutive_connect_failures >= EJECT_AFTER_CONNECT_FAILURES {
-                    true => EjectionAdvice::Eject,
-                    false => self.record_failure(),
+                match self.connect_backoff.record_failure(now, now - latency) {
+                    true => EjectionAdvice::BackedOff,
+                    false => EjectionAdvice::Keep,
                 }
             }
             Outcome::TimedOut => {
@@ -324,7 +347,6 @@
         self.skips_slow_start = false;
         // A single failure after its return ejects the server again.
         self.consecutive_failures = EJECT_AFTER_FAILURES - 1;
-        self.consecutive_connect_failures = EJECT_AFTER_CONNECT_FAILURES - 1;
     }
 
     fn record_success(&mut self, now: Mono) -> EjectionAdvice {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use cyclamen_declarations::{Labels, parse_change};
 use cyclamen_ledger::{Config, Ledger, LogRecord};
 use cyclamen_routing::{CallHead, Hop, RouteTable, Router, RouterSettings, ServerInfo};
-use cyclamen_types::{Mono, Now, Offset, Wall};
+use cyclamen_types::{Incarnation, Mono, Now, Offset, Wall};
 
 /// A service with two versions. Calls of route `once` must not run twice, and calls of route
 /// `sticky` with the same `x-inspector` header get the same version.
@@ -68,6 +68,7 @@
         slots: 15,
         ready: true,
         suspected_down: false,
+        announcement: (Incarnation(1), 1),
     }
 }
 
