A server that runs fewer calls than it has slots does not look idle

The adaptive limit of a server goes down to a quarter of its slots, and its daemon reports it with the load (ServerLoad::limit). The router compared the load with the announced slots: a server that runs 4 calls of 4 and queues 2 counted as 6 of 15, uncongested and without a queue, as soon as the time of its refusal (often 20 ms) was over.

Now the load is compared with the reported limit, which approaches the announced slots as the report ages, by the same weight as the load. A limit of 0 is that of a daemon that did not know the server and is ignored.

begin_counts_the_reported_limit_as_slots: 97 of 100 calls went to the two servers at their limit of 4 with a queue, 3 to the free one; now all 100 go to the free one. begin_forgets_an_old_limit passed before and after; it guards that a server with a low limit gets calls again. This does not explain a load of exactly 0. Run: cargo test -p cyclamen-routing, clippy on it.

--- a/crates/routing/src/router/placement.rs
+++ b/crates/routing/src/router/placement.rs
@@ -56,7 +56,7 @@
     pub(super) hold_seconds: f64,
     /// Calls running or queued at the server.
     pub(super) load: u32,
-    /// How many calls the server runs at a time.
+    /// How many calls the server is believed to run at a time.
     pub(super) slots: u32,
     /// Share of the server's calls that fail, from 0 to 1.
     pub(super) failure_rate: f64,
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -91,6 +91,14 @@
     in_flight: u32,
 }
 
+impl LoadReport {
+    /// How much the report still says of the server, from 0 to 1.
+    fn weight(&self, now: Mono) -> f64 {
+        let stale = now.since(self.at).saturating_sub(LOAD_REPORT_FRESH).as_secs_f64();
+        (-stale / LOAD_REPORT_DECAY.as_secs_f64()).exp()
+    }
+}
+
 /// Whether a server is to be ejected after an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EjectionAdvice {
@@ -213,7 +221,7 @@
         PlacementInputs {
             hold_seconds,
             load: self.load(now) + overload_penalty,
-            slots: self.info.slots,
+            slots: self.usable_slots(now),
             failure_rate: self.failure_rate(now),
             weight: self.weight(now),
             distance,
@@ -395,9 +403,19 @@
             return self.in_flight;
         };
         let sent_since = self.in_flight.saturating_sub(report.in_flight);
-        let stale = now.since(report.at).saturating_sub(LOAD_REPORT_FRESH).as_secs_f64();
-        let weight = (-stale / LOAD_REPORT_DECAY.as_secs_f64()).exp();
-        let reported = f64::from(report.load.running + report.load.waiting) * weight;
+        let reported = f64::from(report.load.running + report.load.waiting) * report.weight(now);
         (reported.round() as u32 + sent_since).max(self.in_flight)
     }
+
+    /// How many calls the server is believed to run at a time: the limit that its daemon reported,
+    /// approaching the announced slots as the report ages.
+    fn usable_slots(&self, now: Mono) -> u32 {
+        let announced = self.info.slots;
+        // A limit of 0 is that of a daemon that did not know the server.
+        let Some(report) = self.report.as_ref().filter(|report| report.load.limit > 0) else {
+            return announced;
+        };
+        let missing = f64::from(announced.saturating_sub(report.load.limit)) * report.weight(now);
+        announced - missing.round() as u32
+    }
 }
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -379,6 +379,32 @@
     assert_eq!(shared[0].load, free);
 }
 
+/// A server that slows down runs fewer calls than it has slots. Its daemon reports how many.
+#[test]
+fn begin_counts_the_reported_limit_as_slots() {
+    let mut router = router(TWO_VERSIONS, &three_servers());
+    let full = ServerLoad { running: 4, waiting: 2, limit: 4, hold_us: 50_000 };
+    let free = ServerLoad { running: 4, waiting: 0, limit: 15, hold_us: 50_000 };
+    for (name, load) in [("a", full), ("b", full), ("c", free)] {
+        router.observe_load(at(0), &ServerName::try_from(name).expect("valid name"), load);
+    }
+    let counts = calls_by_server(&mut router, 1, 100);
+    assert_eq!(counts.get("c"), Some(&100), "{counts:?}");
+}
+
+/// An old report says little of how many calls a server runs by now.
+#[test]
+fn begin_forgets_an_old_limit() {
+    let mut router = router(TWO_VERSIONS, &three_servers()[..2]);
+    let low = ServerLoad { running: 0, waiting: 0, limit: 1, hold_us: 50_000 };
+    let usual = ServerLoad { running: 0, waiting: 0, limit: 15, hold_us: 50_000 };
+    for (name, load) in [("a", low), ("b", usual)] {
+        router.observe_load(at(0), &ServerName::try_from(name).expect("valid name"), load);
+    }
+    let counts = calls_by_server(&mut router, 30_000_000, 200);
+    assert!(counts["a"] > 50, "{counts:?}");
+}
+
 /// A server that sheds calls although its daemon has free slots gets few calls.
 #[test]
 fn begin_avoids_shedding_server() {
