A call that full servers refused does not wait for an unreachable one

Cause: the fallback to unreachable servers looked at the untried servers only. It is meant for the case that nothing can be connected to.

Now it is used only if connections to all servers of the version failed. Otherwise the call ends with the refusal of the full servers, which is true, at once.

finish_no_slot_not_retried_at_an_unreachable_server: the call was retried at s00 before; it is refused as overloaded now.

--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -88,7 +88,7 @@
     Healthy,
     /// Those of which no connection failed.
     Connectable,
-    /// All that accept calls.
+    /// All that accept calls. Considered only if connections to all of them failed.
     Any,
 }
 
@@ -182,8 +182,9 @@
     }
 
     /// Picks a server that the call has not tried: the one with the lowest cost among a few random
-    /// healthy ones; if none is healthy, among a few of those of which no connection failed, else of
-    /// all. `None` if there is no server left.
+    /// healthy ones; if none is healthy, among a few of those of which no connection failed; of all if
+    /// connections to all servers of the version failed. `None` if there is no server left: a call that
+    /// the others refused does not wait for a connection that is likely to fail.
     pub(super) fn choose(
         &mut self,
         now: Mono,
@@ -207,7 +208,11 @@
         rng: &mut SmallRng,
     ) -> Option<(ServerIndex, ServerSelection)> {
         let group = self.group(request.service, request.version)?;
+        let unreachable = |index: &ServerIndex| self.servers[*index].connect_backoff().is_active();
         for eligibility in [Eligibility::Healthy, Eligibility::Connectable, Eligibility::Any] {
+            if eligibility == Eligibility::Any && !group.servers.iter().all(unreachable) {
+                return None;
+            }
             self.collect_eligible(now, &group.servers, eligibility, request.tried, candidates);
             if !candidates.is_empty() {
                 self.keep_few_of_each_distance(candidates, rng);
--- a/crates/routing/tests/unreachable.rs
+++ b/crates/routing/tests/unreachable.rs
@@ -4,9 +4,10 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use common::{at, head, router, server};
-use cyclamen_routing::{Attempt, AttemptId, Next, Outcome, Router, ServerInfo};
+use cyclamen_routing::{Attempt, AttemptId, Next, Outcome, RefusalKind, Router, ServerInfo};
 use cyclamen_types::Incarnation;
 
 const US_PER_MS: u64 = 1_000;
@@ -255,3 +256,17 @@
     router.end_body(at(15_000), answered.id, true);
     assert!(calls_at_s00(&mut router, 15_000) > 50);
 }
+
+/// A full server is an answer, which a retry that waits for a connection in vain does not improve.
+#[test]
+fn finish_no_slot_not_retried_at_an_unreachable_server() {
+    let mut router = router_after_failed_connection();
+    let attempt = router.begin(at(20_000), &head("GET", "/")).expect("a server is picked");
+    assert_eq!(attempt.server.as_str(), "s01");
+    let full = Outcome::RefusedByDaemon { retry_after: Duration::from_millis(50) };
+    let next = router.finish(at(21_000), attempt.id, full);
+    let Next::Refuse(refusal) = next else {
+        panic!("no server is left that can be connected to: {next:?}");
+    };
+    assert_eq!(refusal.kind, RefusalKind::Overloaded);
+}
