Calls: bytes from a server that come to nothing break its connection

A backend server in trouble can send interim responses, or the digits of a chunk's length, without end. Its daemon read them until the call's deadline, and meanwhile other calls at that daemon waited: a call that is answered at once took more than the 500 ms that the tests give it.

Cause: hyper parses both without passing anything on and without a limit, and one poll of the connection reads up to 128 buffers, which grow to 417,792 bytes; its thread does nothing else.

Now a connection fails once it has received eight buffers' worth of bytes since the last head or part of a body. The count is on the connection below hyper, so it bounds whatever hyper may skip. Buffers are limited to 64 KiB towards backend servers and 128 KiB between daemons (room for the hop header), which is also the limit of the head of an answer; it was 417,792 bytes.

--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -315,6 +315,9 @@
         };
         match Pin::new(incoming).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
+                if let Some(lease) = &self.lease {
+                    lease.body_part_taken();
+                }
                 self.end_if_done();
                 Poll::Ready(Some(Ok(frame)))
             }
--- a/crates/daemon/src/calls/context.rs
+++ b/crates/daemon/src/calls/context.rs
@@ -17,13 +17,18 @@
 use crate::calls::CallObservers;
 use crate::calls::hop::HopSeal;
 use crate::calls::nested_calls::{AncestorServices, RunningCalls};
-use crate::calls::pool::Pool;
+use crate::calls::pool::{self, Pool, PoolLimits};
 use crate::decision_log::DecisionLog;
 use crate::settings::Settings;
 use crate::shared::SharedInstance;
 
-/// Most connections that this daemon opens to one other daemon.
-const MAX_CONNECTIONS_PER_DAEMON: usize = 512;
+/// Bounds of the connections to one local backend server.
+const SERVER_POOL_LIMITS: PoolLimits =
+    PoolLimits { connections: pool::MAX_SERVER_CONNECTIONS, buffer_bytes: 64 * 1024 };
+
+/// Bounds of the connections to one other daemon. The head of its response is that of its backend
+/// server, which [`SERVER_POOL_LIMITS`] bounds, with a hop header.
+const DAEMON_POOL_LIMITS: PoolLimits = PoolLimits { connections: 512, buffer_bytes: 128 * 1024 };
 
 /// Most bytes of request bodies buffered at a time, over all calls.
 const MAX_TOTAL_BUFFERED_BODY_BYTES: usize = 32 * 1024 * 1024;
@@ -71,8 +76,8 @@
             hop_seal: HopSeal::new(&settings.mesh_key),
             headers: settings.call_headers(),
             caller_service: settings.platform.as_ref().map(|platform| platform.service.clone()),
-            server_pool: Pool::new(crate::calls::pool::MAX_SERVER_CONNECTIONS),
-            daemon_pool: Pool::new(MAX_CONNECTIONS_PER_DAEMON),
+            server_pool: Pool::new(SERVER_POOL_LIMITS),
+            daemon_pool: Pool::new(DAEMON_POOL_LIMITS),
             body_budget: Arc::new(Semaphore::new(MAX_TOTAL_BUFFERED_BODY_BYTES)),
             running_calls: RunningCalls::default(),
             last_call_id: AtomicU64::new(0),
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -20,6 +20,7 @@
 mod outbound;
 mod pipeline;
 mod pool;
+mod receive_limit;
 mod response_writer;
 mod serve;
 mod tcp_options;
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -22,11 +22,16 @@
 
 use crate::calls::body::AttemptBody;
 use crate::calls::context::CallContext;
+use crate::calls::receive_limit::{LimitedStream, ReceiveLimit};
 use crate::calls::tcp_options;
 
 /// Most connections to one backend server.
 pub(super) const MAX_SERVER_CONNECTIONS: usize = 130;
 
+/// Buffers' worth of bytes that a connection may receive without a part of a response. Parts that
+/// were received but not taken yet count too: at most two, of which each may be twice a buffer.
+const MAX_BUFFERS_WITHOUT_RESPONSE: usize = 8;
+
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -49,13 +54,23 @@
 #[derive(Clone)]
 pub(super) struct Pool(Arc<Inner>);
 
+/// The bounds of a [`Pool`].
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PoolLimits {
+    /// Most connections to one address.
+    pub(super) connections: usize,
+    /// Most bytes that a connection buffers, at least 8192. The head of a response must fit.
+    pub(super) buffer_bytes: usize,
+}
+
 struct Inner {
-    max_per_target: usize,
+    limits: PoolLimits,
     targets: Mutex<FastMap<SocketAddr, Arc<Target>>>,
 }
 
 struct Target {
     address: SocketAddr,
+    limits: PoolLimits,
     /// One permit per connection that may still be opened.
     permits: Arc<Semaphore>,
     idle: Mutex<Vec<IdleConnection>>,
@@ -84,6 +99,7 @@
 
 struct IdleConnection {
     sender: SendRequest<AttemptBody>,
+    receive_limit: ReceiveLimit,
     since: Instant,
 }
 
@@ -91,6 +107,7 @@
 pub(super) struct Lease {
     target: Arc<Target>,
     sender: SendRequest<AttemptBody>,
+    receive_limit: ReceiveLimit,
     new_connection: bool,
 }
 
@@ -118,9 +135,9 @@
 }
 
 impl Pool {
-    /// A pool that opens at most `max_per_target` connections to one address.
-    pub(super) fn new(max_per_target: usize) -> Self {
-        Self(Arc::new(Inner { max_per_target, targets: Mutex::default() }))
+    /// A pool without connections.
+    pub(super) fn new(limits: PoolLimits) -> Self {
+        Self(Arc::new(Inner { limits, targets: Mutex::default() }))
     }
 
     /// Sends a call over an idle or a new connection and waits until `until` for the head of the
@@ -174,17 +191,19 @@
         let mut targets = lock(&self.0.targets);
         targets.retain(|_, target| {
             lock(&target.idle).retain(|idle| idle.is_usable());
-            target.permits.available_permits() < self.0.max_per_target
+            target.permits.available_permits() < self.0.limits.connections
                 || Arc::strong_count(target) > 1
         });
     }
 
     fn target(&self, address: SocketAddr) -> Arc<Target> {
         let mut targets = lock(&self.0.targets);
+        let limits = self.0.limits;
         let target = targets.entry(address).or_insert_with(|| {
-            let permits = Arc::new(Semaphore::new(self.0.max_per_target));
+            let permits = Arc::new(Semaphore::new(limits.connections));
             Arc::new(Target {
                 address,
+                limits,
                 permits,
                 idle: Mutex::default(),
                 last_reuse_break: Mutex::default(),
@@ -204,8 +223,8 @@
         let mut idle = lock(&self.idle);
         let suitable = |idle: &IdleConnection| idle.is_usable() && idle.since.elapsed() < max_idle;
         let position = idle.iter().rposition(|idle| suitable(idle) && idle.sender.is_ready())?;
-        let sender = idle.remove(position).sender;
-        Some(Lease { target: Arc::clone(self), sender, new_connection: false })
+        let IdleConnection { sender, receive_limit, .. } = idle.remove(position);
+        Some(Lease { target: Arc::clone(self), sender, receive_limit, new_connection: false })
     }
 
     /// Resends a call over a new connection. A failure is reported as [`SendFailure::Reset`] or
@@ -242,10 +261,13 @@
             Ok(Err(_)) | Err(_) => return Err(SendFailure::NotConnected),
         };
         tcp_options::set_options(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let buffer_bytes = self.limits.buffer_bytes;
+        let receive_limit = ReceiveLimit::new(MAX_BUFFERS_WITHOUT_RESPONSE * buffer_bytes);
+        let stream = TokioIo::new(LimitedStream::new(stream, receive_limit.clone()));
+        let handshake = http1::Builder::new().max_buf_size(buffer_bytes).handshake(stream).await;
         let (sender, connection) = handshake.map_err(|_| SendFailure::NotConnected)?;
         tokio::spawn(drive_connection(connection, permit));
-        Ok(Lease { target: Arc::clone(self), sender, new_connection: true })
+        Ok(Lease { target: Arc::clone(self), sender, receive_limit, new_connection: true })
     }
 }
 
@@ -268,7 +290,7 @@
 }
 
 async fn drive_connection(
-    connection: http1::Connection<TokioIo<TcpStream>, AttemptBody>,
+    connection: http1::Connection<TokioIo<LimitedStream>, AttemptBody>,
     permit: OwnedSemaphorePermit,
 ) {
     // An error reaches the connection's user through its sender.
@@ -289,9 +311,11 @@
         req: Request<AttemptBody>,
         until: Instant,
     ) -> Result<Sent, SendFailure> {
+        self.receive_limit.reset();
         let sent = tokio::time::timeout_at(until, self.sender.try_send_request(req)).await;
         match sent.map_err(|_| SendFailure::TimedOut)? {
             Ok(response) => {
+                self.receive_limit.reset();
                 let new_connection = self.new_connection;
                 Ok(Sent::Answered(Exchange {
                     response,
@@ -304,9 +328,18 @@
         }
     }
 
+    /// Records that a part of the body of a response was taken.
+    pub(super) fn body_part_taken(&self) {
+        self.receive_limit.reset();
+    }
+
     /// Returns the connection to the pool. The response must have been read to its end.
     pub(super) fn return_to_pool(self) {
-        let idle = IdleConnection { sender: self.sender, since: Instant::now() };
+        let idle = IdleConnection {
+            sender: self.sender,
+            receive_limit: self.receive_limit,
+            since: Instant::now(),
+        };
         if idle.is_usable() {
             lock(&self.target.idle).push(idle);
         }
