Calls: a response body ends a bounded time after its deadline even if data keeps arriving

A body was ended at its deadline only when it had to wait for data. One that always has data when it is polled, because a server in trouble sends without end or drips a byte at a time and the caller takes each part later than the next one arrives, would hold its slot and its connections for ever.

Callers see such an answer break off now, also late, where it never did. A body of unknown length has a second after its deadline; one of known length has its length at 64 KiB a second on top, so that answers that flow are still delivered late. The time is checked where a part is passed on, apart from the wait at the deadline, so it holds whatever grace that wait has.

Tests (calls::body): response_body_of_unknown_length_that_never_waits_breaks_off and response_body_of_known_length_that_drips_breaks_off failed before: no end 2 s after the deadline. response_body_of_known_length_that_flows_goes_on passed before and after.

--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use cyclamenmoor::BodyEnd;
@@ -22,6 +23,12 @@
 /// Largest request body, in bytes, that is buffered so that the call can be retried.
 const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
 
+/// Longest time after its deadline in which a response body whose length is unknown may go on.
+const MAX_TIME_PAST_DEADLINE: Duration = Duration::from_secs(1);
+
+/// Bytes a second that a response body of known length has to flow at to go on for longer.
+const MIN_RATE_PAST_DEADLINE: u64 = 64 * 1024;
+
 /// Why a body ended early.
 #[derive(Debug, Display, Error)]
 pub(super) enum BodyError {
@@ -228,6 +235,8 @@
     body_end: Option<BodyEndGuard>,
     deadline: Option<Instant>,
     timer: Option<Pin<Box<Sleep>>>,
+    /// When the body has to be complete even if data keeps arriving.
+    complete_by: Option<Instant>,
 }
 
 impl ResponseBody {
@@ -237,9 +246,10 @@
     }
 
     /// A body received over `lease`. It fails if it waits for data at `deadline`; data that has
-    /// already arrived is still delivered.
+    /// already arrived is still delivered, until [`complete_by`].
     pub(super) fn streamed(incoming: Incoming, lease: Lease, deadline: Instant) -> Self {
         let mut body = Self {
+            complete_by: complete_by(deadline, incoming.size_hint().exact()),
             incoming: Some(incoming),
             lease: Some(lease),
             deadline: Some(deadline),
@@ -290,6 +300,11 @@
         }
     }
 
+    /// Whether the body is not complete although it has to be.
+    fn is_overdue(&self) -> bool {
+        self.incoming.is_some() && self.complete_by.is_some_and(|at| Instant::now() >= at)
+    }
+
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let Some(deadline) = self.deadline else {
             return Poll::Pending;
@@ -299,6 +314,14 @@
     }
 }
 
+/// When a response body of `len` bytes, if known, has to be complete. A server in trouble may send
+/// a body without end, or drip one, so that data that keeps arriving is no sign of an end to come.
+/// `None` if that time cannot be represented.
+fn complete_by(deadline: Instant, len: Option<u64>) -> Option<Instant> {
+    let flowing = Duration::from_secs(len.unwrap_or(0) / MIN_RATE_PAST_DEADLINE);
+    deadline.checked_add(MAX_TIME_PAST_DEADLINE)?.checked_add(flowing)
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -319,6 +342,10 @@
                     lease.body_part_taken();
                 }
                 self.end_if_done();
+                if self.is_overdue() {
+                    self.end(BodyEnd::Truncated);
+                    return Poll::Ready(Some(Err(BodyError::DeadlineExceeded)));
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(cause))) => {
@@ -349,3 +376,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
