Calls: an answer with trailers ends complete

On connections that hyper serves (other daemons', and callers' whose calls have bodies), an answer that ended with trailers was reported as cancelled by its caller, and the connection to its server was closed instead of reused.

Cause: the end of a body was noticed only when `None` was polled after it. hyper's server drops the body once it has taken trailers (`poll_write` in its dispatcher), so that poll never came.

A frame of trailers now ends the body. It is the last frame that an HTTP/1 body has.

Test: response_body_with_trailers_returns_connection (calls::body) failed before at its second call ("the head of a response: Unsent": the only connection was closed). How the end was reported follows from the code (`BodyEndGuard` dropped) and was not tested by itself.

--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -341,7 +341,11 @@
                 if let Some(lease) = &self.lease {
                     lease.body_part_taken();
                 }
-                self.end_if_done();
+                // Trailers are last, and hyper takes nothing after them.
+                match frame.is_trailers() {
+                    true => self.end(BodyEnd::Complete),
+                    false => self.end_if_done(),
+                }
                 if self.is_overdue() {
                     self.end(BodyEnd::Truncated);
                     return Poll::Ready(Some(Err(BodyError::DeadlineExceeded)));
--- a/crates/daemon/src/calls/body/tests.rs
+++ b/crates/daemon/src/calls/body/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of response bodies against a server that writes without end.
+//! Tests when response bodies end, and what becomes of their connections.
 
 use std::net::SocketAddr;
 
@@ -11,6 +11,9 @@
 use super::{AttemptBody, BodyError, ResponseBody};
 use crate::calls::pool::{Exchange, Pool, PoolLimits, ResendPolicy};
 
+/// One connection, with buffers as towards backend servers.
+const POOL_LIMITS: PoolLimits = PoolLimits { connections: 1, buffer_bytes: 64 * 1024 };
+
 /// Time from the head of an answer to its deadline.
 const TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -40,8 +43,8 @@
     }
 }
 
-async fn body(server: SocketAddr) -> ResponseBody {
-    let pool = Pool::new(PoolLimits { connections: 1, buffer_bytes: 64 * 1024 });
+/// Makes a call and returns the body of the answer.
+async fn body(pool: &Pool, server: SocketAddr) -> ResponseBody {
     let until = Instant::now() + TIMEOUT;
     let req = Request::new(AttemptBody::Buffered(None));
     let sent = pool.send(server, req, until, ResendPolicy::Never).await;
@@ -55,7 +58,8 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
     let server = listener.local_addr().expect("an address");
     let flooding = tokio::spawn(flood(listener, head, part, pause));
-    let mut body = body(server).await;
+    let pool = Pool::new(POOL_LIMITS);
+    let mut body = body(&pool, server).await;
     let deadline = Instant::now() + TIMEOUT;
     while deadline.elapsed() < LATE {
         match body.frame().await.expect("no end") {
@@ -90,3 +94,27 @@
     let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000000000\r\n\r\n";
     assert_eq!(broke_off(head, "x".repeat(0x10000), Pause::None).await, None);
 }
+
+#[tokio::test]
+async fn response_body_with_trailers_returns_connection() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let server = listener.local_addr().expect("an address");
+    let answer = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\nx-a: b\r\n\r\n";
+    // One answer to each part of the requests that arrives, which are written whole.
+    let answering = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut buf = [0; 1024];
+        while stream.read(&mut buf).await.is_ok_and(|len| len > 0) {
+            stream.write_all(answer.as_bytes()).await.expect("a connection");
+        }
+    });
+    let pool = Pool::new(POOL_LIMITS);
+    for _ in 0..3 {
+        let mut body = body(&pool, server).await;
+        let frame = body.frame().await.expect("trailers").expect("a whole body");
+        // hyper takes nothing after trailers.
+        assert!(frame.is_trailers());
+    }
+    drop(pool);
+    answering.await.expect("no panic");
+}
