Stand-ins: a backend server whose answers have no end

The stand-in backend server could break an answer off, but not go on with one for ever, so scripts and tests with a whole mesh could not play what the users describe. `FaultEffect::Endless` answers with pieces of 16 KiB every 5 ms, without a length, until the connection is closed.

Tests: call_endless_answer (cyclamen-standins) and bodies_without_end_on_all_slots_leave_slots_free (cyclamen-daemon, calls_endless; neither compiles before).

No scenario or soak uses the fault yet.

--- a/crates/daemon/tests/calls_endless.rs
+++ b/crates/daemon/tests/calls_endless.rs
@@ -9,7 +9,9 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use mesh::{Mesh, loopback};
+use cyclamen_standins::{Fault, FaultEffect, Scope, Told};
+use http::Method;
+use mesh::{Mesh, call_plan, loopback};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -380,3 +382,19 @@
         }
     }
 }
+
+#[tokio::test]
+async fn bodies_without_end_on_all_slots_leave_slots_free() {
+    let mesh = Mesh::start(2, 4, DECLARATIONS).await;
+    mesh.set_faults(&[Fault { scope: Scope::default(), effect: FaultEffect::Endless }]);
+    let plans: Vec<_> = (0..8).map(|n| call_plan(Method::POST, "/", &format!("{n}"))).collect();
+    let calls = plans.iter().enumerate().map(|(n, plan)| mesh.call(n % 2, plan));
+    let answers = tokio::time::timeout(LONGEST_CALL, futures::future::join_all(calls)).await;
+    let answers = answers.expect("the answers end");
+    let cut = answers.iter().filter(|answer| answer.told == Told::Cut).count();
+    assert!(cut >= 6, "at most two calls find no slot: {answers:?}");
+    mesh.set_faults(&[]);
+    for (n, plan) in plans.iter().enumerate() {
+        assert_eq!(mesh.call(n % 2, plan).await.told, Told::Answered);
+    }
+}
--- a/crates/standins/src/backend/faults.rs
+++ b/crates/standins/src/backend/faults.rs
@@ -36,6 +36,8 @@
     Reset,
     /// The call runs, and the connection breaks in the middle of the answer.
     Truncate,
+    /// The call runs, and the answer goes on until its connection is closed.
+    Endless,
     /// The call is not run and answered 503, as a server does that sheds load.
     Shed,
 }
--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -30,6 +30,9 @@
 /// Time for the first half of an answer to leave before its connection breaks.
 const FLUSH_PAUSE: Duration = Duration::from_millis(5);
 
+/// Pause after each piece of an answer without end.
+const ENDLESS_PAUSE: Duration = Duration::from_millis(5);
+
 /// How a backend server behaves.
 #[derive(Clone, Debug)]
 pub struct BackendOptions {
@@ -185,7 +188,7 @@
         Some(FaultEffect::Reset) => None,
         Some(FaultEffect::Fail) => Some(plain(StatusCode::INTERNAL_SERVER_ERROR, "failed")),
         _ if onward >= StatusCode::INTERNAL_SERVER_ERROR => Some(plain(onward, "onward call")),
-        _ => Some(inner.answer(&key, &wish, effect == Some(FaultEffect::Truncate))),
+        _ => Some(inner.answer(&key, &wish, effect)),
     }
 }
 
@@ -237,13 +240,20 @@
         self.onward.status(req).await.unwrap_or(StatusCode::BAD_GATEWAY)
     }
 
-    fn answer(&self, key: &CallKey, wish: &Wish, truncate: bool) -> Response<Body> {
+    fn answer(&self, key: &CallKey, wish: &Wish, effect: Option<FaultEffect>) -> Response<Body> {
         let options = &self.options;
         let line = format!("{key} {} {}\n", options.name, options.version);
         let length = line.len().max(wish.bytes);
-        let mut response = Response::new(body(line, length, truncate));
+        let body = match effect {
+            Some(FaultEffect::Truncate) => cut_after_half(&line),
+            Some(FaultEffect::Endless) => endless(line),
+            _ => padded(line, length),
+        };
+        let mut response = Response::new(body);
         let headers = response.headers_mut();
-        headers.insert(http::header::CONTENT_LENGTH, HeaderValue::from(length));
+        if effect != Some(FaultEffect::Endless) {
+            headers.insert(http::header::CONTENT_LENGTH, HeaderValue::from(length));
+        }
         if let Ok(version) = HeaderValue::from_str(options.version.as_str()) {
             headers.insert(HeaderName::from_static("x-served-version"), version);
         }
@@ -284,13 +294,9 @@
     name == http::header::HOST || name.as_str().starts_with("x-request-")
 }
 
-/// `line` padded to `length`, in pieces; cut after the first half when `truncate`.
-fn body(line: String, length: usize, truncate: bool) -> Body {
+/// `line` padded to `length`, in pieces.
+fn padded(line: String, length: usize) -> Body {
     let padding = length - line.len();
-    if truncate {
-        let half = Bytes::from(line.as_bytes()[..line.len() / 2].to_vec());
-        return cut_after(half);
-    }
     if padding == 0 {
         return whole(line);
     }
@@ -305,8 +311,9 @@
     BodyExt::boxed(StreamBody::new(stream::iter(pieces)))
 }
 
-/// `half` of an answer, and a broken connection once it has left.
-fn cut_after(half: Bytes) -> Body {
+/// The first half of `line`, and a broken connection once it has left.
+fn cut_after_half(line: &str) -> Body {
+    let half = Bytes::copy_from_slice(&line.as_bytes()[..line.len() / 2]);
     let first = stream::iter([Ok(Frame::data(half))]);
     let cut = stream::once(async {
         tokio::time::sleep(FLUSH_PAUSE).await;
@@ -315,6 +322,17 @@
     BodyExt::boxed(StreamBody::new(Box::pin(first.chain(cut))))
 }
 
+/// `line`, and padding in pieces without end.
+fn endless(line: String) -> Body {
+    let first = stream::iter([Ok(Frame::data(Bytes::from(line)))]);
+    let piece = Bytes::from(vec![b'.'; PIECE_BYTES]);
+    let rest = stream::repeat(piece).then(|piece| async move {
+        tokio::time::sleep(ENDLESS_PAUSE).await;
+        Ok(Frame::data(piece))
+    });
+    BodyExt::boxed(StreamBody::new(Box::pin(first.chain(rest))))
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
     let mut response = Response::new(whole(text));
     *response.status_mut() = status;
--- a/crates/standins/tests/backend.rs
+++ b/crates/standins/tests/backend.rs
@@ -71,6 +71,17 @@
     assert_eq!(told(faults, "/records").await, (Told::Cut, 1));
 }
 
+#[tokio::test]
+async fn call_endless_answer() {
+    let faults = vec![fault(FaultEffect::Endless, None)];
+    let server = BackendServer::start(loopback(), options(faults), RunRecord::default())
+        .await
+        .expect("a free port");
+    let plan = CallPlan { timeout: Duration::from_millis(300), ..plan("/records", "key-1") };
+    let answer = Client::default().call(server.address(), &plan).await;
+    assert_eq!(answer.told, Told::TimedOut);
+}
+
 #[tokio::test]
 async fn call_reset() {
     let faults = vec![fault(FaultEffect::Reset, None)];
