Test: bytes of a body that its caller does not read are bounded

body_without_end_is_broken_off_for_caller_that_reads_nothing also checks how much of the body the server could write: the socket buffers of three connections at most.

--- a/crates/daemon/tests/calls_endless.rs
+++ b/crates/daemon/tests/calls_endless.rs
@@ -335,6 +335,8 @@
         let unread = send(member.calls, "/flood").await;
         unread.readable().await.expect("an answer");
         bench.wait_for_release(LONGEST_CALL).await;
+        let sent = bench.server.sent.swap(0, Ordering::Relaxed);
+        assert!(sent < 3 * MAX_UNDELIVERED_BYTES, "{sent} bytes were read for three connections");
     }
 }
 
