--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::calls::attempt::BodyEndGuard;
+use crate::calls::body_expiry::{BodyExpiry, BodyExpiryGuard};
 use crate::calls::delivery::Delivery;
 use crate::calls::inbound::SlotGuard;
 use crate::calls::local_reply::Rejection;
@@ -29,6 +30,12 @@
 /// behind other traffic on a full link.
 const LATE_BODY_SILENCE: Duration = Duration::from_millis(200);
 
+/// Longest time after its deadline in which a response body whose length is unknown may go on.
+const MAX_TIME_PAST_DEADLINE: Duration = Duration::from_secs(1);
+
+/// Bytes a second that a response body of known length has to flow at to go on for longer.
+const MIN_RATE_PAST_DEADLINE: u64 = 64 * 1024;
+
 /// Why a body ended early.
 #[derive(Debug, Display, Error)]
 pub(super) enum BodyError {
@@ -241,6 +248,9 @@
     /// When the last data arrived, or the head if there was none.
     last_data: Option<Instant>,
     timer: Option<Pin<Box<Sleep>>>,
+    /// When the body has to be complete even if data keeps arriving.
+    complete_by: Option<Instant>,
+    expiry: Option<BodyExpiryGuard>,
 }
 
 impl ResponseBody {
@@ -262,9 +272,10 @@
     }
 
     /// A body received over `lease`. After `deadline` it fails once no data has arrived for
-    /// [`LATE_BODY_SILENCE`].
+    /// [`LATE_BODY_SILENCE`], and at [`complete_by`] in any case.
     pub(super) fn streamed(incoming: Incoming, lease: Lease, deadline: Instant) -> Self {
         let mut body = Self {
+            complete_by: complete_by(deadline, incoming.size_hint().exact()),
             incoming: Some(incoming),
             lease: Some(lease),
             deadline: Some(deadline),
@@ -293,6 +304,18 @@
         self
     }
 
+    /// Has the connection that carries the body watch when it has to be complete.
+    pub(super) fn with_expiry(mut self, expiry: &BodyExpiry) -> Self {
+        self.expiry = self.complete_by().map(|at| expiry.watch(at));
+        self
+    }
+
+    /// When the rest of the body has to be complete even if data keeps arriving; `None` without a
+    /// rest or a bound.
+    pub(super) fn complete_by(&self) -> Option<Instant> {
+        self.complete_by.filter(|_| self.incoming.is_some())
+    }
+
     /// Records through `delivery` whether the body was taken to its end.
     pub(super) fn with_delivery(mut self, delivery: Delivery) -> Self {
         match self.is_end_stream() {
@@ -321,6 +344,7 @@
 
     fn end(&mut self, end: BodyEnd) {
         self.incoming = None;
+        self.expiry = None;
         self.end_delivery(end);
         if let Some(slot) = self.slot.take()
             && end == BodyEnd::Truncated
@@ -337,6 +361,11 @@
         }
     }
 
+    /// Whether the body is not complete although it has to be.
+    fn is_overdue(&self) -> bool {
+        self.complete_by().is_some_and(|at| Instant::now() >= at)
+    }
+
     /// Whether the body has been silent for too long after its deadline.
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let (Some(deadline), Some(last_data)) = (self.deadline, self.last_data) else {
@@ -351,6 +380,14 @@
     }
 }
 
+/// When a response body of `len` bytes, if known, has to be complete. A server in trouble may send
+/// a body without end, or drip one, so that data that keeps arriving is no sign of an end to come.
+/// `None` if that time cannot be represented.
+fn complete_by(deadline: Instant, len: Option<u64>) -> Option<Instant> {
+    let flowing = Duration::from_secs(len.unwrap_or(0) / MIN_RATE_PAST_DEADLINE);
+    deadline.checked_add(MAX_TIME_PAST_DEADLINE)?.checked_add(flowing)
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -373,7 +410,18 @@
         match Pin::new(incoming).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.last_data = Some(Instant::now());
-                self.end_if_done();
+                if let Some(lease) = &self.lease {
+                    lease.body_part_taken();
+                }
+                // Trailers are last, and hyper takes nothing after them.
+                match frame.is_trailers() {
+                    true => self.end(BodyEnd::Complete),
+                    false => self.end_if_done(),
+                }
+                if self.is_overdue() {
+                    self.end(BodyEnd::Truncated);
+                    return Poll::Ready(Some(Err(BodyError::DeadlineExceeded)));
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(cause))) => {
@@ -410,3 +458,6 @@
         hint
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -10,6 +10,7 @@
 
 mod attempt;
 mod body;
+mod body_expiry;
 mod context;
 mod decision_trace;
 mod delivery;
@@ -22,6 +23,7 @@
 mod outbound;
 mod pipeline;
 mod pool;
+mod receive_limit;
 mod response_writer;
 mod serve;
 mod tcp_options;
--- a/crates/daemon/src/calls/response_writer.rs
+++ b/crates/daemon/src/calls/response_writer.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::time::Instant;
 
 use crate::calls::body::{BodyError, ResponseBody};
 
@@ -69,7 +70,7 @@
         };
         append_data(&mut buf, framing, &data);
         if buf.len() >= WRITE_BUFFER_BYTES {
-            tx.write_all_buf(&mut buf).await?;
+            write_until(tx, &mut buf, body.complete_by()).await?;
         }
     }
     if framing == Framing::Chunked {
@@ -79,6 +80,22 @@
     Ok(())
 }
 
+/// Writes `buf`, at the latest until the body that it is a part of has to be complete.
+async fn write_until(
+    tx: &mut OwnedWriteHalf,
+    buf: &mut BytesMut,
+    complete_by: Option<Instant>,
+) -> Result<(), WriteError> {
+    let write = tx.write_all_buf(buf);
+    let Some(at) = complete_by else {
+        return Ok(write.await?);
+    };
+    match tokio::time::timeout_at(at, write).await {
+        Ok(written) => Ok(written?),
+        Err(_) => Err(WriteError::Body(BodyError::DeadlineExceeded)),
+    }
+}
+
 fn write_head(
     buf: &mut BytesMut,
     response: &Response<ResponseBody>,
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 
 use crate::calls::body::ResponseBody;
+use crate::calls::body_expiry::BodyExpiry;
 use crate::calls::context::CallContext;
 use crate::calls::delivery::Delivery;
 use crate::calls::hop::HopError;
@@ -211,11 +212,15 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let response_phase = phase.clone();
+    let expiry = BodyExpiry::default();
+    let response_expiry = expiry.clone();
     let service = service_fn(move |req| {
         let ctx = ctx.clone();
         let phase = response_phase.clone();
+        let expiry = response_expiry.clone();
         async move {
-            let mut response = dispatch(ctx, req, clients).await;
+            let response = dispatch(ctx, req, clients).await;
+            let mut response = response.map(|body| body.with_expiry(&expiry));
             if *phase.borrow() != ShutdownPhase::Serving {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -228,13 +233,14 @@
         pin!(builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service));
     tokio::select! {
         // An error of the connection affects only its own client.
-        _ = serving.as_mut() => return,
+        _ = expiry.limit(serving.as_mut()) => return,
         () = wait_for_closing(&mut phase) => {}
     }
     // A caller that has just connected may still send a call; its response closes the connection.
-    if tokio::time::timeout(LAST_CALL_TIMEOUT, serving.as_mut()).await.is_err() {
+    let last_call = expiry.limit(serving.as_mut());
+    if tokio::time::timeout(LAST_CALL_TIMEOUT, last_call).await.is_err() {
         serving.as_mut().graceful_shutdown();
-        let _ = serving.as_mut().await;
+        let _ = expiry.limit(serving.as_mut()).await;
     }
 }
 
