Connections with bodies: an answer that breaks off does not take the whole ones before it

Cause: an answer that breaks off is an error of hyper's connection, and hyper then drops its stream without a shutdown.

hyper no longer shuts the stream down; the daemon closes it in one place, however it ended. An idle connection may carry a last call after the daemon begins to close, as it did here already.

--- a/crates/daemon/src/calls/body_expiry.rs
+++ b/crates/daemon/src/calls/body_expiry.rs
@@ -4,10 +4,10 @@
 //! do not end one that nobody reads, and it would hold its slot and its connection. So the task of
 //! the connection watches the time as well.
 
-use std::future::poll_fn;
+use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::Poll;
+use std::task::{Context, Poll};
 
 use tokio::time::{Instant, Sleep};
 
@@ -26,15 +26,18 @@
         BodyExpiryGuard(self.clone())
     }
 
-    /// Polls `serving`, the future of the connection, until it ends or its body has expired. `None`
-    /// if the body has expired: the connection is to be dropped.
-    pub(super) async fn limit<F: Future>(&self, mut serving: Pin<&mut F>) -> Option<F::Output> {
+    /// Polls the connection by `poll` until it ends or its body has expired. `None` if the body has
+    /// expired: the connection is to be closed.
+    pub(super) async fn limit<T>(
+        &self,
+        mut poll: impl FnMut(&mut Context<'_>) -> Poll<T>,
+    ) -> Option<T> {
         let mut timer: Option<Pin<Box<Sleep>>> = None;
         poll_fn(|cx| {
-            if let Poll::Ready(output) = serving.as_mut().poll(cx) {
+            if let Poll::Ready(output) = poll(cx) {
                 return Poll::Ready(Some(output));
             }
-            // The body is created and polled by `serving` alone, so this is up to date here.
+            // The connection alone creates and polls the body, so this is up to date here.
             let Some(at) = *self.lock() else {
                 return Poll::Pending;
             };
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -2,7 +2,7 @@
 //! [`inbound`], callers' calls to [`outbound`].
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::time::Duration;
 
 use cyclamen_decisions::Loss;
@@ -41,9 +41,8 @@
 /// Pause after a failed accept, so that a lasting failure does not keep the loop busy.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
 
-/// Time after [`ShutdownPhase::Closing`] in which a connection that hyper serves may still carry
-/// one more call.
-const LAST_CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after [`ShutdownPhase::Closing`] in which an idle connection may still carry one more call.
+pub(super) const LAST_CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Longest time to write [`OVERLOAD_RESPONSE`] and to close its connection.
 const OVERLOAD_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -66,8 +65,8 @@
     /// Like [`ShutdownPhase::Draining`], but the listener stays open for the whole drain period
     /// even while no connection is open.
     DrainingFullPeriod,
-    /// The listener closes once the connections in its backlog are accepted. Idle connections are
-    /// closed, but those that hyper serves may carry one more call within [`LAST_CALL_TIMEOUT`].
+    /// The listener closes once the connections in its backlog are accepted. Idle connections may
+    /// carry one more call within [`LAST_CALL_TIMEOUT`].
     Closing,
 }
 
@@ -202,7 +201,7 @@
     let _ = LingeringStream::new(stream).shutdown().await;
 }
 
-/// Serves the calls of a connection one after the other with hyper.
+/// Serves the calls of a connection one after the other with hyper, then closes it.
 async fn serve_sequentially<S>(
     ctx: CallContext,
     stream: S,
@@ -218,30 +217,33 @@
         let ctx = ctx.clone();
         let phase = response_phase.clone();
         let expiry = response_expiry.clone();
-        async move {
+        Box::pin(async move {
             let response = dispatch(ctx, req, clients).await;
             let mut response = response.map(|body| body.with_expiry(&expiry));
             if *phase.borrow() != ShutdownPhase::Serving {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
-        }
+        })
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
-    let mut serving =
-        pin!(builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service));
-    tokio::select! {
-        // An error of the connection affects only its own client.
-        _ = expiry.limit(serving.as_mut()) => return,
-        () = wait_for_closing(&mut phase) => {}
-    }
-    // A caller that has just connected may still send a call; its response closes the connection.
-    let last_call = expiry.limit(serving.as_mut());
-    if tokio::time::timeout(LAST_CALL_TIMEOUT, last_call).await.is_err() {
-        serving.as_mut().graceful_shutdown();
-        let _ = expiry.limit(serving.as_mut()).await;
+    let mut conn = builder.serve_connection(TokioIo::new(stream), service);
+    // hyper shuts the stream down only if no response broke off, so that is not left to it. An error
+    // of the connection affects only its own client.
+    let ended = tokio::select! {
+        _ = expiry.limit(|cx| conn.poll_without_shutdown(cx)) => true,
+        () = wait_for_closing(&mut phase) => false,
+    };
+    if !ended {
+        // A caller that has just connected may still send a call; its response closes the connection.
+        let last_call = expiry.limit(|cx| conn.poll_without_shutdown(cx));
+        if tokio::time::timeout(LAST_CALL_TIMEOUT, last_call).await.is_err() {
+            Pin::new(&mut conn).graceful_shutdown();
+            let _ = expiry.limit(|cx| conn.poll_without_shutdown(cx)).await;
+        }
     }
+    close(conn.into_parts().io.into_inner()).await;
 }
 
 /// Waits for [`ShutdownPhase::Closing`].
