--- a/crates/daemon/src/calls/pipeline/mod.rs
+++ b/crates/daemon/src/calls/pipeline/mod.rs
@@ -28,11 +28,12 @@
 use crate::calls::body::{RequestBody, ResponseBody};
 use crate::calls::context::CallContext;
 use crate::calls::delivery::Delivery;
+use crate::calls::local_reply;
 use crate::calls::outbound;
 use crate::calls::pipeline::head::{ParsedHead, asks_to_close, parse_head};
 use crate::calls::pipeline::held_response::HeldResponse;
 use crate::calls::response_writer::{self, AfterResponse, WriteError};
-use crate::calls::serve::{MAX_HEAD_BYTES, ShutdownPhase};
+use crate::calls::serve::{LAST_CALL_TIMEOUT, MAX_HEAD_BYTES, ShutdownPhase};
 
 /// Most calls in progress on a connection; further ones stay unread.
 const MAX_CALLS_IN_PROGRESS: usize = 32;
@@ -56,7 +57,7 @@
 
 /// A call in progress; aborted when dropped.
 struct CallInProgress {
-    progress: Progress,
+    progress: CallProgress,
     /// Whether the caller asked to close the connection after the response.
     close_after: bool,
     delivery: Option<Delivery>,
@@ -80,17 +81,17 @@
 
 impl Drop for CallInProgress {
     fn drop(&mut self) {
-        if let Progress::Running(response) = &self.progress {
+        if let CallProgress::Running(response) = &self.progress {
             response.abort();
         }
     }
 }
 
 /// How far a call is.
-enum Progress {
+enum CallProgress {
     /// There is no response yet.
     Running(JoinHandle<Response<ResponseBody>>),
-    /// The head of the response has arrived.
+    /// The head of the response has arrived; `None` once it is to be written.
     Responded(Option<Box<HeldResponse>>),
 }
 
@@ -98,7 +99,7 @@
 #[expect(clippy::large_enum_variant, reason = "only one exists at a time, and most are responses")]
 enum Event {
     Read(std::io::Result<usize>),
-    Responded(Option<Response<ResponseBody>>),
+    Responded(Response<ResponseBody>),
     PhaseChanged,
     /// The sender of the phase is gone.
     DaemonEnded,
@@ -154,18 +155,21 @@
     idle_timeout: Duration,
 ) -> Stop {
     let mut idle_since = Instant::now();
+    let mut last_call_until = None;
     let mut hand_over = false;
     loop {
-        let stopping = *phase.borrow_and_update() != ShutdownPhase::Serving;
-        hand_over |= start_calls(ctx, conn, stopping) == Pipelining::HandOver;
+        let closing = *phase.borrow_and_update() == ShutdownPhase::Closing;
+        hand_over |= start_calls(ctx, conn, closing) == Pipelining::HandOver;
         if hand_over && conn.in_progress.is_empty() {
             return Stop::HandOver;
         }
-        let closing = *phase.borrow() == ShutdownPhase::Closing;
-        if closing && conn.in_progress.is_empty() && conn.buf.is_empty() {
-            return Stop::Close;
+        let mut idle_until = idle_since + idle_timeout;
+        if closing {
+            // A call that was sent before may not have been read yet.
+            let until = last_call_until.get_or_insert_with(|| Instant::now() + LAST_CALL_TIMEOUT);
+            idle_until = idle_until.min(*until);
         }
-        let event = next_event(ctx, conn, phase, idle_since + idle_timeout, hand_over).await;
+        let event = next_event(ctx, conn, phase, idle_until, hand_over).await;
         match event {
             Event::Read(Ok(0)) => {
                 set_losses(&mut conn.in_progress, Loss::CallerLeft);
@@ -177,15 +181,9 @@
             }
             Event::Read(Ok(_)) | Event::PhaseChanged => {}
             Event::IdleTimeout | Event::DaemonEnded => return Stop::Close,
-            Event::Responded(None) => {
-                warn!(
-                    "a call ended without a response: its connection is closed; report this fault"
-                );
-                return Stop::Close;
-            }
-            Event::Responded(Some(response)) => {
-                let stopping = *phase.borrow() != ShutdownPhase::Serving;
-                if let Some(stop) = write_response(conn, response, stopping).await {
+            Event::Responded(response) => {
+                let phase = *phase.borrow();
+                if let Some(stop) = write_response(conn, response, phase).await {
                     return stop;
                 }
                 idle_since = Instant::now();
@@ -208,6 +206,8 @@
         !hand_over && in_progress.len() < MAX_CALLS_IN_PROGRESS && buf.len() < MAX_HEAD_BYTES;
     let closing = *phase.borrow() == ShutdownPhase::Closing;
     tokio::select! {
+        // A call that has arrived goes before the idle timeout.
+        biased;
         read = rx.read_buf(buf), if wants_more => Event::Read(read),
         response = next_response(ctx, in_progress), if !idle => Event::Responded(response),
         // Only idle connections have to wake: others check the phase with their next response.
@@ -223,10 +223,17 @@
 async fn write_response(
     conn: &mut Connection,
     response: Response<ResponseBody>,
-    stopping: bool,
+    phase: ShutdownPhase,
 ) -> Option<Stop> {
     let mut done = conn.in_progress.pop_front()?;
-    let close = done.close_after || stopping && conn.in_progress.is_empty();
+    let none_behind = conn.in_progress.is_empty();
+    let close = match phase {
+        ShutdownPhase::Serving => done.close_after,
+        ShutdownPhase::Draining | ShutdownPhase::DrainingFullPeriod => {
+            done.close_after || (none_behind && conn.buf.is_empty())
+        }
+        ShutdownPhase::Closing => done.close_after || none_behind,
+    };
     let after = if close { AfterResponse::Close } else { AfterResponse::KeepAlive };
     match response_writer::write(&mut conn.tx, response, after).await {
         Ok(()) => {
@@ -268,11 +275,11 @@
     HandOver,
 }
 
-/// Starts the calls whose heads have been read whole, up to the limit. A daemon that is stopping
-/// starts none behind another: the response to the last one closes the connection, and a caller
-/// that never lets its connection become idle would have calls cut off in the end.
-fn start_calls(ctx: &CallContext, conn: &mut Connection, stopping: bool) -> Pipelining {
-    let max_calls = if stopping { 1 } else { MAX_CALLS_IN_PROGRESS };
+/// Starts the calls whose heads have been read whole, up to the limit.
+fn start_calls(ctx: &CallContext, conn: &mut Connection, closing: bool) -> Pipelining {
+    // None behind another once the daemon closes: a caller that never lets its connection become
+    // idle would have calls cut off when the stop grace ends.
+    let max_calls = if closing { 1 } else { MAX_CALLS_IN_PROGRESS };
     while conn.in_progress.len() < max_calls
         && !conn.in_progress.back().is_some_and(|call| call.close_after)
     {
@@ -286,29 +293,39 @@
         let close_after = asks_to_close(&parts.headers);
         let delivery = Some(Delivery::start(ctx, &parts.headers, Loss::Stopped));
         let call = outbound::serve_received(ctx.clone(), *parts, RequestBody::empty());
-        let progress = Progress::Running(tokio::spawn(call));
+        let progress = CallProgress::Running(tokio::spawn(call));
         conn.in_progress.push_back(CallInProgress { progress, close_after, delivery });
     }
     Pipelining::Continue
 }
 
-/// The next response to write; `None` if its call ended without one. It is received whole first if
-/// calls behind it are in progress. Can be cancelled and called again.
+/// The next response to write. It is received whole first if calls behind it are in progress. Can be
+/// cancelled and called again; pending without a call in progress.
 async fn next_response(
     ctx: &CallContext,
     in_progress: &mut VecDeque<CallInProgress>,
-) -> Option<Response<ResponseBody>> {
+) -> Response<ResponseBody> {
     let calls_behind = in_progress.len() > 1;
-    let first = in_progress.front_mut()?;
-    if let Progress::Running(response) = &mut first.progress {
-        let response = response.await.ok()?;
-        first.progress = Progress::Responded(Some(Box::new(HeldResponse::new(response))));
+    let Some(first) = in_progress.front_mut() else {
+        return std::future::pending().await;
+    };
+    if let CallProgress::Running(response) = &mut first.progress {
+        let response = response.await.unwrap_or_else(|error| {
+            warn!("a call ended without a response ({error}): report this fault");
+            local_reply::broken_off()
+        });
+        first.progress = CallProgress::Responded(Some(Box::new(HeldResponse::new(response))));
     }
-    let Progress::Responded(response) = &mut first.progress else {
-        return None;
+    let CallProgress::Responded(held) = &mut first.progress else {
+        return std::future::pending().await;
     };
-    if calls_behind {
-        response.as_mut()?.receive(&ctx.held_response_budget).await;
+    if let Some(held) = held
+        && calls_behind
+    {
+        held.receive(&ctx.held_response_budget).await;
+    }
+    match held.take() {
+        Some(held) => held.into_response(),
+        None => std::future::pending().await,
     }
-    Some(response.take()?.into_response())
 }
