Settings: the fault of an appender reads the same with and without backtraces

settings_every_file failed without RUST_BACKTRACE=1: the text of a log4rs fault ended with the brackets of the type that holds it, which a backtrace moves to a later line. The brackets are removed. The test passes with RUST_BACKTRACE=0 and 1; before, it failed with 0.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -64,10 +64,12 @@
     let (appenders, errors) = raw.appenders_lossy(&deserializers());
     if !errors.is_empty() {
         // Only the `Debug` text of the errors names the causes; its first line has them without
-        // backtraces. The name of the type in front is removed.
+        // backtraces. The name of the type is removed, and its end, which stands on the first line
+        // only where no backtrace is taken.
         let text = format!("{errors:?}");
         let first = text.lines().next().unwrap_or_default();
-        return Err(first.trim_start_matches("AppenderErrors([").into());
+        let cause = first.trim_start_matches("AppenderErrors([");
+        return Err(cause.strip_suffix(")])").unwrap_or(cause).into());
     }
     let config = Config::builder().appenders(appenders).loggers(raw.loggers()).build(raw.root());
     config.map_err(|errors| errors.to_string())
