--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -135,8 +135,8 @@
         true
     }
 
-    /// Whether another daemon is known to hold a newer configuration from the store; always false if
-    /// the configuration comes from the log.
+    /// Whether another daemon is known to hold a newer configuration from the store; always false
+    /// if the configuration comes from the log.
     pub fn is_behind(&self) -> bool {
         !self.reads_log() && self.membership.highest_version() > self.ledger.version()
     }
@@ -324,8 +324,8 @@
     }
 
     /// Pushes newly read log records to other daemons, one record per payload: a record read by
-    /// several relays is then one broadcast, whatever batches they read, and a large record does not
-    /// keep the others from fitting a datagram.
+    /// several relays is then one broadcast, whatever batches they read, and a large record does
+    /// not keep the others from fitting a datagram.
     fn gossip_records(&mut self, now: Now, records: &[LogRecord]) {
         for record in records {
             let record = record.for_peers();
--- a/crates/daemon/src/calls/body_expiry.rs
+++ b/crates/daemon/src/calls/body_expiry.rs
@@ -1,8 +1,8 @@
 //! When the response body that a connection carries has to be complete.
 //!
-//! hyper polls a body only while its receiver reads. The bounds that a body checks when it is polled
-//! do not end one that nobody reads, and it would hold its slot and its connection. So the task of
-//! the connection watches the time as well.
+//! hyper polls a body only while its receiver reads. The bounds that a body checks when it is
+//! polled do not end one that nobody reads, and it would hold its slot and its connection. So the
+//! task of the connection watches the time as well.
 
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
--- a/crates/daemon/src/calls/delivery.rs
+++ b/crates/daemon/src/calls/delivery.rs
@@ -20,8 +20,8 @@
 }
 
 impl Delivery {
-    /// Starts with the arrival of a call with these headers. Until [`Delivery::set_loss`], `loss` is
-    /// the cause that is recorded when it is dropped.
+    /// Starts with the arrival of a call with these headers. Until [`Delivery::set_loss`], `loss`
+    /// is the cause that is recorded when it is dropped.
     pub(super) fn start(ctx: &CallContext, headers: &HeaderMap, loss: Loss) -> Self {
         let id = headers.get(&ctx.headers.request_id);
         Self {
@@ -37,7 +37,7 @@
         self.loss = Some(loss);
     }
 
-    /// Ends with the whole response written; nothing is recorded.
+    /// Ends with the whole response written, or handed to hyper; nothing is recorded.
     pub(super) fn complete(mut self) {
         self.loss = None;
     }
--- a/crates/daemon/src/calls/pipeline/mod.rs
+++ b/crates/daemon/src/calls/pipeline/mod.rs
@@ -299,8 +299,8 @@
     Pipelining::Continue
 }
 
-/// The next response to write. It is received whole first if calls behind it are in progress. Can be
-/// cancelled and called again; pending without a call in progress.
+/// The next response to write. It is received whole first if calls behind it are in progress. Can
+/// be cancelled and called again; pending without a call in progress.
 async fn next_response(
     ctx: &CallContext,
     in_progress: &mut VecDeque<CallInProgress>,
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -229,14 +229,15 @@
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
     let mut conn = builder.serve_connection(TokioIo::new(stream), service);
-    // hyper shuts the stream down only if no response broke off, so that is not left to it. An error
-    // of the connection affects only its own client.
+    // hyper shuts the stream down only if no response broke off, so that is not left to it. An
+    // error of the connection affects only its own client.
     let ended = tokio::select! {
         _ = expiry.limit(|cx| conn.poll_without_shutdown(cx)) => true,
         () = wait_for_closing(&mut phase) => false,
     };
     if !ended {
-        // A caller that has just connected may still send a call; its response closes the connection.
+        // A caller that has just connected may still send a call; its response closes the
+        // connection.
         let last_call = expiry.limit(|cx| conn.poll_without_shutdown(cx));
         if tokio::time::timeout(LAST_CALL_TIMEOUT, last_call).await.is_err() {
             Pin::new(&mut conn).graceful_shutdown();
--- a/crates/daemon/src/calls/tcp_options.rs
+++ b/crates/daemon/src/calls/tcp_options.rs
@@ -1,9 +1,9 @@
 //! TCP options of connections. They disable Nagle's algorithm, and detect dead connections: those
 //! whose peer or network path vanished without closing them, which nothing but a timeout reveals.
 //!
-//! A connection to a server or daemon that is gone has to be given up soon, so that its calls can go
-//! elsewhere. A connection that was accepted is given up late: its peer may only be slow to read, or
-//! its packets may wait in a full link, and answers that are ready would be lost with it.
+//! A connection to a server or daemon that is gone has to be given up soon, so that its calls can
+//! go elsewhere. A connection that was accepted is given up late: its peer may only be slow to
+//! read, or its packets may wait in a full link, and answers that are ready would be lost with it.
 
 use std::time::Duration;
 
--- a/crates/daemon/src/log_client.rs
+++ b/crates/daemon/src/log_client.rs
@@ -6,8 +6,8 @@
 //!   `{"first", "next", "records"}`, or with 410 and `{"first": N}` if the records at `from` have
 //!   been trimmed.
 //!
-//! If there is no answer within the timeout, or its status or body is another than above, the service
-//! counts as down.
+//! If there is no answer within the timeout, or its status or body is another than above, the
+//! service counts as down.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/daemon/src/store/fetch.rs
+++ b/crates/daemon/src/store/fetch.rs
@@ -1,8 +1,9 @@
-//! Fetches records of the store from the source that answers first: a daemon of this failure domain,
-//! another one, or the store itself.
+//! Fetches records of the store from the source that answers first: a daemon of this failure
+//! domain, another one, or the store itself.
 //!
-//! A link between instances may be slow and full. A transfer that has begun is therefore not cut off
-//! as long as it goes on, and no second one begins beside it, which would only take its bandwidth.
+//! A link between instances may be slow and full. A transfer that has begun is therefore not cut
+//! off as long as it goes on, and no second one begins beside it, which would only take its
+//! bandwidth.
 
 use std::time::Duration;
 
--- a/crates/daemon/src/store/record_cache.rs
+++ b/crates/daemon/src/store/record_cache.rs
@@ -54,8 +54,8 @@
 
 impl RecordCache {
     /// Adds records, in any order; `next_offset` is the offset after the last record read. A record
-    /// older than the cached one of the same key is ignored. Records from before the store came back
-    /// from an older copy are dropped, because it may not hold them any more.
+    /// older than the cached one of the same key is ignored. Records from before the store came
+    /// back from an older copy are dropped, because it may not hold them any more.
     pub(crate) fn insert(&mut self, records: &[NewestRecord], next_offset: Offset) {
         if era_of(self.next_offset) < era_of(next_offset) {
             self.newest.clear();
--- a/crates/daemon/tests/calls_endless.rs
+++ b/crates/daemon/tests/calls_endless.rs
@@ -257,7 +257,8 @@
     }
 }
 
-/// Checks that a flood in a body goes on to its deadline and breaks off in time through both daemons.
+/// Checks that a flood in a body goes on to its deadline and breaks off in time through both
+/// daemons.
 async fn assert_broken_off(flood: Flood, reads: Reads) {
     let bench = Bench::start(flood).await;
     for member in 0..2 {
--- a/crates/decisions/src/budget.rs
+++ b/crates/decisions/src/budget.rs
@@ -31,8 +31,8 @@
 }
 
 /// Token bucket that limits the rate of log lines. It holds the lines of one second. Lines about
-/// beliefs and losses may empty it, those about failures must leave a tenth of it for beliefs, and those about
-/// samples must leave half of it for failures and beliefs.
+/// beliefs and losses may empty it, those about failures must leave a tenth of it for beliefs, and
+/// those about samples must leave half of it for failures and beliefs.
 #[derive(Debug)]
 pub struct LineBudget {
     per_second: f64,
--- a/crates/moves/src/active_move.rs
+++ b/crates/moves/src/active_move.rs
@@ -234,8 +234,8 @@
         }
     }
 
-    /// Whether an order to pause holds. It ends with a verdict of done, after which the log takes no
-    /// order to resume.
+    /// Whether an order to pause holds. It ends with a verdict of done, after which the log takes
+    /// no order to resume.
     pub(crate) fn is_ordered_to_pause(&self) -> bool {
         let done = |verdict: &MoveVerdict| verdict.kind == VerdictKind::Done;
         self.order == Some(OrderAction::Pause) && !self.verdict.as_ref().is_some_and(done)
--- a/crates/moves/src/move_chart/tests.rs
+++ b/crates/moves/src/move_chart/tests.rs
@@ -1,4 +1,5 @@
-//! Tests that a chart that does not fit the code is reported as such, with the name that does not fit.
+//! Tests that a chart that does not fit the code is reported as such, with the name that does not
+//! fit.
 
 use super::{MOVE_CHART, MoveChart, MoveChartError};
 
--- a/crates/routing/src/router/connect_backoff.rs
+++ b/crates/routing/src/router/connect_backoff.rs
@@ -1,8 +1,8 @@
 //! How long a backend server gets no calls after a connection to it could not be opened.
 //!
-//! An attempt at a daemon that is away holds its call until the connection times out. After the first
-//! such failure the server gets no calls for a while, then one trial call; each failed trial doubles
-//! the time until the next.
+//! An attempt at a daemon that is away holds its call until the connection times out. After the
+//! first such failure the server gets no calls for a while, then one trial call; each failed trial
+//! doubles the time until the next.
 
 use std::time::Duration;
 
@@ -63,8 +63,9 @@
         self.trials = self.trials.saturating_sub(1);
     }
 
-    /// Records that the connection of an attempt begun at `began` could not be opened. Attempts that
-    /// began before the latest failure or sign tell nothing new. Returns whether this one does.
+    /// Records that the connection of an attempt begun at `began` could not be opened. Attempts
+    /// that began before the latest failure or sign tell nothing new. Returns whether this one
+    /// does.
     pub(super) fn record_failure(&mut self, now: Mono, began: Mono) -> bool {
         if began < self.known_at {
             return false;
--- a/crates/routing/src/router/placement.rs
+++ b/crates/routing/src/router/placement.rs
@@ -1,9 +1,9 @@
 //! The cost function of load balancing: how long a call is expected to take at a backend server.
 //!
-//! Calls go to the server with the lowest cost of those compared. Sharing calls out evenly fails where servers of
-//! one service differ in speed by a factor of two or more: the slow servers run out of slots while
-//! the fast ones still have some. The cost of a server rises with the calls that it already has,
-//! so that calls spill over to slower servers before the fast ones are full.
+//! Calls go to the server with the lowest cost of those compared. Sharing calls out evenly fails
+//! where servers of one service differ in speed by a factor of two or more: the slow servers run
+//! out of slots while the fast ones still have some. The cost of a server rises with the calls that
+//! it already has, so that calls spill over to slower servers before the fast ones are full.
 
 use std::time::Duration;
 
@@ -41,9 +41,9 @@
 
 /// Share of a route's target latency within which a server that holds no other calls may take for a
 /// call without making it late. Servers that are quicker than that are preferred only slightly, so
-/// that calls stay in their failure domain. The rest of the target is left for calls that take longer
-/// than expected. What load, failures and slow start add to the time always counts in full, so that a
-/// queue in the own failure domain does not look as good as a free slot elsewhere.
+/// that calls stay in their failure domain. The rest of the target is left for calls that take
+/// longer than expected. What load, failures and slow start add to the time always counts in full,
+/// so that a queue in the own failure domain does not look as good as a free slot elsewhere.
 const COMFORTABLE_SHARE: f64 = 0.4;
 
 /// Weight of the time that an uncongested server takes, where that is comfortable.
--- a/crates/routing/src/router/pool.rs
+++ b/crates/routing/src/router/pool.rs
@@ -21,9 +21,9 @@
 /// be ejected whatever its share.
 const MAX_EJECTED_PERCENT: usize = 34;
 
-/// Largest share of a version's servers, in percent, for which the time without calls after a failed
-/// connection doubles. Where more cannot be connected to, the cause may be the network rather than the
-/// servers, and all of them return with it.
+/// Largest share of a version's servers, in percent, for which the time without calls after a
+/// failed connection doubles. Where more cannot be connected to, the cause may be the network
+/// rather than the servers, and all of them return with it.
 const MAX_DOUBLING_PERCENT: usize = 50;
 
 /// Time after a failed connection to a server of a version during which no trial call goes to any
@@ -34,8 +34,8 @@
 /// share the calls.
 const TIE_JITTER: f64 = 0.05;
 
-/// How many servers of each distance are compared for a call. Daemons learn of loads late, and all of
-/// them learn of the same idle server: if each compared all servers, they would send their calls
+/// How many servers of each distance are compared for a call. Daemons learn of loads late, and all
+/// of them learn of the same idle server: if each compared all servers, they would send their calls
 /// to that one at once (Mitzenmacher, "How useful is old information?", 2000).
 const COMPARED_PER_DISTANCE: usize = 3;
 
@@ -97,7 +97,8 @@
 struct ConnectTrials {
     /// Whether the next call may be a trial, where one is due.
     allowed: bool,
-    /// Whether the time without calls is that after the first failure, see [`MAX_DOUBLING_PERCENT`].
+    /// Whether the time without calls is that after the first failure, see
+    /// [`MAX_DOUBLING_PERCENT`].
     shortened: bool,
 }
 
@@ -182,9 +183,9 @@
     }
 
     /// Picks a server that the call has not tried: the one with the lowest cost among a few random
-    /// healthy ones; if none is healthy, among a few of those of which no connection failed; of all if
-    /// connections to all servers of the version failed. `None` if there is no server left: a call that
-    /// the others refused does not wait for a connection that is likely to fail.
+    /// healthy ones; if none is healthy, among a few of those of which no connection failed; of all
+    /// if connections to all servers of the version failed. `None` if there is no server left: a
+    /// call that the others refused does not wait for a connection that is likely to fail.
     pub(super) fn choose(
         &mut self,
         now: Mono,
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -30,9 +30,10 @@
 /// Consecutive failures after which a server is ejected.
 const EJECT_AFTER_FAILURES: u32 = 5;
 
-/// A call that its caller cancels counts as a failure of the server if it has waited for its answer for
-/// more than this many hold times, and [`MIN_OVERDUE`] besides. A server that is cut off would get calls
-/// until its daemon is suspected, since callers with short deadlines leave before a timeout tells.
+/// A call that its caller cancels counts as a failure of the server if it has waited for its answer
+/// for more than this many hold times, and [`MIN_OVERDUE`] besides. A server that is cut off would
+/// get calls until its daemon is suspected, since callers with short deadlines leave before a
+/// timeout tells.
 const OVERDUE_HOLD_TIMES: f64 = 4.0;
 
 /// See [`OVERDUE_HOLD_TIMES`].
@@ -154,8 +155,8 @@
 
     /// Takes over a new announcement. If the address or version has changed, all but the count of
     /// attempts in flight is reset, and the slow start begins. It also begins when the server
-    /// becomes ready again. A new announcement, and the end of a suspicion, are signs that the server
-    /// can be connected to.
+    /// becomes ready again. A new announcement, and the end of a suspicion, are signs that the
+    /// server can be connected to.
     pub(super) fn update(&mut self, info: &ServerInfo, now: Mono) {
         if self.info.hop != info.hop || self.info.version != info.version {
             let in_flight = self.in_flight;
@@ -198,10 +199,10 @@
 
     /// The inputs of the cost function for a call.
     ///
-    /// The measured hold time is taken for at least `shortest_hold_seconds`, and is blended with it as
-    /// confidence decays.
-    /// A server that refused a call counts as having all its slots in use on top of its load, until
-    /// its `retry_after` has passed or its daemon reports a free slot and an empty queue directly.
+    /// The measured hold time is taken for at least `shortest_hold_seconds`, and is blended with it
+    /// as confidence decays. A server that refused a call counts as having all its slots in use on
+    /// top of its load, until its `retry_after` has passed or its daemon reports a free slot and an
+    /// empty queue directly.
     pub(super) fn placement_inputs(
         &self,
         now: Mono,
@@ -287,8 +288,8 @@
 
     /// Updates latency, failure rate, failure counts, overload penalty and the backoff after failed
     /// connections from the outcome of an attempt. A shed call counts in the failure rate but does
-    /// not lead to ejection. A failed connection counts in the backoff only, so that the server gets
-    /// its share of calls as soon as it can be connected to.
+    /// not lead to ejection. A failed connection counts in the backoff only, so that the server
+    /// gets its share of calls as soon as it can be connected to.
     pub(super) fn observe_outcome(
         &mut self,
         now: Mono,
@@ -336,8 +337,8 @@
         }
     }
 
-    /// Whether an answer after this time would be later than the server usually takes. False while its
-    /// hold time is unknown.
+    /// Whether an answer after this time would be later than the server usually takes. False while
+    /// its hold time is unknown.
     fn is_overdue(&self, latency: Duration) -> bool {
         let usual = self.hold_seconds();
         usual.is_some_and(|hold| {
--- a/crates/routing/tests/unreachable.rs
+++ b/crates/routing/tests/unreachable.rs
@@ -191,7 +191,8 @@
     assert!(after.values().all(|server| server.most_under_way <= 15), "{after:?}");
 }
 
-/// A router that failed to connect to `s00`, the only server of the own domain, and then made calls.
+/// A router that failed to connect to `s00`, the only server of the own domain, and then made
+/// calls.
 fn router_after_failed_connection() -> Router {
     let mut router = router(ROUTES, &servers(2));
     let mut attempt = router.begin(at(0), &head("GET", "/")).expect("a server is picked");
