Calls: how far each is a repeat is known where it runs

Too many repeats at one service cannot be traced: retries are counted by daemon, and nothing tells which runs are repeats, or repeat the calls that they make.

No decision changes. An attempt is a repeat if an earlier one may have reached a server; a call that a server makes while it runs a repeat is one as well. Where such calls keep the id of the call that made them it is known exactly, else it is the share of repeats among the running calls, for routes that the hosting daemon takes for nested ones (it tells with its answers). Both travel as a last field of the hop headers, which earlier releases ignore. Metrics: `retries_of_errors`, `repeats`.

--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -113,6 +113,12 @@
         self.router.observe_bytes(route, bytes);
     }
 
+    /// Reports to the router whether the daemon hosting a server of this route takes its calls for
+    /// nested ones.
+    pub fn observe_nested_route(&mut self, route: &RouteName, nested: bool) {
+        self.router.observe_nested_route(route, nested);
+    }
+
     /// Updates the router with the load that the daemon hosting a backend server reported.
     pub fn observe_load(&mut self, now: Now, server: &ServerName, load: ServerLoad) {
         self.router.observe_load(now, server, load);
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -6,10 +6,10 @@
 
 use cyclamen_membership::{ServerRecord, ServerState};
 use cyclamen_routing::{
-    Admission, CallId, QueueOrder, Refusal, RefusalKind, RouterMode, RunOutcome, ServerLoad,
-    SlotRequest, Slots, SlotsSettings,
+    Admission, CallId, QueueOrder, Refusal, RefusalKind, RouterMode, RunOutcome, RunningRepeats,
+    ServerLoad, SlotRequest, Slots, SlotsSettings,
 };
-use cyclamen_types::{FastMap, Mono, Now, ServerName, ServiceName};
+use cyclamen_types::{FastMap, Mono, Now, RouteName, ServerName, ServiceName};
 
 use crate::event::{AnnounceError, Announcement, AnnouncementOrder, Effect, Effects};
 use crate::instance::Instance;
@@ -269,6 +269,19 @@
         }
     }
 
+    /// The calls that run at all local backend servers, and how many of them are repeats.
+    pub fn running_repeats(&self) -> RunningRepeats {
+        let servers = self.local_servers.values();
+        servers
+            .fold(RunningRepeats::default(), |sum, local| sum.plus(local.slots.running_repeats()))
+    }
+
+    /// Whether the calls of a route to a local backend server are taken for nested ones, by where
+    /// they come from; false if the server is not local.
+    pub fn is_nested_route(&self, server: &ServerName, route: &RouteName) -> bool {
+        self.local_servers.get(server).is_some_and(|local| local.slots.is_nested_route(route))
+    }
+
     /// Time after which a call that a local backend server refused for lack of a slot may be
     /// retried; zero if the server is not local.
     pub fn retry_after(&self, server: &ServerName) -> Duration {
--- a/crates/cyclamenmoor/tests/store.rs
+++ b/crates/cyclamenmoor/tests/store.rs
@@ -11,7 +11,7 @@
 use cyclamen_distribution::{ConfigSource, DistributionSettings};
 use cyclamen_ledger::{Config, Held, HeldMove, MoveVerdict, VerdictKind};
 use cyclamen_membership::{Addresses, MemberRecord, MembershipSettings, MeshKey, ServerState};
-use cyclamen_routing::{CallHead, RefusalKind};
+use cyclamen_routing::{CallHead, Nesting, RefusalKind};
 use cyclamen_types::{ConfigVersion, Incarnation, Mono, Now, Offset, Wall};
 use cyclamenmoor::{
     AnnounceError, Announcement, AnnouncementOrder, Effect, Event, Instance, InstanceSettings,
@@ -181,6 +181,7 @@
         path: "/",
         header: &|_| None,
         deadline: Mono::NEVER,
+        nesting: Nesting::NO_REPEATS,
     };
     let begun = instance.begin_call(time(millis), &head);
     begun.map(|attempt| attempt.server.to_string()).map_err(|refusal| refusal.kind)
--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -89,6 +89,8 @@
     members_alive: Gauge,
     servers_ready: Gauge,
     retries: Gauge,
+    retries_of_errors: Gauge,
+    repeats: Gauge,
     retries_refused: Gauge,
     ejections: Gauge,
     store_restores: Gauge,
@@ -212,6 +214,10 @@
         registry.register("members_alive", "daemons that answer", state.members_alive.clone());
         registry.register("servers_ready", "servers that take calls", state.servers_ready.clone());
         registry.register("retries", "attempts beyond the first", state.retries.clone());
+        let of_errors = state.retries_of_errors.clone();
+        registry.register("retries_of_errors", "retries after a server error", of_errors);
+        let help = "calls run at local backend servers that are surely repeats";
+        registry.register("repeats", help, state.repeats.clone());
         let refused = state.retries_refused.clone();
         registry.register("retries_refused", "retries that the budget refused", refused);
         registry.register("ejections", "servers taken out of choice", state.ejections.clone());
@@ -229,6 +235,9 @@
         let ready = dump.servers.iter().filter(|server| server.state == ServerState::Ready);
         self.servers_ready.set(to_gauge_value(ready.count() as u64));
         self.retries.set(to_gauge_value(dump.router.retries));
+        self.retries_of_errors.set(to_gauge_value(dump.router.retries_of_errors));
+        let repeats = dump.slots.iter().map(|slots| slots.counters.repeats).sum();
+        self.repeats.set(to_gauge_value(repeats));
         self.retries_refused.set(to_gauge_value(dump.router.retries_refused));
         self.ejections.set(to_gauge_value(dump.router.ejections));
         self.store_restores.set(to_gauge_value(dump.distribution.store_restores));
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -42,6 +42,8 @@
 pub(super) struct AttemptResult {
     pub(super) outcome: Outcome,
     load: Option<ServerLoad>,
+    /// Whether the hosting daemon takes the calls of the route for nested ones, if it told.
+    nested_route: Option<bool>,
     response: Option<Response<ResponseBody>>,
 }
 
@@ -91,7 +93,7 @@
     /// Reports the result to the instance, which decides what follows. With [`Next::Deliver`] comes
     /// a [`BodyEndGuard`] for the response body.
     pub(super) fn finish(mut self, result: &AttemptResult) -> (Next, Option<BodyEndGuard>) {
-        let next = self.report(result.outcome, result.load, result.body_bytes());
+        let next = self.report(result);
         let body_end = (next == Next::Deliver).then(|| BodyEndGuard {
             ctx: self.ctx.clone(),
             attempt: self.attempt.clone(),
@@ -100,18 +102,21 @@
         (next, body_end)
     }
 
-    /// Reports to the instance the outcome, the load of the backend server, and the length of the
-    /// response body in bytes.
-    fn report(&mut self, outcome: Outcome, load: Option<ServerLoad>, bytes: Option<u64>) -> Next {
+    /// Reports the outcome to the instance, with what the hosting daemon told about the server and
+    /// the route, and the length of the response body.
+    fn report(&mut self, result: &AttemptResult) -> Next {
         self.finished = true;
         self.ctx.shared.with(|instance, now, _| {
-            if let Some(load) = load {
+            if let Some(load) = result.load {
                 instance.observe_load(now, &self.attempt.server, load);
             }
-            if let Some(bytes) = bytes {
+            if let Some(nested) = result.nested_route {
+                instance.observe_nested_route(&self.attempt.route, nested);
+            }
+            if let Some(bytes) = result.body_bytes() {
                 instance.observe_bytes(&self.attempt.route, bytes);
             }
-            instance.finish_attempt(now, &self.attempt, outcome)
+            instance.finish_attempt(now, &self.attempt, result.outcome)
         })
     }
 
@@ -127,10 +132,15 @@
             caller_service: self.ctx.caller_service.clone(),
             latency_target_at: self.attempt.target_at,
             deadline: self.attempt.deadline,
+            repeat: self.attempt.repeat,
         };
         let end = inbound::run(&self.ctx, call, req).await;
         let load = self.ctx.shared.read(|instance| instance.server_load(&self.attempt.server));
-        AttemptResult::from_local(end, load)
+        let nested_route = self
+            .ctx
+            .shared
+            .read(|instance| instance.is_nested_route(&self.attempt.server, &self.attempt.route));
+        AttemptResult { nested_route: Some(nested_route), ..AttemptResult::from_local(end, load) }
     }
 
     async fn send_remote(
@@ -187,6 +197,7 @@
             criticality,
             idempotent: self.attempt.idempotent,
             ancestors: self.ancestors.clone(),
+            repeat: self.attempt.repeat,
         };
         let header = self.ctx.hop_seal.seal_call(self.ctx.wall_now(), &call, req)?;
         req.headers_mut().insert(HeaderName::from_static(HOP_REQUEST_HEADER), header);
@@ -197,14 +208,14 @@
 impl Drop for ActiveAttempt {
     fn drop(&mut self) {
         if !self.finished {
-            self.report(Outcome::Cancelled, None, None);
+            self.report(&AttemptResult::without_response(Outcome::Cancelled));
         }
     }
 }
 
 impl AttemptResult {
     fn without_response(outcome: Outcome) -> Self {
-        Self { outcome, load: None, response: None }
+        Self { outcome, load: None, nested_route: None, response: None }
     }
 
     /// The result of an attempt on a local backend server.
@@ -237,6 +248,7 @@
         Self {
             outcome,
             load: Some(answer.load),
+            nested_route: Some(answer.nested_route),
             response: (answer.outcome == HopOutcome::Ran).then_some(response),
         }
     }
--- a/crates/daemon/src/calls/context.rs
+++ b/crates/daemon/src/calls/context.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use cyclamen_port::CallHeaders;
-use cyclamen_routing::CallId;
+use cyclamen_routing::{CallId, Nesting};
 use cyclamen_types::{Mono, ServiceName, Wall};
+use cyclamenmoor::Instance;
 use derive_more::Deref;
 use http::HeaderMap;
 use tokio::sync::Semaphore;
@@ -16,7 +17,7 @@
 use crate::call_metrics::CallMetrics;
 use crate::calls::CallObservers;
 use crate::calls::hop::HopSeal;
-use crate::calls::nested_calls::{AncestorServices, RunningCalls};
+use crate::calls::nested_calls::{ParentCall, RunningCalls};
 use crate::calls::pool::{self, Pool, PoolLimits};
 use crate::decision_log::DecisionLog;
 use crate::settings::Settings;
@@ -96,14 +97,22 @@
         CallId(self.last_call_id.fetch_add(1, Ordering::Relaxed) + 1)
     }
 
-    /// The ancestor services of a call with these headers: those whose running calls made it.
-    /// Empty when nested calls do not keep the request id, since they cannot be recognised then.
-    pub(super) fn ancestors(&self, headers: &HeaderMap) -> AncestorServices {
+    /// The running call that made a call with these headers. `None` also when nested calls do not
+    /// keep the request id, since they cannot be recognised then.
+    pub(super) fn parent_call(&self, headers: &HeaderMap) -> Option<ParentCall> {
         if !self.headers.nested_calls_keep_id {
-            return AncestorServices::default();
+            return None;
+        }
+        self.running_calls.parent(headers.get(&self.headers.request_id)?)
+    }
+
+    /// Whether a running repeat may have made a call with this parent.
+    pub(super) fn nesting(&self, instance: &Instance, parent: Option<&ParentCall>) -> Nesting {
+        match parent {
+            Some(parent) => Nesting::Nested { repeat: parent.repeat },
+            None if self.headers.nested_calls_keep_id => Nesting::NO_REPEATS,
+            None => Nesting::ByRoute { running_repeats: instance.running_repeats().share() },
         }
-        let id = headers.get(&self.headers.request_id);
-        id.map(|id| self.running_calls.ancestors(id)).unwrap_or_default()
     }
 
     pub(super) fn max_caller_connections(&self) -> usize {
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -2,9 +2,11 @@
 //!
 //! A request carries [`HOP_REQUEST_HEADER`]: backend server, route, hop id, time left, time left to
 //! the latency target, criticality, whether the call is idempotent, its ancestor services, the
-//! sender's wall clock, and a keyed hash over these, the method and the request target. A response
-//! carries [`HOP_RESPONSE_HEADER`]: how the call ended, when to retry, the load of the backend
-//! server and those of other servers, and a keyed hash over these, the hop id and the status.
+//! sender's wall clock, how far the call is a repeat, and a keyed hash over these, the method and
+//! the request target. A response carries [`HOP_RESPONSE_HEADER`]: how the call ended, when to
+//! retry, the load of the backend server and those of other servers, whether the route carries
+//! nested calls, and a keyed hash over these, the hop id and the status. The last field of each may
+//! be missing: earlier releases do not send it, and ignore it.
 
 mod encoding;
 
@@ -42,7 +44,7 @@
 pub(super) struct HopId(u128);
 
 /// What the hop header of a request states about the call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct HopCall {
     pub(super) server: ServerName,
     pub(super) route: RouteName,
@@ -55,6 +57,8 @@
     pub(super) idempotent: bool,
     /// The ancestor services of the call.
     pub(super) ancestors: AncestorServices,
+    /// How far the call is a repeat, see [`Attempt::repeat`](cyclamen_routing::Attempt::repeat).
+    pub(super) repeat: f64,
 }
 
 /// How a call ended at the daemon that hosts the backend server. The names are sent in
@@ -86,10 +90,12 @@
     pub(super) load: ServerLoad,
     /// The loads that it knows of other servers of the service.
     pub(super) others: Vec<SharedLoad>,
+    /// Whether it takes the calls of the route for nested ones.
+    pub(super) nested_route: bool,
 }
 
 /// Why a request is not accepted as a hop call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) enum HopError {
     /// There is no hop header.
     Missing,
@@ -151,13 +157,14 @@
             criticality,
             idempotent,
             ancestors,
+            repeat,
         } = call;
         let ancestors = encoding::format_services(ancestors);
         let time_left = time_left.as_millis();
         let target_left =
             latency_target_left.map_or(-1, |left| i64::try_from(left.as_millis()).unwrap_or(-1));
         let claim = format!(
-            "v2 {server} {route} {id} {time_left} {target_left} {criticality} {idempotent} {ancestors} {now}"
+            "v2 {server} {route} {id} {time_left} {target_left} {criticality} {idempotent} {ancestors} {now} {repeat:.2}"
         );
         let hash = self.keyed_hash(&[b"call", claim.as_bytes(), &request_binding(req)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
@@ -189,10 +196,10 @@
         status: StatusCode,
         response: &HopResponse,
     ) -> Option<HeaderValue> {
-        let HopResponse { outcome, retry_after, load, others } = response;
+        let HopResponse { outcome, retry_after, load, others, nested_route } = response;
         let retry_ms = retry_after.as_millis();
         let (load, others) = (encoding::format_load(load), encoding::format_loads(others));
-        let claim = format!("v2 {outcome} {retry_ms} {load} {others}");
+        let claim = format!("v2 {outcome} {retry_ms} {load} {others} {nested_route}");
         let hash = self.keyed_hash(&[b"answer", claim.as_bytes(), &response_binding(id, status)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
     }
--- a/crates/daemon/src/calls/hop/encoding.rs
+++ b/crates/daemon/src/calls/hop/encoding.rs
@@ -44,6 +44,7 @@
     let idempotent = fields.next()?.parse().ok()?;
     let ancestors = parse_services(fields.next()?)?;
     let sent_at = Wall(fields.next()?.parse().ok()?);
+    let repeat = fields.next().map_or(Some(0.0), parse_repeat)?;
     let call = HopCall {
         server,
         route,
@@ -53,6 +54,7 @@
         criticality,
         idempotent,
         ancestors,
+        repeat,
     };
     Some((call, sent_at))
 }
@@ -66,7 +68,12 @@
     let retry_after = Duration::from_millis(fields.next()?.parse().ok()?);
     let load = parse_load(fields.next()?)?;
     let others = parse_loads(fields.next()?)?;
-    Some(HopResponse { outcome, retry_after, load, others })
+    let nested_route = fields.next().is_some_and(|nested| nested == "true");
+    Some(HopResponse { outcome, retry_after, load, others, nested_route })
+}
+
+fn parse_repeat(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|repeat| (0.0..=1.0).contains(repeat))
 }
 
 /// A load as `RUNNING/WAITING/LIMIT/HOLD_US`; `HOLD_US` is the average time that a call holds its
--- a/crates/daemon/src/calls/hop/tests.rs
+++ b/crates/daemon/src/calls/hop/tests.rs
@@ -11,6 +11,7 @@
 
 use super::{
     HOP_REQUEST_HEADER, HOP_RESPONSE_HEADER, HopCall, HopError, HopOutcome, HopResponse, HopSeal,
+    request_binding,
 };
 
 const NOW: Wall = Wall(1_000_000);
@@ -29,6 +30,7 @@
         criticality: Criticality::Critical,
         idempotent: true,
         ancestors: ["dvere", "zavady"].map(|name| name.try_into().expect("a name")).into(),
+        repeat: 0.25,
     }
 }
 
@@ -48,6 +50,21 @@
     assert_eq!(receiver.verify_call(NOW, &req), Err(HopError::Replayed(call)));
 }
 
+/// The fields without the last one, as daemons of an earlier release send them.
+#[test]
+fn verify_call_without_repeat() {
+    let sender = seal(1);
+    let call = call(&sender);
+    let mut req = sealed(&sender, &call, "/notices");
+    let header = req.headers()[HOP_REQUEST_HEADER].to_str().expect("text");
+    let claim = header.rsplitn(3, ' ').nth(2).expect("more than two fields");
+    let binding = request_binding(&req);
+    let hash = sender.keyed_hash(&[b"call", claim.as_bytes(), &binding]);
+    let header = HeaderValue::from_str(&format!("{claim} {hash}")).expect("a header");
+    req.headers_mut().insert(HOP_REQUEST_HEADER, header);
+    assert_eq!(seal(1).verify_call(NOW, &req), Ok(HopCall { repeat: 0.0, ..call }));
+}
+
 #[test]
 fn verify_call_clock_skew() {
     let (sender, receiver) = (seal(1), seal(1));
@@ -94,6 +111,7 @@
             load: ServerLoad { running: 1, waiting: 0, limit: 13, hold_us: 4_000 },
             age: Duration::from_millis(1_700),
         }],
+        nested_route: true,
     };
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let mut headers = HeaderMap::new();
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -22,7 +22,7 @@
 use crate::calls::decision_trace::{DecisionTrace, attempt_end};
 use crate::calls::headers;
 use crate::calls::hop::{HOP_RESPONSE_HEADER, HopCall, HopOutcome, HopResponse};
-use crate::calls::nested_calls::{AncestorServices, RunningCallGuard};
+use crate::calls::nested_calls::{AncestorServices, ParentCall, RunningCallGuard};
 use crate::calls::pool::{Exchange, ResendPolicy, SendFailure};
 use crate::shared::SlotOutcome;
 
@@ -49,6 +49,8 @@
     /// When the route's latency target ends; [`Mono::NEVER`] if it has none.
     pub(super) latency_target_at: Mono,
     pub(super) deadline: Mono,
+    /// How far the call is a repeat, see [`Attempt::repeat`](cyclamen_routing::Attempt::repeat).
+    pub(super) repeat: f64,
 }
 
 /// How a call for a local backend server ended.
@@ -143,6 +145,7 @@
             .latency_target_left
             .map_or(Mono::NEVER, |left| ctx.mono_now() + left),
         deadline: ctx.mono_now() + hop_call.time_left,
+        repeat: hop_call.repeat,
     };
     let (parts, incoming) = req.into_parts();
     // A small body is buffered, so that the call can be resent over a new connection.
@@ -195,7 +198,11 @@
     let started = ctx.mono_now();
     let request_id = req.headers().get(&ctx.headers.request_id).cloned();
     if ctx.headers.nested_calls_keep_id {
-        let start = |id| ctx.running_calls.start(id, slot.call, &call.ancestors, &call.service);
+        let parent = ParentCall {
+            services: call.ancestors.iter().chain([&call.service]).cloned().collect(),
+            repeat: call.repeat,
+        };
+        let start = |id| ctx.running_calls.start(id, slot.call, parent);
         slot.running = request_id.clone().map(start);
     }
     let until = ctx.to_instant(call.deadline);
@@ -281,6 +288,7 @@
         },
         target_at: call.latency_target_at,
         deadline: call.deadline,
+        repeat: call.repeat,
     };
     let admission = ctx.shared.with(|instance, now, effects| {
         instance.admit_call(now, &call.server, id, &request, effects)
@@ -408,10 +416,13 @@
             empty_response(StatusCode::BAD_GATEWAY)
         }
     };
-    let (load, others) = ctx.shared.with(|instance, now, _| {
-        (instance.server_load(&hop_call.server), instance.loads_to_share(now, &hop_call.server))
+    let hop_response = ctx.shared.with(|instance, now, _| HopResponse {
+        outcome,
+        retry_after,
+        load: instance.server_load(&hop_call.server),
+        others: instance.loads_to_share(now, &hop_call.server),
+        nested_route: instance.is_nested_route(&hop_call.server, &hop_call.route),
     });
-    let hop_response = HopResponse { outcome, retry_after, load, others };
     if let Some(header) = ctx.hop_seal.seal_response(hop_call.id, response.status(), &hop_response)
     {
         response.headers_mut().insert(HeaderName::from_static(HOP_RESPONSE_HEADER), header);
--- a/crates/daemon/src/calls/nested_calls.rs
+++ b/crates/daemon/src/calls/nested_calls.rs
@@ -2,7 +2,7 @@
 //!
 //! A backend server may reuse the request id of the call that it runs for the calls that it makes.
 //! The daemon that hosts it records the request ids running there, so it can tell a nested call
-//! from a new one and find the services of its ancestors.
+//! from a new one, and find the services of its ancestors and whether they are repeats.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,6 +15,16 @@
 /// first. Empty for a call that is not nested.
 pub(super) type AncestorServices = Arc<[ServiceName]>;
 
+/// What a running call passes on to the calls that it makes.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct ParentCall {
+    /// The ancestor services of those calls: that of the running call comes last.
+    pub(super) services: AncestorServices,
+    /// How far the running call is a repeat, see
+    /// [`Attempt::repeat`](cyclamen_routing::Attempt::repeat).
+    pub(super) repeat: f64,
+}
+
 /// The calls running on local backend servers, by request id.
 ///
 /// Callers choose request ids, so the map uses the standard library's randomly seeded hasher to
@@ -25,7 +35,7 @@
 /// One running call. Several may share a request id.
 struct RunningCall {
     call: CallId,
-    services: AncestorServices,
+    parent: ParentCall,
     /// Whether a nested call of it has arrived at this daemon.
     made_nested_calls: bool,
 }
@@ -38,34 +48,27 @@
 }
 
 impl RunningCalls {
-    /// Registers a call of `service` that starts to run. `call` distinguishes it from other calls
-    /// with the same request id.
+    /// Registers a call that starts to run. `call` distinguishes it from other calls with the same
+    /// request id.
     pub(super) fn start(
         &self,
         id: HeaderValue,
         call: CallId,
-        ancestors: &AncestorServices,
-        service: &ServiceName,
+        parent: ParentCall,
     ) -> RunningCallGuard {
-        let services = ancestors.iter().chain([service]).cloned().collect();
-        self.lock().entry(id.clone()).or_default().push(RunningCall {
-            call,
-            services,
-            made_nested_calls: false,
-        });
+        let running = RunningCall { call, parent, made_nested_calls: false };
+        self.lock().entry(id.clone()).or_default().push(running);
         RunningCallGuard { calls: self.clone(), id, call }
     }
 
-    /// The ancestor services of an arriving call with this request id, which is taken to be nested
-    /// in the most deeply nested call that runs here under the id. Empty if none runs.
-    pub(super) fn ancestors(&self, id: &HeaderValue) -> AncestorServices {
+    /// The running call that made an arriving call with this request id: the most deeply nested one
+    /// that runs here under the id. `None` if none does.
+    pub(super) fn parent(&self, id: &HeaderValue) -> Option<ParentCall> {
         let mut running = self.lock();
         let calls = running.get_mut(id).into_iter().flatten();
-        let Some(innermost) = calls.max_by_key(|call| call.services.len()) else {
-            return AncestorServices::default();
-        };
+        let innermost = calls.max_by_key(|call| call.parent.services.len())?;
         innermost.made_nested_calls = true;
-        Arc::clone(&innermost.services)
+        Some(innermost.parent.clone())
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<HeaderValue, Vec<RunningCall>>> {
--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -18,6 +18,7 @@
 use crate::calls::decision_trace::{DecisionTrace, attempt_end, call_end};
 use crate::calls::headers;
 use crate::calls::local_reply::{self, Rejection};
+use crate::calls::nested_calls::ParentCall;
 
 /// Longest time for a request body that is buffered to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -55,14 +56,15 @@
     headers::strip_request(&mut parts.headers);
     add_request_id(&ctx, &mut parts);
     let trace = DecisionTrace::start(&ctx, &parts.headers);
-    let attempt = match begin_call(&ctx, &parts, arrived) {
+    let parent = ctx.parent_call(&parts.headers);
+    let attempt = match begin_call(&ctx, &parts, arrived, parent.as_ref()) {
         Ok(attempt) => attempt,
         Err(refusal) => return refuse(&ctx, arrived, trace, &refusal),
     };
     let caller = ctx.caller_service.as_ref().map(ServiceName::as_str);
     headers::replace(&mut parts.headers, ctx.headers.caller_service.as_ref(), caller);
     let limit = ctx.shared.read(|instance| instance.table().limits(&attempt.service).body_bytes);
-    let ancestors = ctx.ancestors(&parts.headers);
+    let ancestors = parent.map(|parent| parent.services).unwrap_or_default();
     // Started before the body is checked, so that the planned attempt is reported on every return.
     let first_attempt = ActiveAttempt::start(&ctx, attempt, ancestors);
     if limit.is_some_and(|bytes| !body.set_limit(bytes)) {
@@ -119,19 +121,27 @@
     (two_hosts || two_lengths).then_some(Rejection::Ambiguous)
 }
 
-fn begin_call(ctx: &CallContext, parts: &Parts, arrived: Mono) -> Result<Attempt, Refusal> {
+fn begin_call(
+    ctx: &CallContext,
+    parts: &Parts,
+    arrived: Mono,
+    parent: Option<&ParentCall>,
+) -> Result<Attempt, Refusal> {
     let host = headers::host(parts);
     let deadline =
         headers::time_left(&ctx.headers, &parts.headers).map_or(Mono::NEVER, |left| arrived + left);
     let header = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
-    let head = CallHead {
-        method: parts.method.as_str(),
-        host: &host,
-        path: parts.uri.path(),
-        header: &header,
-        deadline,
-    };
-    ctx.shared.with(|instance, now, _| instance.begin_call(now, &head))
+    ctx.shared.with(|instance, now, _| {
+        let head = CallHead {
+            method: parts.method.as_str(),
+            host: &host,
+            path: parts.uri.path(),
+            header: &header,
+            deadline,
+            nesting: ctx.nesting(instance, parent),
+        };
+        instance.begin_call(now, &head)
+    })
 }
 
 fn add_request_id(ctx: &CallContext, parts: &mut Parts) {
--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -74,6 +74,7 @@
             criticality: Criticality::Normal,
             idempotent: false,
             ancestors: AncestorServices::default(),
+            repeat: 0.0,
         };
         let req = Request::get("/").body(()).expect("a request");
         let now = self.running.shared.now().wall;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -41,6 +41,8 @@
 struct Totals {
     calls: u64,
     retries: u64,
+    retries_of_errors: u64,
+    repeats: u64,
     retries_refused: u64,
     calls_refused: u64,
     calls_unknown: u64,
@@ -94,6 +96,8 @@
         let mut totals = Self {
             calls: dump.router.calls,
             retries: dump.router.retries,
+            retries_of_errors: dump.router.retries_of_errors,
+            repeats: 0,
             retries_refused: dump.router.retries_refused,
             calls_refused: dump.router.refused,
             calls_unknown: dump.router.unknown,
@@ -111,6 +115,7 @@
         for slots in &dump.slots {
             totals.slots_run += slots.counters.run;
             totals.slots_refused += slots.counters.refused;
+            totals.repeats += slots.counters.repeats;
         }
         totals
     }
@@ -142,6 +147,8 @@
     };
     count("calls", previous.calls, current.calls);
     count("retries", previous.retries, current.retries);
+    count("retries_of_errors", previous.retries_of_errors, current.retries_of_errors);
+    count("repeats", previous.repeats, current.repeats);
     count("retries_refused", previous.retries_refused, current.retries_refused);
     count("refused.not_run", previous.calls_refused, current.calls_refused);
     count("refused.outcome_unknown", previous.calls_unknown, current.calls_unknown);
--- a/crates/routing/benches/route.rs
+++ b/crates/routing/benches/route.rs
@@ -7,7 +7,9 @@
 use criterion::Criterion;
 use cyclamen_declarations::{Labels, parse_change};
 use cyclamen_ledger::{Config, Ledger, LogRecord};
-use cyclamen_routing::{CallHead, Hop, Outcome, RouteTable, Router, RouterSettings, ServerInfo};
+use cyclamen_routing::{
+    CallHead, Hop, Nesting, Outcome, RouteTable, Router, RouterSettings, ServerInfo,
+};
 use cyclamen_types::{Incarnation, Mono, Now, Offset, Wall};
 
 const SERVERS: usize = 910;
@@ -92,6 +94,7 @@
         path: &path,
         header: &|_| None,
         deadline: Mono::NEVER,
+        nesting: Nesting::NO_REPEATS,
     };
     let attempt = router.begin(now, &head).expect("a server is picked");
     black_box(router.finish(now, attempt.id, Outcome::Answered { status: 200 }));
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -23,6 +23,29 @@
     pub header: &'a dyn Fn(&str) -> Option<&'a str>,
     /// When the caller gives up; [`Mono::NEVER`] when it sets no deadline.
     pub deadline: Mono,
+    /// Whether and how a local backend server made the call while it ran others.
+    pub nesting: Nesting,
+}
+
+/// What is known of the running calls at local backend servers that may have made a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Nesting {
+    /// Whether the call is nested is not known; its route tells, see
+    /// [`Router::observe_nested_route`](crate::Router::observe_nested_route).
+    ByRoute {
+        /// Share of repeats among the calls that run at local backend servers, from 0 to 1.
+        running_repeats: f64,
+    },
+    /// A running call is known to have made the call.
+    Nested {
+        /// How far that running call is a repeat, from 0 to 1.
+        repeat: f64,
+    },
+}
+
+impl Nesting {
+    /// The nesting of a call of an outside caller, or at a daemon where no repeat runs.
+    pub const NO_REPEATS: Self = Self::ByRoute { running_repeats: 0.0 };
 }
 
 /// Identifies an attempt among those of one [`Router`](crate::Router); a retry gets a new one.
@@ -53,7 +76,7 @@
 }
 
 /// One attempt of a call at one backend server, for the daemon to carry out.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
     /// Passed back to the router when the attempt ends.
     pub id: AttemptId,
@@ -79,6 +102,10 @@
     pub route_timeout_at: Mono,
     /// How many attempts of this call came before this one.
     pub previous_attempts: u32,
+    /// How far the attempt is a repeat, from 0 to 1: 1 if an earlier attempt may have reached a
+    /// server, else how far the running call that made this one is a repeat. Calls that a server
+    /// makes while it runs a repeat are repeats at the services called.
+    pub repeat: f64,
     /// Version of the route table when the server was picked. A retry keeps the route of the first
     /// attempt, which may be of an earlier table.
     pub config: ConfigVersion,
@@ -166,7 +193,7 @@
 }
 
 /// What to do after an attempt ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Next {
     /// Pass the answer on to the caller.
     Deliver,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,14 +16,15 @@
 mod table;
 
 pub use call::{
-    Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal, RefusalKind, ServerSelection,
+    Attempt, AttemptId, CallHead, Hop, Nesting, Next, Outcome, Refusal, RefusalKind,
+    ServerSelection,
 };
 pub use router::{
     RetryLimits, RouteHoldTime, Router, RouterCounters, RouterMode, RouterSettings, ServerInfo,
     ServerLoad, SharedLoad, VersionSplit,
 };
 pub use slots::{
-    Admission, AncestorCalls, CallId, QueueOrder, RunOutcome, SlotRequest, Slots, SlotsCounters,
-    SlotsSettings,
+    Admission, AncestorCalls, CallId, QueueOrder, RunOutcome, RunningRepeats, SlotRequest, Slots,
+    SlotsCounters, SlotsSettings,
 };
 pub use table::{RouteIndex, RouteTable, ServiceIndex, ServiceLimits, ServiceRetries, TableFault};
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -6,6 +6,7 @@
 //! attempt whose answer was delivered, once its body has been passed on.
 
 mod connect_backoff;
+mod nested_calls;
 mod placement;
 mod pool;
 mod refusals;
@@ -29,6 +30,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal};
+use crate::router::nested_calls::NestedCalls;
 use crate::router::placement::CallNeeds;
 use crate::router::pool::{ServerPool, ServerRequest};
 use crate::router::retry_budget::RetryBudget;
@@ -120,6 +122,8 @@
     pub calls: u64,
     /// Attempts beyond the first of each call.
     pub retries: u64,
+    /// The retries among them that followed an answer that was a server error.
+    pub retries_of_errors: u64,
     /// Retries not made because the retry budget of the service was empty.
     pub retries_refused: u64,
     /// Calls that were refused and not run.
@@ -152,6 +156,8 @@
     /// The outcome of the last earlier attempt that may have run, see [`Outcome::not_run`]; `None`
     /// if none may have. An attempt that the server shed did not run.
     earlier_run: Option<Outcome>,
+    /// How far the call is a repeat because the call that made it is, see [`Attempt::repeat`].
+    inherited_repeat: f64,
 }
 
 /// Matches calls to routes and backend servers, and decides on retries.
@@ -168,6 +174,7 @@
     /// Moving average of the bytes of a call and its answer, by route.
     route_bytes: FastMap<RouteName, f64>,
     route_times: RouteTimes,
+    nested_calls: NestedCalls,
     last_attempt_id: u64,
     rng: SmallRng,
     counters: RouterCounters,
@@ -187,6 +194,7 @@
             calls: Default::default(),
             route_bytes: Default::default(),
             route_times: Default::default(),
+            nested_calls: Default::default(),
             last_attempt_id: 0,
             rng: SmallRng::seed_from_u64(seed),
             counters: Default::default(),
@@ -203,6 +211,7 @@
         let table = &self.table;
         self.route_bytes.retain(|route, _| table.has_route(route));
         self.route_times.retain(|route| table.has_route(route));
+        self.nested_calls.retain_routes(|route| table.has_route(route));
         true
     }
 
@@ -340,6 +349,12 @@
         }
     }
 
+    /// Records whether the daemon that hosts a server of this route takes its calls for nested
+    /// ones, see [`Slots::is_nested_route`](crate::Slots::is_nested_route).
+    pub fn observe_nested_route(&mut self, route: &RouteName, nested: bool) {
+        self.nested_calls.observe_route(route, nested);
+    }
+
     /// Selects the algorithms that the router uses.
     pub fn set_mode(&mut self, mode: RouterMode) {
         self.mode = mode;
@@ -378,6 +393,7 @@
         // Each call adds `percent` of one retry to the retry budget of its service.
         let budget = self.budgets.entry(service.clone());
         budget.or_insert_with(|| RetryBudget::new(limits, now)).deposit(percent);
+        let inherited_repeat = self.nested_calls.inherited_repeat(&route.name, head.nesting);
         let plan = AttemptPlan {
             service,
             deadline: head.deadline.min(now + route.timeout),
@@ -390,6 +406,7 @@
             tried: FastSet::default(),
             previous_attempts: 0,
             earlier_run: None,
+            inherited_repeat,
             starts_at: now,
         };
         self.start_attempt(now, plan)
@@ -441,6 +458,7 @@
             idempotent: plan.idempotent,
             deadline: plan.deadline,
             previous_attempts: plan.previous_attempts,
+            repeat: if plan.reached_attempts > 0 { 1.0 } else { plan.inherited_repeat },
             config: self.table.version(),
             selection,
         };
@@ -454,6 +472,7 @@
             connect_trial,
             reached_attempts: plan.reached_attempts,
             earlier_run: plan.earlier_run,
+            inherited_repeat: plan.inherited_repeat,
         };
         self.calls.insert(attempt.id, call);
         Ok(attempt)
@@ -528,6 +547,7 @@
     deadline: Mono,
     previous_attempts: u32,
     earlier_run: Option<Outcome>,
+    inherited_repeat: f64,
     /// When the attempt is sent.
     starts_at: Mono,
 }
--- a/crates/routing/src/router/retries.rs
+++ b/crates/routing/src/router/retries.rs
@@ -74,6 +74,7 @@
             deadline: last.deadline,
             previous_attempts: last.previous_attempts + 1,
             earlier_run: Some(Outcome::Answered { status }),
+            inherited_repeat: call.inherited_repeat,
             starts_at: now,
         };
         let service = plan.service.clone();
@@ -82,6 +83,7 @@
             return None;
         };
         self.counters.retries += 1;
+        self.counters.retries_of_errors += 1;
         if let Some(ended) = self.calls.remove(&id)
             && let Some(server) = self.pool.find_mut(&ended.attempt.server)
         {
@@ -150,6 +152,7 @@
             idempotent: last.idempotent,
             previous_attempts: last.previous_attempts + 1,
             earlier_run: if not_run { call.earlier_run } else { Some(outcome) },
+            inherited_repeat: call.inherited_repeat,
             route: call.route,
             split_point: call.split_point,
             tried: call.tried,
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -26,7 +26,8 @@
 use crate::slots::queue::{CLASSES, Queue, QueuePriority, QueuedCall};
 use crate::slots::reentry::ReentryReserve;
 pub use crate::slots::types::{
-    Admission, AncestorCalls, CallId, RunOutcome, SlotRequest, SlotsCounters, SlotsSettings,
+    Admission, AncestorCalls, CallId, RunOutcome, RunningRepeats, SlotRequest, SlotsCounters,
+    SlotsSettings,
 };
 
 /// Shortest retry hint that is given to refused calls.
@@ -49,13 +50,27 @@
 /// One in this many slots, rounded up, is not available to bulk calls.
 const BULK_RESERVE_DIVISOR: u32 = 4;
 
+/// What is kept of a request while its call is queued or running.
+#[derive(Clone, Debug)]
+struct CallFacts {
+    route: Option<RouteName>,
+    /// See [`SlotRequest::repeat`].
+    repeat: f64,
+}
+
+impl From<&SlotRequest> for CallFacts {
+    fn from(request: &SlotRequest) -> Self {
+        Self { route: request.route.clone(), repeat: request.repeat }
+    }
+}
+
 /// A call that holds a slot.
 #[derive(Clone, Debug)]
 struct Running {
     started: Mono,
     criticality: Criticality,
-    route: Option<RouteName>,
     ancestors: AncestorCalls,
+    facts: CallFacts,
 }
 
 /// How a call is queued.
@@ -73,8 +88,7 @@
     settings: SlotsSettings,
     limit: AdaptiveLimit,
     running: FastMap<CallId, Running>,
-    /// Routes of the queued calls.
-    queued_routes: FastMap<CallId, RouteName>,
+    queued: FastMap<CallId, CallFacts>,
     running_bulk: u32,
     queue: Queue,
     hold_times: HoldTimes,
@@ -91,7 +105,7 @@
             limit: AdaptiveLimit::new(settings.slots),
             settings,
             running: FastMap::default(),
-            queued_routes: FastMap::default(),
+            queued: FastMap::default(),
             running_bulk: 0,
             queue: Queue::default(),
             hold_times: HoldTimes::default(),
@@ -132,7 +146,7 @@
         }
         let priority = QueuePriority { criticality, ancestors: request.ancestors };
         if self.can_start_now(now, priority) {
-            self.start(now, call, priority, request.route.clone());
+            self.start(now, call, priority, request.into());
             return Admission::Run;
         }
         let plan = match nested {
@@ -149,16 +163,14 @@
                 return Admission::Refused(self.overloaded());
             };
             self.counters.refused += 1;
-            self.queued_routes.remove(&evicted_call);
+            self.queued.remove(&evicted_call);
             evicted.push(evicted_call);
         }
         match plan {
             QueuePlan::OnTime(queued) => self.queue.push(criticality, queued),
             QueuePlan::Late(queued) => self.queue.push_late(criticality, queued),
         }
-        if let Some(route) = &request.route {
-            self.queued_routes.insert(call, route.clone());
-        }
+        self.queued.insert(call, request.into());
         Admission::Queued
     }
 
@@ -168,7 +180,7 @@
         let now = now.mono;
         let Some(running) = self.running.remove(&call) else {
             self.queue.remove(call);
-            self.queued_routes.remove(&call);
+            self.queued.remove(&call);
             return Vec::new();
         };
         if running.criticality == Criticality::Bulk {
@@ -185,7 +197,7 @@
         let mut expired = Vec::new();
         self.queue.expire(now.mono, &mut expired);
         for call in &expired {
-            self.queued_routes.remove(call);
+            self.queued.remove(call);
         }
         self.counters.refused += expired.len() as u64;
         expired
@@ -236,6 +248,17 @@
         self.draining = false;
     }
 
+    /// Number of running calls, and how many of them are repeats, see [`SlotRequest::repeat`].
+    pub fn running_repeats(&self) -> RunningRepeats {
+        let repeats = self.running.values().map(|running| running.facts.repeat).sum();
+        RunningRepeats { running: self.running(), repeats }
+    }
+
+    /// Whether calls of a route are taken for nested calls because of where they come from.
+    pub fn is_nested_route(&self, route: &RouteName) -> bool {
+        self.nested.is_nested(route)
+    }
+
     /// Counters since the slots were created.
     pub fn counters(&self) -> &SlotsCounters {
         &self.counters
@@ -354,19 +377,14 @@
         unreserved || self.running_bulk < bulk_limit(limit)
     }
 
-    fn start(
-        &mut self,
-        now: Mono,
-        call: CallId,
-        priority: QueuePriority,
-        route: Option<RouteName>,
-    ) {
+    fn start(&mut self, now: Mono, call: CallId, priority: QueuePriority, facts: CallFacts) {
         let QueuePriority { criticality, ancestors } = priority;
         if criticality == Criticality::Bulk {
             self.running_bulk += 1;
         }
         self.reentry.start(ancestors);
-        self.running.insert(call, Running { started: now, criticality, route, ancestors });
+        self.counters.repeats += u64::from(facts.repeat >= 1.0);
+        self.running.insert(call, Running { started: now, criticality, ancestors, facts });
         self.limit.observe_running(self.running());
         self.counters.run += 1;
         self.counters.peak = self.counters.peak.max(self.running.len() as u64);
@@ -405,15 +423,20 @@
             return false;
         }
         self.queue.remove(next.call);
-        let route = self.queued_routes.remove(&next.call);
-        self.start(now, next.call, priority, route);
+        let facts = self.queued.remove(&next.call);
+        self.start(
+            now,
+            next.call,
+            priority,
+            facts.unwrap_or(CallFacts { route: None, repeat: 0.0 }),
+        );
         run.push(next.call);
         true
     }
 
     fn record_end(&mut self, now: Mono, running: &Running, outcome: RunOutcome) {
         let hold_time = now.since(running.started);
-        self.hold_times.observe(running.criticality, running.route.as_ref(), hold_time);
+        self.hold_times.observe(running.criticality, running.facts.route.as_ref(), hold_time);
         if running.criticality == Criticality::Bulk || !self.settings.adaptive {
             return;
         }
--- a/crates/routing/src/slots/nested_routes.rs
+++ b/crates/routing/src/slots/nested_routes.rs
@@ -53,13 +53,20 @@
             origins.halve();
         }
         let is_mixed = origins.services.len() > 1;
-        let nested = !is_mixed && origins.calls >= MIN_CALLS_TO_CLASSIFY;
         match (was_mixed, is_mixed) {
             (false, true) => self.mixed_routes += 1,
             (true, false) => self.mixed_routes -= 1,
             (true, true) | (false, false) => {}
         }
-        nested && self.mixed_routes > 0
+        self.is_nested(route)
+    }
+
+    /// Whether the route carries nested calls, as far as the recorded calls tell.
+    pub(super) fn is_nested(&self, route: &RouteName) -> bool {
+        let single_origin = |origins: &CallOrigins| {
+            origins.services.len() <= 1 && origins.calls >= MIN_CALLS_TO_CLASSIFY
+        };
+        self.mixed_routes > 0 && self.routes.get(route).is_some_and(single_origin)
     }
 }
 
--- a/crates/routing/src/slots/types.rs
+++ b/crates/routing/src/slots/types.rs
@@ -44,7 +44,7 @@
 }
 
 /// What [`Slots::admit`](crate::Slots::admit) needs to know of a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SlotRequest {
     /// Criticality class; the higher class goes first when slots are short.
     pub criticality: Criticality,
@@ -59,13 +59,38 @@
     pub target_at: Mono,
     /// When the caller gives up.
     pub deadline: Mono,
+    /// How far the call is a repeat, see [`Attempt::repeat`](crate::Attempt::repeat).
+    pub repeat: f64,
 }
 
 impl SlotRequest {
     /// A call that is not nested and has no route, origin or target latency.
     pub fn new(criticality: Criticality, deadline: Mono) -> Self {
         let ancestors = AncestorCalls::default();
-        Self { criticality, route: None, origin: None, ancestors, target_at: Mono::NEVER, deadline }
+        let target_at = Mono::NEVER;
+        Self { criticality, route: None, origin: None, ancestors, target_at, deadline, repeat: 0.0 }
+    }
+}
+
+/// The running calls at backend servers, and how many of them are repeats.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RunningRepeats {
+    /// Number of running calls.
+    pub running: u32,
+    /// The sum over them of how far each is a repeat.
+    pub repeats: f64,
+}
+
+impl RunningRepeats {
+    /// Share of repeats, from 0 to 1; 0 if no call runs.
+    pub fn share(self) -> f64 {
+        if self.running == 0 { 0.0 } else { self.repeats / f64::from(self.running) }
+    }
+
+    /// The sums over the servers of both.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self { running: self.running + other.running, repeats: self.repeats + other.repeats }
     }
 }
 
@@ -102,4 +127,7 @@
     pub refused: u64,
     /// Highest number of calls running at a time.
     pub peak: u64,
+    /// Calls that were run and are surely repeats: an earlier attempt may have reached a server, or
+    /// a running repeat made the call.
+    pub repeats: u64,
 }
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_declarations::{Labels, parse_change};
 use cyclamen_ledger::{Config, Ledger, LogRecord};
-use cyclamen_routing::{CallHead, Hop, RouteTable, Router, RouterSettings, ServerInfo};
+use cyclamen_routing::{CallHead, Hop, Nesting, RouteTable, Router, RouterSettings, ServerInfo};
 use cyclamen_types::{Incarnation, Mono, Now, Offset, Wall};
 
 /// A service with two versions. Calls of route `once` must not run twice, and calls of route
@@ -74,5 +74,6 @@
 
 /// A call without headers and without a deadline of its own.
 pub fn head<'a>(method: &'a str, path: &'a str) -> CallHead<'a> {
-    CallHead { method, host: "dvere", path, header: &|_| None, deadline: Mono::NEVER }
+    let (deadline, nesting) = (Mono::NEVER, Nesting::NO_REPEATS);
+    CallHead { method, host: "dvere", path, header: &|_| None, deadline, nesting }
 }
--- a/crates/routing/tests/overload.rs
+++ b/crates/routing/tests/overload.rs
@@ -90,6 +90,7 @@
                 Mono::NEVER
             },
             deadline: Mono(arrived_at + load.deadline_ms * US_PER_MS),
+            repeat: 0.0,
         };
         let mut evicted = Vec::new();
         match slots.admit(at(arrived_at), CallId(id), &request, &mut evicted) {
--- a/crates/routing/tests/placing.rs
+++ b/crates/routing/tests/placing.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{at, table};
+use common::{at, head, table};
 use cyclamen_declarations::Criticality;
 use cyclamen_routing::{
     Admission, AncestorCalls, Attempt, CallHead, CallId, Hop, Next, Outcome, QueueOrder, Refusal,
@@ -235,7 +235,7 @@
     fn arrive(&mut self, now: u64, kind: usize, daemon: usize) {
         let path = self.kinds[kind].path;
         let deadline = Mono(now + 6 * US_PER_SECOND);
-        let head = CallHead { method: "GET", host: "dvere", path, header: &|_| None, deadline };
+        let head = CallHead { deadline, ..head("GET", path) };
         let attempt = self.routers[daemon].begin(at(now), &head).expect("servers are known");
         self.last_call += 1;
         self.send(now, self.last_call, kind, daemon, now, attempt);
@@ -266,6 +266,7 @@
             ancestors: AncestorCalls::default(),
             target_at: call.attempt.target_at,
             deadline: call.attempt.deadline,
+            repeat: 0.0,
         };
         let mut evicted = Vec::new();
         let admission = self.slots[call.server].admit(at(now), CallId(id), &request, &mut evicted);
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -8,8 +8,8 @@
 
 use common::{TWO_VERSIONS, at, head, router, server};
 use cyclamen_routing::{
-    CallHead, Next, Outcome, RefusalKind, RetryLimits, RouteHoldTime, Router, RouterSettings,
-    ServerInfo, ServerLoad, SharedLoad, VersionSplit,
+    CallHead, Nesting, Next, Outcome, RefusalKind, RetryLimits, RouteHoldTime, Router,
+    RouterSettings, ServerInfo, ServerLoad, SharedLoad, VersionSplit,
 };
 use cyclamen_types::{Mono, ServerName};
 
@@ -196,6 +196,7 @@
                 path: "/sticky",
                 header: &header,
                 deadline: Mono::NEVER,
+                nesting: Nesting::NO_REPEATS,
             };
             let attempt = router.begin(at(0), &head).expect("a server is picked");
             router.finish(at(1), attempt.id, Outcome::Cancelled);
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -54,6 +54,19 @@
     assert_eq!(slots.counters().peak, 3);
 }
 
+#[test]
+fn running_repeats_of_queued_and_running_calls() {
+    let mut slots = slots(2, 10);
+    let request = |repeat| SlotRequest { repeat, ..SlotRequest::new(Normal, Mono::NEVER) };
+    for (call, repeat) in [(0, 0.0), (1, 1.0), (2, 0.5)] {
+        slots.admit(at(0), CallId(call), &request(repeat), &mut Vec::new());
+    }
+    assert_eq!(slots.running_repeats().share(), 0.5);
+    assert_eq!(slots.finish(at(1), CallId(1), TEN_MS), [CallId(2)]);
+    assert_eq!(slots.running_repeats().share(), 0.25);
+    assert_eq!(slots.counters().repeats, 1);
+}
+
 #[test]
 fn admit_critical_first() {
     let mut slots = slots(1, 10);
--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -6,7 +6,7 @@
 use cyclamen_declarations::{HeaderMatch, HostPattern, Labels, Route};
 use cyclamen_ledger::Config;
 use cyclamen_routing::{CallHead, RouteTable, TableFault};
-use cyclamen_types::{Mono, RouteName};
+use cyclamen_types::RouteName;
 use proptest::prelude::*;
 
 const PRECEDENCE: &str = "
@@ -38,7 +38,7 @@
 
 fn route_of(table: &RouteTable, host: &str, path: &str, kind: Option<&'static str>) -> String {
     let header = |name: &str| kind.filter(|_| name == "x-kind");
-    let head = CallHead { method: "GET", host, path, header: &header, deadline: Mono::NEVER };
+    let head = CallHead { host, header: &header, ..head("GET", path) };
     let name = table.find(&head).and_then(|index| table.route_name(index));
     name.map_or("none".into(), |name| name.to_string())
 }
