Tests that fail: retries of all daemons of a mesh together (BUDGET)

Two simulations of one daemon of a mesh in which all have the same calls, at 13, 72 and 295 daemons, with the allowance of the users for the mesh as the bound.

--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -3,8 +3,172 @@
 
 mod common;
 
-use common::{TWO_VERSIONS, at, head, router, server};
-use cyclamen_routing::{Attempt, CallHead, Nesting, Next, Outcome, Router};
+use std::sync::Arc;
+
+use common::{TWO_VERSIONS, at, head, router, server, table};
+use cyclamen_routing::{
+    Attempt, CallHead, Nesting, Next, Outcome, RetryLimits, Router, RouterSettings, ServerInfo,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const US_PER_SECOND: u64 = 1_000_000;
+
+/// Whole seconds in which all goes well, then those in which the repeats are counted.
+const CALM_SECONDS: u64 = 60;
+const COUNTED_SECONDS: u64 = 10;
+
+/// The share of all calls to a service in [`COUNTED_SECONDS`] that may be repeats.
+const ALLOWED_SHARE: f64 = 0.2;
+
+/// A mesh, and the repeats at a service that all its daemons together may make in
+/// [`COUNTED_SECONDS`] beyond [`ALLOWED_SHARE`].
+#[derive(Clone, Copy, Debug)]
+struct Mesh {
+    daemons: f64,
+    allowed_repeats: f64,
+}
+
+const MESHES: [Mesh; 3] = [
+    Mesh { daemons: 13.0, allowed_repeats: 64.0 },
+    Mesh { daemons: 72.0, allowed_repeats: 184.0 },
+    Mesh { daemons: 295.0, allowed_repeats: 630.0 },
+];
+
+/// Calls of route `lookup` make calls of route `check`.
+const TWO_SERVICES: &str = "
+declarations:
+- name: dvere
+  service: {version: v1}
+- name: dvere/v1
+  version: {}
+- name: zavady
+  service: {version: v1}
+- name: zavady/v1
+  version: {}
+- name: lookup
+  route: {service: dvere, timeout: 6s, match: {path_prefix: /lookup}}
+- name: check
+  route: {service: zavady, timeout: 1200ms, match: {path_prefix: /check}}
+";
+
+/// The daemon of a mesh in which all daemons have the same calls.
+struct Daemon {
+    router: Router,
+    rng: SmallRng,
+    /// Share of the arrivals at `zavady` that its servers shed.
+    shed_share: f64,
+    /// Calls to `zavady`, and arrivals there that are repeats.
+    checks: u64,
+    repeats: u64,
+}
+
+impl Daemon {
+    fn new(mesh: Mesh) -> Self {
+        let settings = RouterSettings {
+            domain: "praha-a".try_into().expect("valid name"),
+            region: "cz-stred".try_into().expect("valid name"),
+            retries: limits(mesh),
+        };
+        let mut router = Router::new(settings, 1);
+        assert!(router.install(Arc::new(table(TWO_SERVICES))));
+        let mut servers = Vec::new();
+        for number in 0..8 {
+            let service = if number % 2 == 0 { "dvere" } else { "zavady" };
+            let name = format!("{service}-{number}");
+            let service = service.try_into().expect("valid name");
+            servers.push(ServerInfo { service, ..server(&name, "v1", "praha-a") });
+        }
+        router.set_servers(at(0), &servers);
+        let rng = SmallRng::seed_from_u64(7);
+        Self { router, rng, shed_share: 0.0, checks: 0, repeats: 0 }
+    }
+
+    /// A call to `zavady`; `parent` is the attempt whose run makes it. Returns whether it succeeds.
+    fn check(&mut self, now: u64, parent: Option<&Attempt>) -> bool {
+        let call = CallHead { nesting: nesting(parent), ..head("GET", "/check") };
+        let mut attempt = self.router.begin(at(now), &call).expect("a server is picked");
+        self.checks += 1;
+        let in_repeat = parent.is_some_and(|parent| parent.previous_attempts > 0);
+        loop {
+            self.repeats += u64::from(in_repeat || attempt.previous_attempts > 0);
+            let outcome = match self.rng.random_bool(self.shed_share) {
+                true => Outcome::Shed { retry_after: Default::default() },
+                false => Outcome::Answered { status: 200 },
+            };
+            match self.router.finish(at(now), attempt.id, outcome) {
+                Next::Retry(next, _) => attempt = next,
+                Next::Deliver => {
+                    self.router.end_body(at(now), attempt.id, true);
+                    return true;
+                }
+                Next::Refuse(_) => return false,
+            }
+        }
+    }
+
+    /// A call to `dvere`, whose run makes two calls to `zavady` and fails if one of them does.
+    fn lookup(&mut self, now: u64) {
+        let mut attempt =
+            self.router.begin(at(now), &head("GET", "/lookup")).expect("a server is picked");
+        loop {
+            let checked = [self.check(now, Some(&attempt)), self.check(now, Some(&attempt))];
+            let status = if checked == [true, true] { 200 } else { 500 };
+            let outcome = Outcome::Answered { status };
+            let Next::Retry(next, _) = self.router.finish(at(now), attempt.id, outcome) else {
+                self.router.end_body(at(now), attempt.id, true);
+                return;
+            };
+            attempt = next;
+        }
+    }
+
+    /// Makes calls while all goes well, then while `zavady` sheds 45% of the arrivals, of which the
+    /// repeats are counted.
+    fn run(&mut self, calls_per_second: u64, mut call: impl FnMut(&mut Self, u64)) {
+        let calls = |seconds| seconds * calls_per_second;
+        for number in 0..calls(CALM_SECONDS + COUNTED_SECONDS) {
+            if number == calls(CALM_SECONDS) {
+                (self.shed_share, self.checks, self.repeats) = (0.45, 0, 0);
+            }
+            call(self, number * US_PER_SECOND / calls_per_second);
+        }
+    }
+
+    fn assert_allowed(&self, mesh: Mesh) {
+        let (checks, repeats) = (self.checks as f64, self.repeats as f64);
+        let allowed = checks * mesh.daemons * ALLOWED_SHARE + mesh.allowed_repeats;
+        let made = repeats * mesh.daemons;
+        assert!(made <= allowed, "{made} repeats, allowed {allowed}, {mesh:?}");
+        assert!(repeats > 0.0, "no call was retried: {mesh:?}");
+    }
+}
+
+fn limits(_: Mesh) -> RetryLimits {
+    RetryLimits { budget_capacity: 4.0, refill_per_second: 0.1, extra_unsent_attempts: 2 }
+}
+
+fn nesting(parent: Option<&Attempt>) -> Nesting {
+    parent.map_or(Nesting::NO_REPEATS, |parent| Nesting::Nested { repeat: parent.repeat })
+}
+
+#[test]
+fn retries_of_a_quiet_service_in_a_large_mesh() {
+    for mesh in MESHES {
+        let mut daemon = Daemon::new(mesh);
+        daemon.run(1, |daemon, now| _ = daemon.check(now, None));
+        daemon.assert_allowed(mesh);
+    }
+}
+
+#[test]
+fn retries_of_calls_whose_runs_call_again() {
+    for mesh in MESHES {
+        let mut daemon = Daemon::new(mesh);
+        daemon.run(7, Daemon::lookup);
+        daemon.assert_allowed(mesh);
+    }
+}
 
 fn begin(router: &mut Router, nesting: Nesting) -> Attempt {
     let call = CallHead { nesting, ..head("GET", "/") };
