Retry budget: the reserve of a mesh is divided among its daemons

What callers saw: none of it; a called service got more repeats than the mesh is allowed (BUDGET), on the large fleet, with a burst and servers that shed 45 of 100 calls. Cause: each daemon saved 4 retries of each service and earned 0.1 a second, whatever the number of daemons. 295 of them have 1,475 in 10 s beside the share of the calls, where the mesh is allowed 630. Evidence: retries_of_a_quiet_service_in_a_large_mesh failed before (360 repeats at 72 daemons, allowed 328), and so did retries_of_calls_whose_runs_call_again (546 at 13, allowed 485). Change: `mesh_reserve` (`limits.mesh_saved_retries`) bounds what all daemons together save and earn without calls; each takes an equal part of three quarters of it, by the most daemons that it ever knew, so that a partition does not raise the part.

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -398,6 +398,7 @@
 
     /// Passes the known backend servers to the router if they have changed.
     fn apply_topology(&mut self, now: Now) {
+        self.router.set_daemons(self.membership.reachable_count());
         if self.applied_topology == Some(self.membership.topology_version()) {
             return;
         }
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -288,6 +288,7 @@
         values::integer(value, 0..=10_000).map(f64::from)
     });
     section.overwrite("retries_per_second", &mut retries.refill_per_second, values::rate);
+    section.overwrite("mesh_saved_retries", &mut retries.mesh_reserve, values::rate);
     section.overwrite("unsent_attempts", &mut retries.extra_unsent_attempts, |value| {
         values::integer(value, 0..=100)
     });
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -169,6 +169,8 @@
     pool: ServerPool,
     splits: FastMap<ServiceName, VersionSplit>,
     budgets: FastMap<ServiceName, RetryBudget>,
+    /// Most daemons that the mesh was known to have; 0 before any is known.
+    daemons: usize,
     /// Active calls, by the id of their latest attempt.
     calls: FastMap<AttemptId, ActiveCall>,
     /// Moving average of the bytes of a call and its answer, by route.
@@ -191,6 +193,7 @@
             pool: Default::default(),
             splits: Default::default(),
             budgets: Default::default(),
+            daemons: 0,
             calls: Default::default(),
             route_bytes: Default::default(),
             route_times: Default::default(),
@@ -226,6 +229,20 @@
         self.pool.replace(now.mono, servers, &self.settings.domain, &self.settings.region);
     }
 
+    /// Takes over how many daemons the mesh has, among which the retries of
+    /// [`RetryLimits::mesh_reserve`] are divided. A lower number than before is ignored: daemons
+    /// that are out of reach go on making retries.
+    pub fn set_daemons(&mut self, daemons: usize) {
+        if daemons <= self.daemons {
+            return;
+        }
+        self.daemons = daemons;
+        let limits = self.retry_limits();
+        for budget in self.budgets.values_mut() {
+            budget.set_limits(limits);
+        }
+    }
+
     /// Replaces the version splits of all moves under way.
     pub fn set_splits(&mut self, splits: &[VersionSplit]) {
         self.splits.clear();
@@ -389,7 +406,7 @@
             version_choice::choose_service(&route, self.choose_split_point(&route, head));
         let service = service.clone();
         let percent = self.table.service(&service).map_or(0, |s| s.retries.budget_percent);
-        let limits = self.settings.retries;
+        let limits = self.retry_limits();
         // Each call adds `percent` of one retry to the retry budget of its service.
         let budget = self.budgets.entry(service.clone());
         budget.or_insert_with(|| RetryBudget::new(limits, now)).deposit(percent);
@@ -412,6 +429,11 @@
         self.start_attempt(now, plan)
     }
 
+    /// The limits of the retry budgets of this daemon.
+    fn retry_limits(&self) -> RetryLimits {
+        self.settings.retries.shared_among(self.daemons)
+    }
+
     fn choose_split_point(&mut self, route: &CompiledRoute, head: &CallHead<'_>) -> SplitPoint {
         let key = route.sticky.as_ref().and_then(|sticky| (head.header)(&sticky.header));
         match key {
--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -72,6 +72,7 @@
         };
         let mut router = Router::new(settings, 1);
         assert!(router.install(Arc::new(table(TWO_SERVICES))));
+        router.set_daemons(mesh.daemons as usize);
         let mut servers = Vec::new();
         for number in 0..8 {
             let service = if number % 2 == 0 { "dvere" } else { "zavady" };
@@ -144,8 +145,13 @@
     }
 }
 
-fn limits(_: Mesh) -> RetryLimits {
-    RetryLimits { budget_capacity: 4.0, refill_per_second: 0.1, extra_unsent_attempts: 2 }
+fn limits(mesh: Mesh) -> RetryLimits {
+    RetryLimits {
+        budget_capacity: 4.0,
+        refill_per_second: 0.1,
+        mesh_reserve: mesh.allowed_repeats,
+        extra_unsent_attempts: 2,
+    }
 }
 
 fn nesting(parent: Option<&Attempt>) -> Nesting {
