--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -52,32 +52,38 @@
   route: {service: zavady, timeout: 1200ms, match: {path_prefix: /check}}
 ";
 
-/// The daemon of a mesh in which all daemons have the same calls.
+/// A daemon of a mesh in which all have the same calls.
 struct Daemon {
     router: Router,
     rng: SmallRng,
-    /// Share of the arrivals at `zavady` that its servers shed.
+    /// Share of the arrivals at the called service that its servers shed or fail.
     shed_share: f64,
-    /// Calls to `zavady`, and arrivals there that are repeats.
+    /// Calls to that service, and arrivals there that are repeats.
     checks: u64,
     repeats: u64,
 }
 
 impl Daemon {
     fn new(mesh: Mesh) -> Self {
+        Self::with_routes(mesh, TWO_SERVICES, &["dvere", "zavady"])
+    }
+
+    /// A daemon of a mesh with these declarations, and four servers of each service.
+    fn with_routes(mesh: Mesh, yaml: &str, services: &[&str]) -> Self {
         let settings = RouterSettings {
             domain: "praha-a".try_into().expect("valid name"),
             region: "cz-stred".try_into().expect("valid name"),
             retries: limits(mesh),
         };
         let mut router = Router::new(settings, 1);
-        assert!(router.install(Arc::new(table(TWO_SERVICES))));
+        assert!(router.install(Arc::new(table(yaml))));
         router.set_daemons(mesh.daemons as usize);
         let mut servers = Vec::new();
-        for number in 0..8 {
-            let service = if number % 2 == 0 { "dvere" } else { "zavady" };
+        for (service, number) in
+            services.iter().flat_map(|service| (0..4).map(move |n| (service, n)))
+        {
             let name = format!("{service}-{number}");
-            let service = service.try_into().expect("valid name");
+            let service = (*service).try_into().expect("valid name");
             servers.push(ServerInfo { service, ..server(&name, "v1", "praha-a") });
         }
         router.set_servers(at(0), &servers);
@@ -124,8 +130,8 @@
         }
     }
 
-    /// Makes calls while all goes well, then while `zavady` sheds 45% of the arrivals, of which the
-    /// repeats are counted.
+    /// Makes calls while all goes well, then while the called service does not serve 45% of the
+    /// arrivals, of which the repeats are counted.
     fn run(&mut self, calls_per_second: u64, mut call: impl FnMut(&mut Self, u64)) {
         let calls = |seconds| seconds * calls_per_second;
         for number in 0..calls(CALM_SECONDS + COUNTED_SECONDS) {
@@ -158,6 +164,68 @@
     parent.map_or(Nesting::NO_REPEATS, |parent| Nesting::Nested { repeat: parent.repeat })
 }
 
+/// Services each of whose runs calls the next one.
+const CHAIN: &str = "
+declarations:
+- name: first
+  service: {version: v1}
+- name: first/v1
+  version: {}
+- name: second
+  service: {version: v1}
+- name: second/v1
+  version: {}
+- name: third
+  service: {version: v1}
+- name: third/v1
+  version: {}
+- name: last
+  service: {version: v1}
+- name: last/v1
+  version: {}
+- name: to-first
+  route: {service: first, timeout: 6s, match: {path_prefix: /0}}
+- name: to-second
+  route: {service: second, timeout: 6s, match: {path_prefix: /1}}
+- name: to-third
+  route: {service: third, timeout: 6s, match: {path_prefix: /2}}
+- name: to-last
+  route: {service: last, timeout: 6s, match: {path_prefix: /3}}
+";
+
+const CHAIN_PATHS: [&str; 4] = ["/0", "/1", "/2", "/3"];
+
+/// Makes a call to the service at this place of [`CHAIN`], whose runs call the next one. The last
+/// service fails some calls. Returns whether the call succeeds.
+fn call_chain(daemon: &mut Daemon, now: u64, place: usize, parent: Option<&Attempt>) -> bool {
+    let call = CallHead { nesting: nesting(parent), ..head("GET", CHAIN_PATHS[place]) };
+    let mut attempt = daemon.router.begin(at(now), &call).expect("a server is picked");
+    let is_last = place + 1 == CHAIN_PATHS.len();
+    daemon.checks += u64::from(is_last);
+    loop {
+        daemon.repeats += u64::from(is_last && attempt.repeat == 1.0);
+        let answered = match is_last {
+            true => !daemon.rng.random_bool(daemon.shed_share),
+            false => call_chain(daemon, now, place + 1, Some(&attempt)),
+        };
+        let outcome = Outcome::Answered { status: if answered { 200 } else { 500 } };
+        let Next::Retry(next, _) = daemon.router.finish(at(now), attempt.id, outcome) else {
+            daemon.router.end_body(at(now), attempt.id, true);
+            return answered;
+        };
+        attempt = next;
+    }
+}
+
+#[test]
+fn retries_of_each_service_in_a_chain() {
+    for mesh in MESHES {
+        let mut daemon = Daemon::with_routes(mesh, CHAIN, &["first", "second", "third", "last"]);
+        daemon.run(10, |daemon, now| _ = call_chain(daemon, now, 0, None));
+        daemon.assert_allowed(mesh);
+    }
+}
+
 #[test]
 fn retries_of_a_quiet_service_in_a_large_mesh() {
     for mesh in MESHES {
