Retry budget: calls of a run that is a repeat draw on it

Cause: a retry draws on the budget of the called service only. Its run makes its calls to other services again; these count as repeats there and drew on nothing, so the shares of the services in a chain add up, times the calls that a run makes. Change: a call is taken out of the budget of its service to the extent that it is a repeat, which may overdraw it by 20 retries; own retries wait until the balance is positive again.

--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -407,10 +407,12 @@
         let service = service.clone();
         let percent = self.table.service(&service).map_or(0, |s| s.retries.budget_percent);
         let limits = self.retry_limits();
+        let inherited_repeat = self.nested_calls.inherited_repeat(&route.name, head.nesting);
         // Each call adds `percent` of one retry to the retry budget of its service.
         let budget = self.budgets.entry(service.clone());
-        budget.or_insert_with(|| RetryBudget::new(limits, now)).deposit(percent);
-        let inherited_repeat = self.nested_calls.inherited_repeat(&route.name, head.nesting);
+        let budget = budget.or_insert_with(|| RetryBudget::new(limits, now));
+        budget.deposit(percent);
+        budget.charge(inherited_repeat);
         let plan = AttemptPlan {
             service,
             deadline: head.deadline.min(now + route.timeout),
--- a/crates/routing/src/router/retry_budget.rs
+++ b/crates/routing/src/router/retry_budget.rs
@@ -1,5 +1,9 @@
 //! The retry budget of a service: a token bucket that bounds retries to a share of the calls, plus
 //! a fixed number per second for services with few calls.
+//!
+//! Calls that a server makes while it runs a repeat reach the called service once more as well.
+//! They draw on the budget of that service like retries, so that retries of several services in a
+//! chain of calls do not multiply.
 
 use std::time::Duration;
 
@@ -15,6 +19,10 @@
 /// Smallest capacity of a budget, in retries; with less, no retry could ever be saved for.
 const MIN_CAPACITY: f64 = 1.0;
 
+/// Most retries by which repeats that are not made here may overdraw a budget, so that retries come
+/// back soon after a lot of them.
+const MAX_OVERDRAFT: f64 = 20.0;
+
 /// Limits of the retries that one daemon makes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimits {
@@ -96,6 +104,12 @@
         true
     }
 
+    /// Takes a call out of the budget that is a repeat to the extent `repeat`, from 0 to 1, because
+    /// a repeat made it. The call is made in any case, so the budget may be overdrawn.
+    pub(super) fn charge(&mut self, repeat: f64) {
+        self.tokens = (self.tokens - repeat).max(-MAX_OVERDRAFT);
+    }
+
     /// Puts back a retry that was taken out and not made.
     pub(super) fn put_back(&mut self) {
         self.tokens = (self.tokens + 1.0).min(self.limits.budget_capacity);
