Retries: an error that comes of a failed nested call is not retried again

What callers saw: with a called service in need, more load on it and on the services before it, and fewer answers: the retries of the service before use up the budget of the one in need. Cause: two levels retry for one failure. docs/design/calls.md said that an answer of a server is never retried, so that a chain cannot multiply retries; since errors are retried (to hide servers that fail some calls) this also held for errors whose cause is a call that the server made, and that was retried already. Evidence: retries_of_an_error_passed_up_a_chain_are_of_the_last_service fails without the report of nested failures (18 retries by the services above the one that fails). Change: a router remembers when a nested call last failed after all its attempts. The daemon that hosts a server says with a server error whether that was while the call ran; such an error is delivered. Which of the running calls made the failed one is not known on the platform, so another server error at the same time is delivered too. A server that fails by itself is retried as before.

--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -7,7 +7,7 @@
 use cyclamen_routing::{
     Attempt, CallHead, Next, Outcome, Refusal, RouterMode, ServerLoad, SharedLoad,
 };
-use cyclamen_types::{MoveName, Now, RouteName, ServerName};
+use cyclamen_types::{Mono, MoveName, Now, RouteName, ServerName};
 
 use crate::event::Effects;
 use crate::instance::Instance;
@@ -119,6 +119,17 @@
         self.router.observe_nested_route(route, nested);
     }
 
+    /// Reports to the router that the server error of an attempt, whose outcome follows, comes of a
+    /// failed call that the server made.
+    pub fn observe_nested_failure(&mut self, attempt: &Attempt) {
+        self.router.observe_nested_failure(attempt.id);
+    }
+
+    /// Whether a call that a local backend server made has failed since then.
+    pub fn nested_call_failed_since(&self, since: Mono) -> bool {
+        self.router.nested_call_failed_since(since)
+    }
+
     /// Updates the router with the load that the daemon hosting a backend server reported.
     pub fn observe_load(&mut self, now: Now, server: &ServerName, load: ServerLoad) {
         self.router.observe_load(now, server, load);
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -44,6 +44,8 @@
     load: Option<ServerLoad>,
     /// Whether the hosting daemon takes the calls of the route for nested ones, if it told.
     nested_route: Option<bool>,
+    /// Whether a call that the server made failed, and with it this one.
+    nested_failure: bool,
     response: Option<Response<ResponseBody>>,
 }
 
@@ -113,6 +115,9 @@
             if let Some(nested) = result.nested_route {
                 instance.observe_nested_route(&self.attempt.route, nested);
             }
+            if result.nested_failure {
+                instance.observe_nested_failure(&self.attempt);
+            }
             if let Some(bytes) = result.body_bytes() {
                 instance.observe_bytes(&self.attempt.route, bytes);
             }
@@ -215,15 +220,16 @@
 
 impl AttemptResult {
     fn without_response(outcome: Outcome) -> Self {
-        Self { outcome, load: None, nested_route: None, response: None }
+        Self { outcome, load: None, nested_route: None, nested_failure: false, response: None }
     }
 
     /// The result of an attempt on a local backend server.
     fn from_local(end: InboundOutcome, load: ServerLoad) -> Self {
         let outcome = end.outcome();
         let mut result = Self { load: Some(load), ..Self::without_response(outcome) };
-        if let InboundOutcome::Answered(response) = end {
-            result.response = Some(*response);
+        if let InboundOutcome::Answered(answer) = end {
+            result.nested_failure = answer.nested_failure;
+            result.response = Some(answer.response);
         }
         result
     }
@@ -249,6 +255,7 @@
             outcome,
             load: Some(answer.load),
             nested_route: Some(answer.nested_route),
+            nested_failure: answer.nested_failure,
             response: (answer.outcome == HopOutcome::Ran).then_some(response),
         }
     }
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -5,8 +5,9 @@
 //! sender's wall clock, how far the call is a repeat, and a keyed hash over these, the method and
 //! the request target. A response carries [`HOP_RESPONSE_HEADER`]: how the call ended, when to
 //! retry, the load of the backend server and those of other servers, whether the route carries
-//! nested calls, and a keyed hash over these, the hop id and the status. The last field of each may
-//! be missing: earlier releases do not send it, and ignore it.
+//! nested calls, whether a call that the server made failed, and a keyed hash over these, the hop
+//! id and the status. Earlier releases neither send nor read how far the call is a repeat, and what
+//! concerns nested calls; these fields may be missing.
 
 mod encoding;
 
@@ -92,6 +93,8 @@
     pub(super) others: Vec<SharedLoad>,
     /// Whether it takes the calls of the route for nested ones.
     pub(super) nested_route: bool,
+    /// Whether the response is a server error and a call that the server made meanwhile failed.
+    pub(super) nested_failure: bool,
 }
 
 /// Why a request is not accepted as a hop call.
@@ -196,10 +199,12 @@
         status: StatusCode,
         response: &HopResponse,
     ) -> Option<HeaderValue> {
-        let HopResponse { outcome, retry_after, load, others, nested_route } = response;
+        let HopResponse { outcome, retry_after, load, others, nested_route, nested_failure } =
+            response;
         let retry_ms = retry_after.as_millis();
         let (load, others) = (encoding::format_load(load), encoding::format_loads(others));
-        let claim = format!("v2 {outcome} {retry_ms} {load} {others} {nested_route}");
+        let claim =
+            format!("v2 {outcome} {retry_ms} {load} {others} {nested_route} {nested_failure}");
         let hash = self.keyed_hash(&[b"answer", claim.as_bytes(), &response_binding(id, status)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
     }
--- a/crates/daemon/src/calls/hop/encoding.rs
+++ b/crates/daemon/src/calls/hop/encoding.rs
@@ -68,8 +68,9 @@
     let retry_after = Duration::from_millis(fields.next()?.parse().ok()?);
     let load = parse_load(fields.next()?)?;
     let others = parse_loads(fields.next()?)?;
-    let nested_route = fields.next().is_some_and(|nested| nested == "true");
-    Some(HopResponse { outcome, retry_after, load, others, nested_route })
+    let mut flag = || fields.next().is_some_and(|flag| flag == "true");
+    let (nested_route, nested_failure) = (flag(), flag());
+    Some(HopResponse { outcome, retry_after, load, others, nested_route, nested_failure })
 }
 
 fn parse_repeat(text: &str) -> Option<f64> {
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -53,10 +53,17 @@
     pub(super) repeat: f64,
 }
 
+/// The response of a local backend server.
+pub(super) struct Answer {
+    pub(super) response: Response<ResponseBody>,
+    /// Whether it is a server error and a call that the server made meanwhile failed.
+    pub(super) nested_failure: bool,
+}
+
 /// How a call for a local backend server ended.
 pub(super) enum InboundOutcome {
     /// The server responded.
-    Answered(Box<Response<ResponseBody>>),
+    Answered(Box<Answer>),
     /// No slot, connection or time was left; retry after the given time. Not run.
     NoSlot(Duration),
     /// The server reported that it did not run the call; retry after the given time.
@@ -74,7 +81,9 @@
     /// The outcome as the router of the sending daemon sees it.
     pub(super) fn outcome(&self) -> Outcome {
         match self {
-            Self::Answered(response) => Outcome::Answered { status: response.status().as_u16() },
+            Self::Answered(answer) => {
+                Outcome::Answered { status: answer.response.status().as_u16() }
+            }
             Self::NoSlot(retry_after) => Outcome::RefusedByDaemon { retry_after: *retry_after },
             Self::Shed(retry_after) => Outcome::Shed { retry_after: *retry_after },
             Self::Unavailable => Outcome::NotConnected,
@@ -255,7 +264,10 @@
     headers::strip_hop_by_hop(&mut parts.headers);
     parts.version = Version::HTTP_11;
     let body = ResponseBody::streamed(incoming, lease, until).with_slot(slot);
-    InboundOutcome::Answered(Box::new(Response::from_parts(parts, body)))
+    let nested_failure = status.is_server_error()
+        && ctx.shared.read(|instance| instance.nested_call_failed_since(started));
+    let response = Response::from_parts(parts, body);
+    InboundOutcome::Answered(Box::new(Answer { response, nested_failure }))
 }
 
 async fn acquire_slot(
@@ -407,8 +419,9 @@
         InboundOutcome::Unknown => (HopOutcome::Unknown, Duration::ZERO),
         InboundOutcome::TimedOut => (HopOutcome::Late, Duration::ZERO),
     };
+    let nested_failure = matches!(&end, InboundOutcome::Answered(answer) if answer.nested_failure);
     let mut response = match end {
-        InboundOutcome::Answered(response) => *response,
+        InboundOutcome::Answered(answer) => answer.response,
         InboundOutcome::NoSlot(_) | InboundOutcome::Shed(_) | InboundOutcome::Unavailable => {
             empty_response(StatusCode::SERVICE_UNAVAILABLE)
         }
@@ -422,6 +435,7 @@
         load: instance.server_load(&hop_call.server),
         others: instance.loads_to_share(now, &hop_call.server),
         nested_route: instance.is_nested_route(&hop_call.server, &hop_call.route),
+        nested_failure,
     });
     if let Some(header) = ctx.hop_seal.seal_response(hop_call.id, response.status(), &hop_response)
     {
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -29,7 +29,9 @@
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
-use crate::call::{Attempt, AttemptId, CallHead, Hop, Next, Outcome, Refusal};
+use crate::call::{
+    Attempt, AttemptId, CallHead, Hop, MIN_SERVER_ERROR_STATUS, Next, Outcome, Refusal,
+};
 use crate::router::nested_calls::NestedCalls;
 use crate::router::placement::CallNeeds;
 use crate::router::pool::{ServerPool, ServerRequest};
@@ -158,6 +160,10 @@
     earlier_run: Option<Outcome>,
     /// How far the call is a repeat because the call that made it is, see [`Attempt::repeat`].
     inherited_repeat: f64,
+    /// Whether a local backend server made the call, as far as known.
+    nested: bool,
+    /// Whether the latest attempt failed because a call failed that its server made.
+    nested_failure: bool,
 }
 
 /// Matches calls to routes and backend servers, and decides on retries.
@@ -277,9 +283,15 @@
             return Next::Refuse(refusals::already_ended());
         }
         self.observe_outcome(now.mono, attempt, outcome);
+        let nested = self.calls.get(&attempt).is_some_and(|call| call.nested);
         if let Outcome::Answered { status } = outcome {
-            let retry = self.retry_server_error(now.mono, attempt, status);
-            return retry.map_or(Next::Deliver, |retry| Next::Retry(retry, Duration::ZERO));
+            if let Some(retry) = self.retry_server_error(now.mono, attempt, status) {
+                return Next::Retry(retry, Duration::ZERO);
+            }
+            if nested && status >= MIN_SERVER_ERROR_STATUS {
+                self.nested_calls.record_failure(now.mono);
+            }
+            return Next::Deliver;
         }
         // The call is present: this was checked above, and nothing has removed it since.
         let Some(call) = self.calls.remove(&attempt) else {
@@ -289,6 +301,9 @@
             server.end_attempt();
         }
         let next = self.after_unanswered(now.mono, call, outcome);
+        if nested && outcome != Outcome::Cancelled && matches!(next, Next::Refuse(_)) {
+            self.nested_calls.record_failure(now.mono);
+        }
         self.count_refusal(&next);
         next
     }
@@ -372,6 +387,23 @@
         self.nested_calls.observe_route(route, nested);
     }
 
+    /// Whether a call that a local backend server made has failed since then, after all its
+    /// attempts. A server error of a call that began at that time is then taken for a consequence:
+    /// which of the running calls made the failed one is not known.
+    pub fn nested_call_failed_since(&self, since: Mono) -> bool {
+        self.nested_calls.failed_since(since)
+    }
+
+    /// Records, before [`Router::finish`], that the server error of an attempt is a consequence of a
+    /// failed call that the server made, as the hosting daemon reports by
+    /// [`Router::nested_call_failed_since`]. The attempt is not retried: the failed call was, as far
+    /// as the retry budget of its service allows, and another server would make it again.
+    pub fn observe_nested_failure(&mut self, attempt: AttemptId) {
+        if let Some(call) = self.calls.get_mut(&attempt) {
+            call.nested_failure = true;
+        }
+    }
+
     /// Selects the algorithms that the router uses.
     pub fn set_mode(&mut self, mode: RouterMode) {
         self.mode = mode;
@@ -408,6 +440,7 @@
         let percent = self.table.service(&service).map_or(0, |s| s.retries.budget_percent);
         let limits = self.retry_limits();
         let inherited_repeat = self.nested_calls.inherited_repeat(&route.name, head.nesting);
+        let nested = self.nested_calls.is_nested(&route.name, head.nesting);
         // Each call adds `percent` of one retry to the retry budget of its service.
         let budget = self.budgets.entry(service.clone());
         let budget = budget.or_insert_with(|| RetryBudget::new(limits, now));
@@ -426,6 +459,7 @@
             previous_attempts: 0,
             earlier_run: None,
             inherited_repeat,
+            nested,
             starts_at: now,
         };
         self.start_attempt(now, plan)
@@ -497,6 +531,8 @@
             reached_attempts: plan.reached_attempts,
             earlier_run: plan.earlier_run,
             inherited_repeat: plan.inherited_repeat,
+            nested: plan.nested,
+            nested_failure: false,
         };
         self.calls.insert(attempt.id, call);
         Ok(attempt)
@@ -572,6 +608,7 @@
     previous_attempts: u32,
     earlier_run: Option<Outcome>,
     inherited_repeat: f64,
+    nested: bool,
     /// When the attempt is sent.
     starts_at: Mono,
 }
--- a/crates/routing/src/router/retries.rs
+++ b/crates/routing/src/router/retries.rs
@@ -29,7 +29,8 @@
     /// errors of servers that fail some of their calls.
     ///
     /// Returns `None` if the answer is to be delivered: for a status that is no server error or is
-    /// [`GATEWAY_TIMEOUT`], for calls that are not idempotent, during a move of the service, in
+    /// [`GATEWAY_TIMEOUT`], for calls that are not idempotent, after a failed call that the server
+    /// made ([`Router::observe_nested_failure`]), during a move of the service, in
     /// [`RouterMode::Baseline`], while too few calls of the route are measured, where the time
     /// left, the number of attempts or the retry budget does not allow a retry, and where no other
     /// server is left.
@@ -44,6 +45,9 @@
         if status < MIN_SERVER_ERROR_STATUS || status == GATEWAY_TIMEOUT || !last.idempotent {
             return None;
         }
+        if call.nested_failure {
+            return None;
+        }
         // During a move, a retry would expose more calls to a new version that may be faulty.
         if self.mode == RouterMode::Baseline || self.splits.contains_key(&last.service) {
             return None;
@@ -75,6 +79,7 @@
             previous_attempts: last.previous_attempts + 1,
             earlier_run: Some(Outcome::Answered { status }),
             inherited_repeat: call.inherited_repeat,
+            nested: call.nested,
             starts_at: now,
         };
         let service = plan.service.clone();
@@ -153,6 +158,7 @@
             previous_attempts: last.previous_attempts + 1,
             earlier_run: if not_run { call.earlier_run } else { Some(outcome) },
             inherited_repeat: call.inherited_repeat,
+            nested: call.nested,
             route: call.route,
             split_point: call.split_point,
             tried: call.tried,
--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -61,6 +61,10 @@
     /// Calls to that service, and arrivals there that are repeats.
     checks: u64,
     repeats: u64,
+    /// Retries of calls to other services.
+    retries_above_last: u64,
+    /// Whether servers' errors are told apart from those that come of a failed call of theirs.
+    reports_nested_failures: bool,
 }
 
 impl Daemon {
@@ -88,7 +92,15 @@
         }
         router.set_servers(at(0), &servers);
         let rng = SmallRng::seed_from_u64(7);
-        Self { router, rng, shed_share: 0.0, checks: 0, repeats: 0 }
+        Self {
+            router,
+            rng,
+            shed_share: 0.0,
+            checks: 0,
+            repeats: 0,
+            retries_above_last: 0,
+            reports_nested_failures: false,
+        }
     }
 
     /// A call to `zavady`; `parent` is the attempt whose run makes it. Returns whether it succeeds.
@@ -208,6 +220,10 @@
             true => !daemon.rng.random_bool(daemon.shed_share),
             false => call_chain(daemon, now, place + 1, Some(&attempt)),
         };
+        if !answered && !is_last && daemon.reports_nested_failures {
+            daemon.router.observe_nested_failure(attempt.id);
+        }
+        daemon.retries_above_last += u64::from(!is_last && attempt.previous_attempts > 0);
         let outcome = Outcome::Answered { status: if answered { 200 } else { 500 } };
         let Next::Retry(next, _) = daemon.router.finish(at(now), attempt.id, outcome) else {
             daemon.router.end_body(at(now), attempt.id, true);
@@ -226,6 +242,15 @@
     }
 }
 
+#[test]
+fn retries_of_an_error_passed_up_a_chain_are_of_the_last_service() {
+    let mut daemon = Daemon::with_routes(MESHES[0], CHAIN, &["first", "second", "third", "last"]);
+    daemon.reports_nested_failures = true;
+    daemon.run(10, |daemon, now| _ = call_chain(daemon, now, 0, None));
+    assert_eq!(daemon.retries_above_last, 0);
+    daemon.assert_allowed(MESHES[0]);
+}
+
 #[test]
 fn retries_of_a_quiet_service_in_a_large_mesh() {
     for mesh in MESHES {
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -472,6 +472,22 @@
     );
 }
 
+#[test]
+fn finish_server_error_of_a_failed_nested_call_not_retried_again() {
+    let mut hosting = router_with_measured_calls();
+    let began = at(1_000_000);
+    assert!(!hosting.nested_call_failed_since(began.mono));
+    let call = CallHead { nesting: Nesting::Nested { repeat: 0.0 }, ..head("GET", "/") };
+    let nested = hosting.begin(began, &call).expect("a server is picked");
+    hosting.finish(at(1_000_005), nested.id, Outcome::Answered { status: 504 });
+    assert!(hosting.nested_call_failed_since(began.mono));
+    assert!(!hosting.nested_call_failed_since(Mono(1_000_006)));
+    let mut first = router_with_measured_calls();
+    let attempt = first.begin(began, &head("GET", "/")).expect("a server is picked");
+    first.observe_nested_failure(attempt.id);
+    assert_eq!(first.finish(at(1_000_010), attempt.id, SERVER_ERROR), Next::Deliver);
+}
+
 /// If all servers fail all calls, the budget limits retries to about a tenth of the calls.
 #[test]
 fn finish_server_error_retries_within_budget() {
