Moves: a short move shows with fewer calls that a version is slow

Cause: a call counts as slow above 1.5 times the 0.99 quantile of the old version. Latencies on the platform are spread (0.99 quantile 4 to 5 times the median), so of a version that takes 3 to 5 times as long on half of its calls only 4 to 7 in 100 are above that: too few to show in the some 250 calls that a short move gives it until 5 s after its 50th bad answer. Change: short moves take 1.5 times the 0.95 quantile; 12 to 17 in 100 calls of such versions are above it. Slowness has to hold with an e-value of 100, not 1,000, when any one server is left out; a single slow server does not reach either.

--- a/crates/moves/src/active_move.rs
+++ b/crates/moves/src/active_move.rs
@@ -116,7 +116,7 @@
             id,
             declared: Arc::clone(&held.held.body),
             evidence: Evidence::new(tolerated),
-            recorder: Recorder::default(),
+            recorder: Recorder::new(&held.held.body),
             unreported: BTreeSet::new(),
             urgent: false,
             routes_to_evaluate: BTreeSet::new(),
--- a/crates/moves/src/findings.rs
+++ b/crates/moves/src/findings.rs
@@ -22,7 +22,7 @@
 
 /// E-value that a rollback because of slow calls requires when the calls of any single backend
 /// server of the new version are left out.
-const ROLLBACK_CORROBORATION: f64 = 1_000.0;
+const ROLLBACK_CORROBORATION: f64 = 100.0;
 
 /// E-value required for slow calls to block the next stage when the calls of any single backend
 /// server of the new version are left out.
--- a/crates/moves/src/latency_reference.rs
+++ b/crates/moves/src/latency_reference.rs
@@ -19,28 +19,38 @@
 /// are few.
 const MIN_CALLS_ABOVE: f64 = 3.0;
 
-/// Highest quantile that the limit is computed from.
+/// Highest quantile that the limit is computed from, for moves that are not short.
 const MAX_QUANTILE: f64 = 0.99;
 
+/// [`MAX_QUANTILE`] of short moves, which have to show with few calls that a version is slow: more
+/// of its calls lie above a lower limit.
+const SHORT_MOVE_MAX_QUANTILE: f64 = 0.95;
+
 /// Factor by which the limit exceeds the quantile, so that few calls of the old version are slow.
 const LIMIT_FACTOR: f64 = 1.5;
 
 /// A histogram of recent latencies of the old version on one route.
 #[derive(Clone, Debug)]
 pub struct LatencyReference {
+    max_quantile: f64,
     buckets: Vec<u32>,
     calls: u32,
     limit: Option<Duration>,
     next_update_calls: u32,
 }
 
-impl Default for LatencyReference {
-    fn default() -> Self {
-        Self { buckets: vec![0; BUCKET_COUNT], calls: 0, limit: None, next_update_calls: MIN_CALLS }
+impl LatencyReference {
+    /// No calls yet. `short` tells whether the move is short.
+    pub fn new(short: bool) -> Self {
+        Self {
+            max_quantile: if short { SHORT_MOVE_MAX_QUANTILE } else { MAX_QUANTILE },
+            buckets: vec![0; BUCKET_COUNT],
+            calls: 0,
+            limit: None,
+            next_update_calls: MIN_CALLS,
+        }
     }
-}
 
-impl LatencyReference {
     /// Records a call of the old version. The limit is recomputed whenever the total count
     /// has grown by a quarter, and after each halving.
     pub fn add(&mut self, latency: Duration) {
@@ -63,7 +73,7 @@
 
     fn quantile(&self) -> Duration {
         let calls = f64::from(self.calls);
-        let rank = calls * MAX_QUANTILE.min(1.0 - MIN_CALLS_ABOVE / calls);
+        let rank = calls * self.max_quantile.min(1.0 - MIN_CALLS_ABOVE / calls);
         let mut below = 0.0;
         for (index, count) in self.buckets.iter().enumerate() {
             below += f64::from(*count);
--- a/crates/moves/src/recorder.rs
+++ b/crates/moves/src/recorder.rs
@@ -4,12 +4,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use cyclamen_declarations::Move;
 use cyclamen_types::{FastMap, Mono, Now, RouteName, ServerName};
 
 use crate::evidence::{CounterKey, Counts, Stratum};
 use crate::keys::{ReporterKey, RouteKey, ServerKey};
 use crate::latency_reference::LatencyReference;
 use crate::payload::RouteLimit;
+use crate::stages;
 use crate::types::{CallSample, Side};
 
 /// Number of first calls of a backend server of the new version at this daemon that are not counted
@@ -44,8 +46,10 @@
 }
 
 /// Per-route and per-server state for the calls of one move.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Recorder {
+    /// Whether the move is short, see [`stages::is_short`].
+    short: bool,
     routes: FastMap<RouteName, RouteState>,
     /// Names of the routes of the service.
     route_names: FastMap<RouteKey, RouteName>,
@@ -55,6 +59,17 @@
 }
 
 impl Recorder {
+    /// A recorder without calls.
+    pub(crate) fn new(declared: &Move) -> Self {
+        Self {
+            short: stages::is_short(declared),
+            routes: FastMap::default(),
+            route_names: FastMap::default(),
+            reported_limits: FastMap::default(),
+            servers: FastMap::default(),
+        }
+    }
+
     /// Classifies a call and, if the old version ran it, adds its latency to the reference. Failed
     /// and cold calls are neither added nor counted as slow. Calls of a backend server of the new
     /// version that is warming up are not counted as slow.
@@ -121,7 +136,8 @@
 
     fn route(&mut self, name: &RouteName) -> &mut RouteState {
         if !self.routes.contains_key(name) {
-            let state = RouteState { key: name.into(), reference: LatencyReference::default() };
+            let reference = LatencyReference::new(self.short);
+            let state = RouteState { key: name.into(), reference };
             self.add_route_name(name);
             self.routes.insert(name.clone(), state);
         }
