Slots: the limit of calls a second that a server names is kept

Cause: no header with a limit was read. A backend server could say how many calls it runs at a time, but not how many a second it takes; the class is a hint of the server that nothing listens to. Change: the daemon beside the server reads the limit in each answer and keeps it with a token bucket (half a second of calls at once, at least one; never less than a call in 2 s, since only an answer ends the limit). All calls of the server pass that daemon, so it holds for all daemons from the first answer on. A call beyond it is refused as not run, at once, with the time until the next one; its daemon tries another server. The load that the daemon reports shows the limit as slots, so that the others place fewer calls there.

--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -211,6 +211,20 @@
         admission
     }
 
+    /// Takes over how many calls per second a local backend server takes, by its latest answer;
+    /// `None` if it names no limit. Returns what was known before.
+    pub fn limit_rate(
+        &mut self,
+        now: Now,
+        server: &ServerName,
+        calls_per_second: Option<f64>,
+    ) -> Option<f64> {
+        let local = self.local_servers.get_mut(server)?;
+        let before = local.slots.rate_limit();
+        local.slots.set_rate_limit(now, calls_per_second);
+        before
+    }
+
     /// Releases the slot of a call that has ended, or removes a cancelled call from the queue.
     /// Waiting calls that get a slot now are reported through [`Effect::RunQueued`].
     pub fn release_call(
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -78,6 +78,13 @@
     Some(Duration::from_millis(millis))
 }
 
+/// How many calls per second a backend server takes, if its response says so; `None` too for a value
+/// that is not a number of at least 0.
+pub(super) fn calls_per_second(names: &CallHeaders, headers: &HeaderMap) -> Option<f64> {
+    let value: f64 = headers.get(names.calls_per_second.as_ref()?)?.to_str().ok()?.parse().ok()?;
+    (value.is_finite() && value >= 0.0).then_some(value)
+}
+
 /// The calling service, as set in the request by the daemon of that service.
 pub(super) fn caller_service(names: &CallHeaders, headers: &HeaderMap) -> Option<ServiceName> {
     let value = headers.get(names.caller_service.as_ref()?)?.to_str().ok()?;
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -16,6 +16,7 @@
 use cyclamenmoor::{Instance, LocalCallResult};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
+use log::info;
 
 use crate::calls::body::{AttemptBody, RequestBody, ResponseBody};
 use crate::calls::context::CallContext;
@@ -240,6 +241,7 @@
     if !echoes_request_id(&ctx.headers, response_headers, request_id.as_ref()) {
         return InboundOutcome::Unknown;
     }
+    take_over_hints(ctx, &call.server, response_headers);
     if reports_not_run(&ctx.headers, response_headers) {
         slot.outcome = RunOutcome::Shed(latency);
         // If the call was resent, the server may have run it when it was first sent.
@@ -270,6 +272,21 @@
     InboundOutcome::Answered(Box::new(Answer { response, nested_failure }))
 }
 
+/// Tells the instance what a backend server says of itself in a response.
+fn take_over_hints(ctx: &CallContext, server: &ServerName, headers: &HeaderMap) {
+    if ctx.headers.calls_per_second.is_none() {
+        return;
+    }
+    let calls_per_second = headers::calls_per_second(&ctx.headers, headers);
+    let before =
+        ctx.shared.with(|instance, now, _| instance.limit_rate(now, server, calls_per_second));
+    match (before, calls_per_second) {
+        (None, Some(rate)) => info!("backend server `{server}` takes at most {rate} calls/s"),
+        (Some(_), None) => info!("backend server `{server}` names no limit any more"),
+        (None, None) | (Some(_), Some(_)) => {}
+    }
+}
+
 async fn acquire_slot(
     ctx: &CallContext,
     call: &InboundCall,
--- a/crates/port/src/headers.rs
+++ b/crates/port/src/headers.rs
@@ -17,6 +17,9 @@
     pub proof: Option<HeaderName>,
     /// On an answer: the backend server did not run the call.
     pub not_run: Option<HeaderName>,
+    /// On an answer: how many calls per second the backend server takes from all callers together.
+    /// It holds until an answer without the header.
+    pub calls_per_second: Option<HeaderName>,
     /// Whether backend servers make calls of their own under the request id of the call they run.
     pub nested_calls_keep_id: bool,
     /// Whether callers read fractions of seconds in the time to come back.
@@ -32,6 +35,7 @@
             target_server: None,
             proof: None,
             not_run: None,
+            calls_per_second: None,
             nested_calls_keep_id: true,
             fractional_retry_after: false,
         }
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -9,6 +9,7 @@
 mod hold_times;
 mod nested_routes;
 mod queue;
+mod rate_limit;
 mod reentry;
 mod types;
 
@@ -24,6 +25,7 @@
 use crate::slots::nested_routes::NestedRoutes;
 pub use crate::slots::queue::QueueOrder;
 use crate::slots::queue::{CLASSES, Queue, QueuePriority, QueuedCall};
+use crate::slots::rate_limit::RateLimit;
 use crate::slots::reentry::ReentryReserve;
 pub use crate::slots::types::{
     Admission, AncestorCalls, CallId, RunOutcome, RunningRepeats, SlotRequest, SlotsCounters,
@@ -94,6 +96,8 @@
     hold_times: HoldTimes,
     nested: NestedRoutes,
     reentry: ReentryReserve,
+    /// The limit that the server names in its answers, if it does.
+    rate_limit: Option<RateLimit>,
     draining: bool,
     counters: SlotsCounters,
 }
@@ -111,6 +115,7 @@
             hold_times: HoldTimes::default(),
             nested: NestedRoutes::default(),
             reentry: ReentryReserve::default(),
+            rate_limit: None,
             draining: false,
             counters: SlotsCounters::default(),
         }
@@ -127,6 +132,23 @@
         self.settings = settings;
     }
 
+    /// Takes over the calls per second that the server takes at most, by its latest answer; `None`
+    /// if it names no limit (any more). Calls beyond it are refused at once. Calls that are queued
+    /// already are not held back.
+    pub fn set_rate_limit(&mut self, now: Now, calls_per_second: Option<f64>) {
+        let now = now.mono;
+        match (&mut self.rate_limit, calls_per_second) {
+            (Some(limit), Some(rate)) => limit.set(rate, now),
+            (None, Some(rate)) => self.rate_limit = Some(RateLimit::new(rate, now)),
+            (_, None) => self.rate_limit = None,
+        }
+    }
+
+    /// The calls per second that the server takes at most; `None` if it names no limit.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.rate_limit.as_ref().map(RateLimit::calls_per_second)
+    }
+
     /// Decides on a call that arrives. Nested calls are handled as [`Criticality::Critical`],
     /// whatever their class. If the call takes the place of a queued call, that one is pushed
     /// to `evicted` and will not be run.
@@ -144,8 +166,13 @@
             self.counters.refused += 1;
             return Admission::Refused(refusal);
         }
+        if let Some(wait) = self.rate_limit_wait(now) {
+            self.counters.refused += 1;
+            return Admission::Refused(rate_limited(wait));
+        }
         let priority = QueuePriority { criticality, ancestors: request.ancestors };
         if self.can_start_now(now, priority) {
+            self.take_rate_token(now);
             self.start(now, call, priority, request.into());
             return Admission::Run;
         }
@@ -166,6 +193,7 @@
             self.queued.remove(&evicted_call);
             evicted.push(evicted_call);
         }
+        self.take_rate_token(now);
         match plan {
             QueuePlan::OnTime(queued) => self.queue.push(criticality, queued),
             QueuePlan::Late(queued) => self.queue.push_late(criticality, queued),
@@ -223,7 +251,7 @@
         ServerLoad {
             running: self.running(),
             waiting: self.waiting(),
-            limit: self.limit.get(),
+            limit: self.usable_limit(),
             hold_us: u64::try_from(self.hold_times.overall().as_micros()).unwrap_or(u64::MAX),
         }
     }
@@ -268,6 +296,32 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    /// How many calls may run at a time: no more than the rate limit allows if each holds its slot
+    /// for the average time.
+    fn usable_limit(&self) -> u32 {
+        let slots = self.limit.get();
+        let hold = self.hold_times.overall();
+        match &self.rate_limit {
+            Some(limit) if !hold.is_zero() => {
+                let calls = (limit.calls_per_second() * hold.as_secs_f64()).ceil();
+                slots.min((calls as u32).max(1))
+            }
+            _ => slots,
+        }
+    }
+
+    /// How long the rate limit holds a new call back; `None` if it may start or be queued now.
+    fn rate_limit_wait(&mut self, now: Mono) -> Option<Duration> {
+        let wait = self.rate_limit.as_mut()?.wait(now);
+        (!wait.is_zero()).then_some(wait)
+    }
+
+    fn take_rate_token(&mut self, now: Mono) {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.take(now);
+        }
+    }
+
     fn queue_full(&self) -> bool {
         self.waiting() >= self.settings.queue
     }
@@ -455,6 +509,16 @@
     limit.saturating_sub(reserved).max(1)
 }
 
+fn rate_limited(wait: Duration) -> Refusal {
+    Refusal {
+        kind: RefusalKind::Overloaded,
+        reason: "the backend server takes fewer calls a second at present; the call was not run: \
+                 come back later"
+            .into(),
+        retry_after: Some(wait),
+    }
+}
+
 fn draining() -> Refusal {
     Refusal {
         kind: RefusalKind::Unavailable,
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -54,6 +54,58 @@
     assert_eq!(slots.counters().peak, 3);
 }
 
+/// Calls admitted in this many seconds, a hundred a second that end at once.
+fn admitted_in(slots: &mut Slots, start: u64, seconds: u64) -> u64 {
+    let mut admitted = 0;
+    for number in 0..seconds * 100 {
+        let now = start + number * 10_000;
+        if admit(slots, now, now, Normal) == Admission::Run {
+            admitted += 1;
+            slots.finish(at(now + 1), CallId(now), TEN_MS);
+        }
+    }
+    admitted
+}
+
+#[test]
+fn admit_no_more_than_the_rate_limit_allows() {
+    let mut slots = slots(13, 10);
+    slots.set_rate_limit(at(0), Some(35.5));
+    let admitted = admitted_in(&mut slots, 0, 4);
+    assert!((140..=150).contains(&admitted), "{admitted}");
+    slots.set_rate_limit(at(4_000_000), Some(5.0));
+    let admitted = admitted_in(&mut slots, 4_000_000, 4);
+    assert!((20..=24).contains(&admitted), "{admitted}");
+    slots.set_rate_limit(at(8_000_000), None);
+    assert_eq!(admitted_in(&mut slots, 8_000_000, 4), 400);
+}
+
+#[test]
+fn admit_beyond_the_rate_limit_says_when_to_come_back() {
+    let mut slots = slots(13, 10);
+    slots.set_rate_limit(at(0), Some(2.0));
+    assert_eq!(admit(&mut slots, 0, 1, Normal), Admission::Run);
+    let refusal = refusal(admit(&mut slots, 100_000, 2, Critical));
+    assert_eq!(refusal.kind, RefusalKind::Overloaded);
+    assert_eq!(refusal.retry_after, Some(Duration::from_millis(400)));
+}
+
+#[test]
+fn rate_limit_of_nothing_leaves_a_call_in_two_seconds() {
+    let mut slots = slots(13, 10);
+    slots.set_rate_limit(at(0), Some(0.0));
+    assert_eq!(admitted_in(&mut slots, 0, 4), 2);
+}
+
+#[test]
+fn load_shows_the_rate_limit_as_slots() {
+    let mut slots = slots(13, 10);
+    assert_eq!(admit(&mut slots, 0, 1, Normal), Admission::Run);
+    slots.finish(at(100_000), CallId(1), TEN_MS);
+    slots.set_rate_limit(at(100_000), Some(35.0));
+    assert_eq!(slots.load().limit, 4);
+}
+
 #[test]
 fn running_repeats_of_queued_and_running_calls() {
     let mut slots = slots(2, 10);
