Calls: a server that says in its answers that it leaves gets no new ones

Cause: a server was taken to leave only by what it announces, which may come late or not at all. Evidence: server_that_leaves_by_its_answers_gets_nothing_new failed before (the next call was answered by it). Change: the daemon beside the server drains it at the first such answer, as if it had announced so, and tells the others. An announcement that it is ready, sent before, changes nothing; its next incarnation does.

--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -28,6 +28,8 @@
     lease_ends: Mono,
     /// When the server has warmed up after its start, if it says.
     pub(crate) warm_at: Option<Mono>,
+    /// Whether it said in an answer that it leaves.
+    leaving: bool,
 }
 
 /// Whether an announcement is the latest or is outdated and has to be ignored.
@@ -70,6 +72,7 @@
                 order: announcement.order,
                 lease_ends,
                 warm_at: None,
+                leaving: false,
             });
         local.address = announcement.address;
         local.order = announcement.order;
@@ -78,7 +81,7 @@
         local.lease_ends = lease_ends;
         local.warm_at = announcement.cold.map(|cold| now.mono + cold);
         local.slots.set_settings(settings);
-        let state = match announcement.draining || self.stopping {
+        let state = match announcement.draining || local.leaving || self.stopping {
             true => ServerState::Draining,
             false => ServerState::Ready,
         };
@@ -211,6 +214,27 @@
         admission
     }
 
+    /// Drains a local backend server that says in an answer that it leaves. It stays draining,
+    /// whatever it announces, until its next incarnation. Returns whether that is news.
+    pub fn drain_leaving_server(
+        &mut self,
+        now: Now,
+        server: &ServerName,
+        out: &mut Effects,
+    ) -> bool {
+        let Some(local) = self.local_servers.get_mut(server) else {
+            return false;
+        };
+        if std::mem::replace(&mut local.leaving, true) {
+            return false;
+        }
+        if self.membership.own_server(server).is_some_and(|own| own.state == ServerState::Ready) {
+            self.set_server_state(now, server, ServerState::Draining);
+        }
+        self.reconcile(now, out);
+        true
+    }
+
     /// Takes over how many calls per second a local backend server takes, by its latest answer;
     /// `None` if it names no limit. Returns what was known before.
     pub fn limit_rate(
--- a/crates/port/src/headers.rs
+++ b/crates/port/src/headers.rs
@@ -20,6 +20,8 @@
     /// On an answer: how many calls per second the backend server takes from all callers together.
     /// It holds until an answer without the header.
     pub calls_per_second: Option<HeaderName>,
+    /// On an answer: the backend server leaves, and is to get no new calls.
+    pub leaving: Option<HeaderName>,
     /// Whether backend servers make calls of their own under the request id of the call they run.
     pub nested_calls_keep_id: bool,
     /// Whether callers read fractions of seconds in the time to come back.
@@ -36,6 +38,7 @@
             proof: None,
             not_run: None,
             calls_per_second: None,
+            leaving: None,
             nested_calls_keep_id: true,
             fractional_retry_after: false,
         }
