--- a/crates/moves/tests/common/mod.rs
+++ b/crates/moves/tests/common/mod.rs
@@ -34,6 +34,11 @@
     Now { mono: Mono(micros), wall: Wall(START_MS + seconds * 1_000) }
 }
 
+/// The time `millis` after the start of the move.
+pub fn at_millis(millis: u64) -> Now {
+    Now { mono: Mono(millis * 1_000), wall: Wall(START_MS + millis) }
+}
+
 /// The time `seconds` after the start of the move, by a wall clock that is `ahead_ms` fast.
 pub fn at_with_skew(seconds: u64, ahead_ms: u64) -> Now {
     let now = at(seconds);
@@ -69,6 +74,22 @@
     Config { version: ConfigVersion(8), moves, ..Config::default() }
 }
 
+/// Time from the start of a short move to its deadline, in milliseconds.
+pub const SHORT_MOVE_MS: u64 = 16_000;
+
+/// A configuration that holds a short move.
+pub fn short_move_config() -> Config {
+    let mut config = config(None, None);
+    let held = config.moves.get_mut(&move_name()).expect("the move");
+    let declared = held.held.body.as_ref().clone();
+    held.held.body = Arc::new(Move {
+        deadline: Wall(START_MS + SHORT_MOVE_MS),
+        watch: Duration::from_millis(SHORT_MOVE_MS),
+        ..declared
+    });
+    config
+}
+
 /// The state machine of daemon `index`, in one of three failure domains.
 pub fn daemon(index: u64, incarnation: u64, now: Now) -> Moves {
     let settings = MovesSettings {
--- a/crates/moves/tests/short_moves.rs
+++ b/crates/moves/tests/short_moves.rs
@@ -4,40 +4,16 @@
 
 mod common;
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use common::{CallNames, START_MS, config, daemon, even_slots, move_name};
-use cyclamen_declarations::Move;
-use cyclamen_ledger::{Config, VerdictKind};
+use common::{CallNames, SHORT_MOVE_MS, at_millis, daemon, even_slots, short_move_config};
+use cyclamen_ledger::VerdictKind;
 use cyclamen_moves::{Moves, MovesEffect};
-use cyclamen_types::{Mono, Now, Wall};
 
-/// Time from the start of the move to its deadline, in milliseconds.
-const MOVE_MS: u64 = 16_000;
 const STEP_MS: u64 = 50;
 const CALLS_PER_STEP: u64 = 10;
 
 /// Minimum time for which the new version takes all calls before the move is done.
 const MIN_FULL_SHARE_MS: u64 = 1_200;
 
-fn at(millis: u64) -> Now {
-    Now { mono: Mono(millis * 1_000), wall: Wall(START_MS + millis) }
-}
-
-/// A configuration with a short move.
-fn short_move_config() -> Config {
-    let mut config = config(None, None);
-    let held = config.moves.get_mut(&move_name()).expect("the move");
-    let declared = held.held.body.as_ref().clone();
-    held.held.body = Arc::new(Move {
-        deadline: Wall(START_MS + MOVE_MS),
-        watch: Duration::from_millis(MOVE_MS),
-        ..declared
-    });
-    config
-}
-
 /// When a move reached its states, in milliseconds from the start, and the calls it took.
 #[derive(Debug, Default)]
 struct Outcome {
@@ -57,9 +33,9 @@
     let names = CallNames::new("lookup", 1);
     let mut outcome = Outcome::default();
     let mut out = Vec::new();
-    moves.apply_config(at(0), &short_move_config(), &mut out);
-    for millis in (0..MOVE_MS).step_by(STEP_MS as usize) {
-        moves.tick(at(millis), &even_slots, &mut out);
+    moves.apply_config(at_millis(0), &short_move_config(), &mut out);
+    for millis in (0..SHORT_MOVE_MS).step_by(STEP_MS as usize) {
+        moves.tick(at_millis(millis), &even_slots, &mut out);
         for call in 0..CALLS_PER_STEP {
             let share = moves.splits().first().map_or(0, |split| split.share_ppm);
             if share == 1_000_000 {
@@ -70,7 +46,7 @@
             let failed = new && share >= fails_from && call % 2 == 0;
             outcome.calls += 1;
             outcome.new_calls += u64::from(new);
-            moves.record_call(at(millis), &names.sample(new, failed), &mut out);
+            moves.record_call(at_millis(millis), &names.sample(new, failed), &mut out);
         }
         for effect in out.drain(..) {
             let MovesEffect::AppendVerdict(_, verdict) = effect else {
@@ -88,18 +64,18 @@
 #[test]
 fn short_move_of_good_version_is_done_before_deadline() {
     for index in 0..20 {
-        let outcome = run(&mut daemon(index, 1, at(0)), u32::MAX);
+        let outcome = run(&mut daemon(index, 1, at_millis(0)), u32::MAX);
         let (full_share_at, done_at) =
             (outcome.full_share_at.expect("all calls"), outcome.done_at.expect("done"));
         assert!(done_at >= full_share_at + MIN_FULL_SHARE_MS, "daemon {index}: {outcome:?}");
-        assert!(done_at < MOVE_MS, "daemon {index}: {outcome:?}");
+        assert!(done_at < SHORT_MOVE_MS, "daemon {index}: {outcome:?}");
     }
 }
 
 #[test]
 fn short_move_failing_at_full_share_ends_in_rollback() {
     for index in 0..20 {
-        let outcome = run(&mut daemon(index, 1, at(0)), 900_000);
+        let outcome = run(&mut daemon(index, 1, at_millis(0)), 900_000);
         assert_eq!(outcome.done_at, None, "daemon {index}: {outcome:?}");
         assert!(outcome.rollback_at.is_some(), "daemon {index}: {outcome:?}");
         assert!(outcome.new_calls * 10 <= outcome.calls, "daemon {index}: {outcome:?}");
--- a/crates/moves/tests/slow_versions.rs
+++ b/crates/moves/tests/slow_versions.rs
@@ -4,20 +4,14 @@
 mod common;
 
 use std::f64::consts::TAU;
-use std::sync::Arc;
 use std::time::Duration;
 
-use common::{CallNames, START_MS, config, daemon, even_slots, move_name};
-use cyclamen_declarations::Move;
-use cyclamen_ledger::{Config, VerdictKind};
+use common::{CallNames, SHORT_MOVE_MS, at_millis, daemon, even_slots, short_move_config};
+use cyclamen_ledger::VerdictKind;
 use cyclamen_moves::{CallSample, MovesEffect};
-use cyclamen_types::{Mono, Now, Wall};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-/// Time from the start of the move to its deadline, in milliseconds.
-const MOVE_MS: u64 = 16_000;
-
 /// Time between two calls, in milliseconds.
 const CALL_MS: u64 = 2;
 
@@ -51,23 +45,6 @@
     done: bool,
 }
 
-/// A configuration with a short move.
-fn short_move_config() -> Config {
-    let mut config = config(None, None);
-    let held = config.moves.get_mut(&move_name()).expect("the move");
-    let declared = held.held.body.as_ref().clone();
-    held.held.body = Arc::new(Move {
-        deadline: Wall(START_MS + MOVE_MS),
-        watch: Duration::from_millis(MOVE_MS),
-        ..declared
-    });
-    config
-}
-
-fn at(millis: u64) -> Now {
-    Now { mono: Mono(millis * 1_000), wall: Wall(START_MS + millis) }
-}
-
 /// A latency at one server, in milliseconds. Every third server takes twice as long as the others.
 fn latency_ms(rng: &mut SmallRng, server: u64) -> f64 {
     let (a, b): (f64, f64) = (rng.random_range(f64::EPSILON..1.0), rng.random());
@@ -81,13 +58,13 @@
     let names: Vec<CallNames> =
         (0..2 * SERVERS).map(|server| CallNames::new("lookup", server)).collect();
     let mut rng = SmallRng::seed_from_u64(version.seed);
-    let mut moves = daemon(version.seed, 1, at(0));
+    let mut moves = daemon(version.seed, 1, at_millis(0));
     let mut out = Vec::new();
     let mut outcome = Outcome::default();
     let mut bad = 0;
-    moves.apply_config(at(0), &short_move_config(), &mut out);
-    for millis in (0..MOVE_MS).step_by(CALL_MS as usize) {
-        let now = at(millis);
+    moves.apply_config(at_millis(0), &short_move_config(), &mut out);
+    for millis in (0..SHORT_MOVE_MS).step_by(CALL_MS as usize) {
+        let now = at_millis(millis);
         moves.tick(now, &even_slots, &mut out);
         let share = moves.splits().first().map_or(0, |split| split.share_ppm);
         let new = rng.random_range(0..1_000_000) < share;
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -1,11 +1,16 @@
 //! Configurations, routers and servers for the tests of this crate.
 #![allow(dead_code)]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_declarations::{Labels, parse_change};
 use cyclamen_ledger::{Config, Ledger, LogRecord};
-use cyclamen_routing::{CallHead, Hop, Nesting, RouteTable, Router, RouterSettings, ServerInfo};
+use cyclamen_routing::{
+    CallHead, Hop, Nesting, Next, Outcome, RouteTable, Router, RouterSettings, ServerInfo,
+    VersionSplit,
+};
 use cyclamen_types::{Incarnation, Mono, Now, Offset, Wall};
 
 /// A service with two versions. Calls of route `once` must not run twice, and calls of route
@@ -77,3 +82,35 @@
     let (deadline, nesting) = (Mono::NEVER, Nesting::NO_REPEATS);
     CallHead { method, host: "dvere", path, header: &|_| None, deadline, nesting }
 }
+
+/// An answer that is no error.
+pub const OK: Outcome = Outcome::Answered { status: 200 };
+
+/// Makes `calls` calls one after the other and counts them by server.
+pub fn calls_by_server(router: &mut Router, start: u64, calls: u64) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for number in 0..calls {
+        let now = at(start + number * 1_000);
+        let attempt = router.begin(now, &head("GET", "/")).expect("a server is picked");
+        *counts.entry(attempt.server.to_string()).or_insert(0) += 1;
+        assert_eq!(router.finish(now + Duration::from_micros(500), attempt.id, OK), Next::Deliver);
+        router.end_body(now, attempt.id, true);
+    }
+    assert_eq!(router.in_flight(), 0);
+    counts
+}
+
+/// Two servers in the domain of [`router`], and one in another.
+pub fn three_servers() -> Vec<ServerInfo> {
+    vec![server("a", "v1", "praha-a"), server("b", "v1", "praha-a"), server("c", "v1", "kladno")]
+}
+
+/// A move of `dvere` from `v1` to `v2` with this share of the calls.
+pub fn split(share_ppm: u32) -> VersionSplit {
+    VersionSplit {
+        service: "dvere".try_into().expect("valid name"),
+        from: "v1".try_into().expect("valid name"),
+        to: "v2".try_into().expect("valid name"),
+        share_ppm,
+    }
+}
