Calls: a daemon that does not know yet whether a route carries nested calls says so

Found by reading: a hosting daemon that has just started answered "not nested", and the last answer counted, so that what others had told was forgotten again and again. Headers of backend servers are read in one place.

--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -319,9 +319,9 @@
     }
 
     /// Whether the calls of a route to a local backend server are taken for nested ones, by where
-    /// they come from; false if the server is not local.
-    pub fn is_nested_route(&self, server: &ServerName, route: &RouteName) -> bool {
-        self.local_servers.get(server).is_some_and(|local| local.slots.is_nested_route(route))
+    /// they come from; `None` while that is not known, or if the server is not local.
+    pub fn is_nested_route(&self, server: &ServerName, route: &RouteName) -> Option<bool> {
+        self.local_servers.get(server)?.slots.is_nested_route(route)
     }
 
     /// Time after which a call that a local backend server refused for lack of a slot may be
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -42,7 +42,7 @@
 pub(super) struct AttemptResult {
     pub(super) outcome: Outcome,
     load: Option<ServerLoad>,
-    /// Whether the hosting daemon takes the calls of the route for nested ones, if it told.
+    /// Whether the hosting daemon takes the calls of the route for nested ones, as far as it knows.
     nested_route: Option<bool>,
     /// Whether a call that the server made failed, and with it this one.
     nested_failure: bool,
@@ -140,12 +140,11 @@
             repeat: self.attempt.repeat,
         };
         let end = inbound::run(&self.ctx, call, req).await;
-        let load = self.ctx.shared.read(|instance| instance.server_load(&self.attempt.server));
-        let nested_route = self
-            .ctx
-            .shared
-            .read(|instance| instance.is_nested_route(&self.attempt.server, &self.attempt.route));
-        AttemptResult { nested_route: Some(nested_route), ..AttemptResult::from_local(end, load) }
+        let (server, route) = (&self.attempt.server, &self.attempt.route);
+        let (load, nested_route) = self.ctx.shared.read(|instance| {
+            (instance.server_load(server), instance.is_nested_route(server, route))
+        });
+        AttemptResult { nested_route, ..AttemptResult::from_local(end, load) }
     }
 
     async fn send_remote(
@@ -254,7 +253,7 @@
         Self {
             outcome,
             load: Some(answer.load),
-            nested_route: Some(answer.nested_route),
+            nested_route: answer.nested_route,
             nested_failure: answer.nested_failure,
             response: (answer.outcome == HopOutcome::Ran).then_some(response),
         }
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -11,6 +11,9 @@
 };
 use http::request::Parts;
 
+/// Value of the header by which a backend server says that it leaves.
+const LEAVING: &str = "1";
+
 /// Prefix of the headers reserved for daemons, which are never forwarded.
 const DAEMON_HEADER_PREFIX: &str = "x-cyclamen-";
 
@@ -78,6 +81,12 @@
     Some(Duration::from_millis(millis))
 }
 
+/// Whether a backend server says in its response that it leaves.
+pub(super) fn says_leaving(names: &CallHeaders, headers: &HeaderMap) -> bool {
+    let value = names.leaving.as_ref().and_then(|name| headers.get(name));
+    value.is_some_and(|value| value == LEAVING)
+}
+
 /// How many calls per second a backend server takes, if its response says so; `None` too for a value
 /// that is not a number of at least 0.
 pub(super) fn calls_per_second(names: &CallHeaders, headers: &HeaderMap) -> Option<f64> {
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -91,8 +91,8 @@
     pub(super) load: ServerLoad,
     /// The loads that it knows of other servers of the service.
     pub(super) others: Vec<SharedLoad>,
-    /// Whether it takes the calls of the route for nested ones.
-    pub(super) nested_route: bool,
+    /// Whether it takes the calls of the route for nested ones; `None` while it does not know.
+    pub(super) nested_route: Option<bool>,
     /// Whether the response is a server error and a call that the server made meanwhile failed.
     pub(super) nested_failure: bool,
 }
@@ -203,6 +203,7 @@
             response;
         let retry_ms = retry_after.as_millis();
         let (load, others) = (encoding::format_load(load), encoding::format_loads(others));
+        let nested_route = encoding::format_flag(*nested_route);
         let claim =
             format!("v2 {outcome} {retry_ms} {load} {others} {nested_route} {nested_failure}");
         let hash = self.keyed_hash(&[b"answer", claim.as_bytes(), &response_binding(id, status)]);
--- a/crates/daemon/src/calls/hop/encoding.rs
+++ b/crates/daemon/src/calls/hop/encoding.rs
@@ -13,6 +13,9 @@
 /// Encodes an empty list.
 const EMPTY_LIST: &str = "-";
 
+/// Encodes a flag that is not known.
+const UNKNOWN_FLAG: &str = "-";
+
 /// Service names separated by commas; [`EMPTY_LIST`] for none.
 pub(super) fn format_services(services: &[ServiceName]) -> String {
     if services.is_empty() {
@@ -68,11 +71,20 @@
     let retry_after = Duration::from_millis(fields.next()?.parse().ok()?);
     let load = parse_load(fields.next()?)?;
     let others = parse_loads(fields.next()?)?;
-    let mut flag = || fields.next().is_some_and(|flag| flag == "true");
-    let (nested_route, nested_failure) = (flag(), flag());
+    let mut flag = || fields.next().and_then(|flag| flag.parse().ok());
+    let (nested_route, nested_failure) = (flag(), flag().unwrap_or(false));
     Some(HopResponse { outcome, retry_after, load, others, nested_route, nested_failure })
 }
 
+/// A flag as `true` or `false`; [`UNKNOWN_FLAG`] for `None`.
+pub(super) fn format_flag(flag: Option<bool>) -> &'static str {
+    match flag {
+        Some(true) => "true",
+        Some(false) => "false",
+        None => UNKNOWN_FLAG,
+    }
+}
+
 fn parse_repeat(text: &str) -> Option<f64> {
     text.parse().ok().filter(|repeat| (0.0..=1.0).contains(repeat))
 }
--- a/crates/daemon/src/calls/hop/tests.rs
+++ b/crates/daemon/src/calls/hop/tests.rs
@@ -111,7 +111,7 @@
             load: ServerLoad { running: 1, waiting: 0, limit: 13, hold_us: 4_000 },
             age: Duration::from_millis(1_700),
         }],
-        nested_route: false,
+        nested_route: None,
         nested_failure: true,
     };
     let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -34,9 +34,6 @@
 /// server may be retried.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(20);
 
-/// Value of the header by which a backend server says that it leaves.
-const LEAVING: &str = "1";
-
 /// A call for a local backend server.
 pub(super) struct InboundCall {
     pub(super) server: ServerName,
@@ -277,8 +274,7 @@
 
 /// Tells the instance what a backend server says of itself in a response.
 fn take_over_hints(ctx: &CallContext, server: &ServerName, headers: &HeaderMap) {
-    let leaving = ctx.headers.leaving.as_ref();
-    if leaving.is_some_and(|name| headers.get(name).is_some_and(|value| value == LEAVING)) {
+    if headers::says_leaving(&ctx.headers, headers) {
         let is_news = ctx
             .shared
             .with(|instance, now, effects| instance.drain_leaving_server(now, server, effects));
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -282,8 +282,9 @@
         RunningRepeats { running: self.running(), repeats }
     }
 
-    /// Whether calls of a route are taken for nested calls because of where they come from.
-    pub fn is_nested_route(&self, route: &RouteName) -> bool {
+    /// Whether calls of a route are taken for nested calls because of where they come from; `None`
+    /// while that is not known.
+    pub fn is_nested_route(&self, route: &RouteName) -> Option<bool> {
         self.nested.is_nested(route)
     }
 
--- a/crates/routing/src/slots/nested_routes.rs
+++ b/crates/routing/src/slots/nested_routes.rs
@@ -58,15 +58,17 @@
             (true, false) => self.mixed_routes -= 1,
             (true, true) | (false, false) => {}
         }
-        self.is_nested(route)
+        self.is_nested(route).unwrap_or(false)
     }
 
-    /// Whether the route carries nested calls, as far as the recorded calls tell.
-    pub(super) fn is_nested(&self, route: &RouteName) -> bool {
-        let single_origin = |origins: &CallOrigins| {
-            origins.services.len() <= 1 && origins.calls >= MIN_CALLS_TO_CLASSIFY
-        };
-        self.mixed_routes > 0 && self.routes.get(route).is_some_and(single_origin)
+    /// Whether the route carries nested calls; `None` while the recorded calls do not tell.
+    pub(super) fn is_nested(&self, route: &RouteName) -> Option<bool> {
+        let origins = self.routes.get(route)?;
+        if origins.services.len() > 1 {
+            return Some(false);
+        }
+        let known = origins.calls >= MIN_CALLS_TO_CLASSIFY && self.mixed_routes > 0;
+        known.then_some(true)
     }
 }
 
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -67,6 +67,31 @@
     admitted
 }
 
+#[test]
+fn is_nested_route_once_its_calls_have_one_origin_and_others_several() {
+    let mut slots = slots(13, 10);
+    let mut call = 0;
+    let mut record = |slots: &mut Slots, route: &str, origin: &str| {
+        call += 1;
+        let request = SlotRequest {
+            route: Some(route.try_into().expect("valid name")),
+            origin: Some(origin.try_into().expect("valid name")),
+            ..SlotRequest::new(Normal, Mono::NEVER)
+        };
+        slots.admit(at(call), CallId(call), &request, &mut Vec::new());
+        slots.finish(at(call), CallId(call), TEN_MS);
+    };
+    let nested = "check".try_into().expect("valid name");
+    for _ in 0..40 {
+        record(&mut slots, "check", "dvere");
+    }
+    assert_eq!(slots.is_nested_route(&nested), None);
+    record(&mut slots, "notice", "dvere");
+    record(&mut slots, "notice", "zavady");
+    assert_eq!(slots.is_nested_route(&nested), Some(true));
+    assert_eq!(slots.is_nested_route(&"notice".try_into().expect("valid name")), Some(false));
+}
+
 #[test]
 fn admit_no_more_than_the_rate_limit_allows() {
     let mut slots = slots(13, 10);
