--- a/crates/moves/src/latency_reference.rs
+++ b/crates/moves/src/latency_reference.rs
@@ -3,6 +3,10 @@
 
 use std::time::Duration;
 
+use cyclamen_declarations::Move;
+
+use crate::stages;
+
 /// Histogram buckets per doubling of the latency.
 const BUCKETS_PER_DOUBLING: f64 = 8.0;
 
@@ -40,8 +44,9 @@
 }
 
 impl LatencyReference {
-    /// No calls yet. `short` tells whether the move is short.
-    pub fn new(short: bool) -> Self {
+    /// A reference without calls, for calls of a move.
+    pub fn new(declared: &Move) -> Self {
+        let short = stages::is_short(declared);
         Self {
             max_quantile: if short { SHORT_MOVE_MAX_QUANTILE } else { MAX_QUANTILE },
             buckets: vec![0; BUCKET_COUNT],
--- a/crates/moves/src/recorder.rs
+++ b/crates/moves/src/recorder.rs
@@ -2,6 +2,7 @@
 //! whether they were slow.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cyclamen_declarations::Move;
@@ -11,7 +12,6 @@
 use crate::keys::{ReporterKey, RouteKey, ServerKey};
 use crate::latency_reference::LatencyReference;
 use crate::payload::RouteLimit;
-use crate::stages;
 use crate::types::{CallSample, Side};
 
 /// Number of first calls of a backend server of the new version at this daemon that are not counted
@@ -48,8 +48,7 @@
 /// Per-route and per-server state for the calls of one move.
 #[derive(Debug)]
 pub(crate) struct Recorder {
-    /// Whether the move is short, see [`stages::is_short`].
-    short: bool,
+    declared: Arc<Move>,
     routes: FastMap<RouteName, RouteState>,
     /// Names of the routes of the service.
     route_names: FastMap<RouteKey, RouteName>,
@@ -60,9 +59,9 @@
 
 impl Recorder {
     /// A recorder without calls.
-    pub(crate) fn new(declared: &Move) -> Self {
+    pub(crate) fn new(declared: &Arc<Move>) -> Self {
         Self {
-            short: stages::is_short(declared),
+            declared: Arc::clone(declared),
             routes: FastMap::default(),
             route_names: FastMap::default(),
             reported_limits: FastMap::default(),
@@ -136,7 +135,7 @@
 
     fn route(&mut self, name: &RouteName) -> &mut RouteState {
         if !self.routes.contains_key(name) {
-            let reference = LatencyReference::new(self.short);
+            let reference = LatencyReference::new(&self.declared);
             let state = RouteState { key: name.into(), reference };
             self.add_route_name(name);
             self.routes.insert(name.clone(), state);
