Moves: a server stays warm across its announcements

A server that is warm announces "cold for 0 s" every 1.5 s, and each time was taken for the time from which on it is warm. Calls that began before the latest announcement did not count as slow: just the long ones. Change: the earliest time that the announcements of an incarnation give.

--- a/crates/cyclamenmoor/src/calls.rs
+++ b/crates/cyclamenmoor/src/calls.rs
@@ -93,7 +93,6 @@
         let Some(version) = config.counted_version(&record.service, &record.version) else {
             return;
         };
-        let warm_at = self.local_servers.get(server).and_then(|local| local.warm_at);
         let sample = CallSample {
             route,
             service: &record.service,
@@ -102,7 +101,7 @@
             failed: result.failed,
             latency: result.latency,
             new_connection: result.new_connection,
-            warm: warm_at.map(|warm_at| now.mono - result.latency >= warm_at),
+            warm: self.was_warm(server, now.mono - result.latency),
         };
         self.moves.record_call(now, &sample, &mut self.move_effects);
         if !self.move_effects.is_empty() {
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -27,7 +27,7 @@
     /// `Mono::NEVER` after the lease has ended.
     lease_ends: Mono,
     /// When the server has warmed up after its start, if it says.
-    pub(crate) warm_at: Option<Mono>,
+    warm_at: Option<Mono>,
     /// Whether it said in an answer that it leaves.
     leaving: bool,
 }
@@ -79,7 +79,9 @@
         local.service = announcement.service.clone();
         local.announced_slots = announcement.slots;
         local.lease_ends = lease_ends;
-        local.warm_at = announcement.cold.map(|cold| now.mono + cold);
+        // Later announcements, of a warm server, would move the time on and on.
+        let warm_at = announcement.cold.map(|cold| now.mono + cold);
+        local.warm_at = local.warm_at.into_iter().chain(warm_at).min();
         local.slots.set_settings(settings);
         let state = match announcement.draining || local.leaving || self.stopping {
             true => ServerState::Draining,
@@ -311,6 +313,12 @@
         }
     }
 
+    /// Whether a local backend server had warmed up after its start at a time; `None` if it does not
+    /// say how long that takes.
+    pub fn was_warm(&self, server: &ServerName, at: Mono) -> Option<bool> {
+        Some(at >= self.local_servers.get(server)?.warm_at?)
+    }
+
     /// The calls that run at all local backend servers, and how many of them are repeats.
     pub fn running_repeats(&self) -> RunningRepeats {
         let servers = self.local_servers.values();
--- a/crates/cyclamenmoor/tests/store.rs
+++ b/crates/cyclamenmoor/tests/store.rs
@@ -272,6 +272,24 @@
     );
 }
 
+#[test]
+fn was_warm_since_the_first_announcement_that_says_so() {
+    let mut instance = new_instance();
+    let server = "s-1".parse().unwrap();
+    let cold_left = |sequence, millis| Announcement {
+        cold: Some(Duration::from_millis(millis)),
+        ..announcement("s-1", "v1", 5, sequence)
+    };
+    announce(&mut instance, 0, &cold_left(1, 400));
+    announce(&mut instance, 1_500, &cold_left(2, 0));
+    announce(&mut instance, 3_000, &cold_left(3, 0));
+    assert_eq!(instance.was_warm(&server, time(300).mono), Some(false));
+    assert_eq!(instance.was_warm(&server, time(400).mono), Some(true));
+    assert_eq!(instance.was_warm(&server, time(2_900).mono), Some(true));
+    announce(&mut instance, 3_500, &announcement("s-1", "v1", 9, 1));
+    assert_eq!(instance.was_warm(&server, time(2_900).mono), None);
+}
+
 #[test]
 fn announce_at_same_address_replaces_server() {
     let mut instance = new_instance();
