--- a/crates/moves/tests/slow_versions.rs
+++ b/crates/moves/tests/slow_versions.rs
@@ -41,7 +41,7 @@
 #[derive(Debug, Default)]
 struct Outcome {
     fiftieth_bad_at: Option<u64>,
-    rolled_back_at: Option<u64>,
+    taken_back_at: Option<u64>,
     done: bool,
 }
 
@@ -88,25 +88,25 @@
                     outcome.done = true;
                 }
                 MovesEffect::AppendVerdict(..) => {
-                    outcome.rolled_back_at.get_or_insert(millis);
+                    outcome.taken_back_at.get_or_insert(millis);
                 }
                 _ => {}
             }
         }
-        if outcome.rolled_back_at.is_some() {
+        if outcome.taken_back_at.is_some() {
             break;
         }
     }
     outcome
 }
 
-fn assert_rolled_back_in_time(slowdown: f64) {
+fn assert_rolls_back_in_time(slowdown: f64) {
     for seed in 0..10 {
         let outcome = run(&Version { slowdown, seed });
-        let rolled_back_at = outcome.rolled_back_at.expect("a rollback");
+        let taken_back_at = outcome.taken_back_at.expect("a rollback");
         if let Some(fiftieth_bad_at) = outcome.fiftieth_bad_at {
             assert!(
-                rolled_back_at <= fiftieth_bad_at + ROLLBACK_MS,
+                taken_back_at <= fiftieth_bad_at + ROLLBACK_MS,
                 "{slowdown} times as slow, seed {seed}: {outcome:?}"
             );
         }
@@ -114,20 +114,20 @@
 }
 
 #[test]
-fn short_move_of_version_slow_from_the_start_is_rolled_back_in_time() {
-    assert_rolled_back_in_time(4.0);
-    assert_rolled_back_in_time(5.0);
+fn short_move_of_version_slow_from_the_start_rolls_back_in_time() {
+    assert_rolls_back_in_time(4.0);
+    assert_rolls_back_in_time(5.0);
 }
 
 #[test]
-fn short_move_of_version_three_times_as_slow_is_rolled_back_in_time() {
-    assert_rolled_back_in_time(3.0);
+fn short_move_of_version_three_times_as_slow_rolls_back_in_time() {
+    assert_rolls_back_in_time(3.0);
 }
 
 #[test]
 fn short_move_of_good_version_on_uneven_servers_is_done() {
     for seed in 0..40 {
         let outcome = run(&Version { slowdown: 1.0, seed });
-        assert!(outcome.done && outcome.rolled_back_at.is_none(), "seed {seed}: {outcome:?}");
+        assert!(outcome.done && outcome.taken_back_at.is_none(), "seed {seed}: {outcome:?}");
     }
 }
