Calls: a daemon tells the crash of a local server from a broken connection

Observability for the incident of crashing calls, no change of any decision: an attempt ended as 'broken' both when one connection failed and when the whole server crashed, so neither logs nor metrics could tell how many servers a call had ended. When the connection of a call breaks, the daemon beside the server checks whether new connections are refused, once for all calls that break together; the attempt ends as 'crashed' then, here and, by the hop header, at the daemon that the caller reached. An earlier release takes that word for a broken connection, as before.

--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -45,6 +45,7 @@
     Shed,
     NotConnected,
     Broken,
+    Crashed,
     TimedOut,
     Cancelled,
     Run,
@@ -147,6 +148,7 @@
             AttemptEnd::Shed => End::Shed,
             AttemptEnd::NotConnected => End::NotConnected,
             AttemptEnd::Broken => End::Broken,
+            AttemptEnd::Crashed => End::Crashed,
             AttemptEnd::TimedOut => End::TimedOut,
             AttemptEnd::Cancelled => End::Cancelled,
         };
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -248,6 +248,7 @@
             HopOutcome::Shed => Outcome::Shed { retry_after: answer.retry_after },
             HopOutcome::Down => Outcome::NotConnected,
             HopOutcome::Unknown => Outcome::Reset,
+            HopOutcome::Crashed => Outcome::ServerCrashed,
             HopOutcome::Late => Outcome::TimedOut,
         };
         Self {
--- a/crates/daemon/src/calls/context.rs
+++ b/crates/daemon/src/calls/context.rs
@@ -16,6 +16,7 @@
 
 use crate::call_metrics::CallMetrics;
 use crate::calls::CallObservers;
+use crate::calls::crash_checks::CrashChecks;
 use crate::calls::hop::HopSeal;
 use crate::calls::nested_calls::{ParentCall, RunningCalls};
 use crate::calls::pool::{self, Pool, PoolLimits};
@@ -58,6 +59,8 @@
     pub(super) server_pool: Pool,
     /// Connections to other daemons.
     pub(super) daemon_pool: Pool,
+    /// Checks whether local backend servers have crashed.
+    pub(super) crash_checks: CrashChecks,
     /// One permit per byte of request body that may still be buffered.
     pub(super) body_budget: Arc<Semaphore>,
     /// One permit per byte of response that may still be held.
@@ -85,6 +88,7 @@
             caller_service: settings.platform.as_ref().map(|platform| platform.service.clone()),
             server_pool: Pool::new(SERVER_POOL_LIMITS),
             daemon_pool: Pool::new(DAEMON_POOL_LIMITS),
+            crash_checks: CrashChecks::default(),
             body_budget: Arc::new(Semaphore::new(MAX_TOTAL_BUFFERED_BODY_BYTES)),
             held_response_budget: Arc::new(Semaphore::new(MAX_TOTAL_HELD_RESPONSE_BYTES)),
             running_calls: RunningCalls::default(),
--- a/crates/daemon/src/calls/decision_trace.rs
+++ b/crates/daemon/src/calls/decision_trace.rs
@@ -199,6 +199,7 @@
         Outcome::Shed { .. } => AttemptEnd::Shed,
         Outcome::NotConnected => AttemptEnd::NotConnected,
         Outcome::Reset | Outcome::Truncated => AttemptEnd::Broken,
+        Outcome::ServerCrashed => AttemptEnd::Crashed,
         Outcome::TimedOut => AttemptEnd::TimedOut,
         Outcome::Cancelled => AttemptEnd::Cancelled,
     }
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -79,6 +79,9 @@
     /// The exchange with the backend server failed, or its response cannot be trusted. May have
     /// run.
     Unknown,
+    /// The backend server crashed while it ran the call. An earlier release cannot read this and
+    /// treats the response as a broken connection.
+    Crashed,
     /// The backend server did not respond in time. May have run.
     Late,
 }
--- a/crates/daemon/src/calls/hop/encoding.rs
+++ b/crates/daemon/src/calls/hop/encoding.rs
@@ -147,6 +147,7 @@
         HopOutcome::Shed,
         HopOutcome::Down,
         HopOutcome::Unknown,
+        HopOutcome::Crashed,
         HopOutcome::Late,
     ];
     all.into_iter().find(|outcome| outcome.to_string() == text)
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -74,6 +74,8 @@
     Unavailable,
     /// The exchange failed, or the response cannot be trusted. May have run.
     Unknown,
+    /// The server crashed while it ran the call.
+    Crashed,
     /// No response in time. May have run.
     TimedOut,
 }
@@ -89,6 +91,7 @@
             Self::Shed(retry_after) => Outcome::Shed { retry_after: *retry_after },
             Self::Unavailable => Outcome::NotConnected,
             Self::Unknown => Outcome::Reset,
+            Self::Crashed => Outcome::ServerCrashed,
             Self::TimedOut => Outcome::TimedOut,
         }
     }
@@ -229,7 +232,7 @@
         Ok(exchange) => exchange,
         Err(SendFailure::NotConnected) => return InboundOutcome::Unavailable,
         Err(SendFailure::Unsent) => return InboundOutcome::NoSlot(SHORT_RETRY_AFTER),
-        Err(SendFailure::Reset) => return InboundOutcome::Unknown,
+        Err(SendFailure::Reset) => return after_break(ctx, &call).await,
         Err(SendFailure::TimedOut) => {
             // The adaptive limit treats a timeout as a response that took this long.
             slot.outcome = RunOutcome::Answered(latency);
@@ -272,6 +275,15 @@
     InboundOutcome::Answered(Box::new(Answer { response, nested_failure }))
 }
 
+/// The outcome of a call whose connection broke: whether the server crashed, or only the connection
+/// failed.
+async fn after_break(ctx: &CallContext, call: &InboundCall) -> InboundOutcome {
+    match ctx.crash_checks.has_crashed(&ctx.server_pool, &call.server, call.address).await {
+        true => InboundOutcome::Crashed,
+        false => InboundOutcome::Unknown,
+    }
+}
+
 /// Tells the instance what a backend server says of itself in a response.
 fn take_over_hints(ctx: &CallContext, server: &ServerName, headers: &HeaderMap) {
     if headers::says_leaving(&ctx.headers, headers) {
@@ -442,6 +454,7 @@
         InboundOutcome::Shed(retry_after) => (HopOutcome::Shed, *retry_after),
         InboundOutcome::Unavailable => (HopOutcome::Down, UNAVAILABLE_RETRY_AFTER),
         InboundOutcome::Unknown => (HopOutcome::Unknown, Duration::ZERO),
+        InboundOutcome::Crashed => (HopOutcome::Crashed, Duration::ZERO),
         InboundOutcome::TimedOut => (HopOutcome::Late, Duration::ZERO),
     };
     let nested_failure = matches!(&end, InboundOutcome::Answered(answer) if answer.nested_failure);
@@ -450,7 +463,7 @@
         InboundOutcome::NoSlot(_) | InboundOutcome::Shed(_) | InboundOutcome::Unavailable => {
             empty_response(StatusCode::SERVICE_UNAVAILABLE)
         }
-        InboundOutcome::Unknown | InboundOutcome::TimedOut => {
+        InboundOutcome::Unknown | InboundOutcome::Crashed | InboundOutcome::TimedOut => {
             empty_response(StatusCode::BAD_GATEWAY)
         }
     };
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -12,6 +12,7 @@
 mod body;
 mod body_expiry;
 mod context;
+mod crash_checks;
 mod decision_trace;
 mod delivery;
 mod headers;
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -88,6 +88,26 @@
     Broken,
 }
 
+/// Why no connection was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectFailure {
+    /// The target refused it, or closed it at once.
+    Refused,
+    /// The target did not respond in [`CONNECT_TIMEOUT`].
+    NoResponse,
+    /// All connections are in use, or the call had no time left.
+    NotTried,
+}
+
+impl From<ConnectFailure> for SendFailure {
+    fn from(failure: ConnectFailure) -> Self {
+        match failure {
+            ConnectFailure::Refused | ConnectFailure::NoResponse => Self::NotConnected,
+            ConnectFailure::NotTried => Self::Unsent,
+        }
+    }
+}
+
 /// Whether a call may be resent after a reused connection broke without a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ResendPolicy {
@@ -174,6 +194,18 @@
         }
     }
 
+    /// Whether a target refuses new connections, as one does whose process has ended. A connection
+    /// that can be opened is kept for later calls; if none is left to try with, the answer is no.
+    pub(super) async fn is_refused(&self, to: SocketAddr) -> bool {
+        match self.target(to).connect(Instant::now() + CONNECT_TIMEOUT).await {
+            Ok(lease) => {
+                lease.return_to_pool();
+                false
+            }
+            Err(failure) => failure == ConnectFailure::Refused,
+        }
+    }
+
     /// Opens connections until [`PREOPENED_CONNECTIONS`] are idle, or one cannot be opened.
     async fn open_in_advance(&self, to: SocketAddr) {
         let target = self.target(to);
@@ -250,22 +282,23 @@
         lock(&self.last_reuse_break).is_some_and(|at| at.elapsed() < DROPS_IDLE_PERIOD)
     }
 
-    async fn connect(self: &Arc<Self>, until: Instant) -> Result<Lease, SendFailure> {
+    async fn connect(self: &Arc<Self>, until: Instant) -> Result<Lease, ConnectFailure> {
         let permit =
-            Arc::clone(&self.permits).try_acquire_owned().map_err(|_| SendFailure::Unsent)?;
+            Arc::clone(&self.permits).try_acquire_owned().map_err(|_| ConnectFailure::NotTried)?;
         let connect_deadline = Instant::now() + CONNECT_TIMEOUT;
         let connect = TcpStream::connect(self.address);
         let stream = match tokio::time::timeout_at(until.min(connect_deadline), connect).await {
             Ok(Ok(stream)) => stream,
-            Err(_) if until < connect_deadline => return Err(SendFailure::Unsent),
-            Ok(Err(_)) | Err(_) => return Err(SendFailure::NotConnected),
+            Ok(Err(_)) => return Err(ConnectFailure::Refused),
+            Err(_) if until < connect_deadline => return Err(ConnectFailure::NotTried),
+            Err(_) => return Err(ConnectFailure::NoResponse),
         };
         tcp_options::set_opened(&stream);
         let buffer_bytes = self.limits.buffer_bytes;
         let receive_limit = ReceiveLimit::new(MAX_BUFFERS_WITHOUT_RESPONSE * buffer_bytes);
         let stream = TokioIo::new(LimitedStream::new(stream, receive_limit.clone()));
         let handshake = http1::Builder::new().max_buf_size(buffer_bytes).handshake(stream).await;
-        let (sender, connection) = handshake.map_err(|_| SendFailure::NotConnected)?;
+        let (sender, connection) = handshake.map_err(|_| ConnectFailure::Refused)?;
         tokio::spawn(drive_connection(connection, permit));
         Ok(Lease { target: Arc::clone(self), sender, receive_limit, new_connection: true })
     }
--- a/crates/decisions/src/line.rs
+++ b/crates/decisions/src/line.rs
@@ -170,6 +170,9 @@
     /// The connection broke; the call may have run.
     #[display("broke off and may have run")]
     Broken,
+    /// The backend server crashed while it ran the call.
+    #[display("broke off because the server crashed")]
+    Crashed,
     /// No response arrived in time; the call may have run.
     #[display("got no answer in time and may have run")]
     TimedOut,
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -156,6 +156,8 @@
     NotConnected,
     /// The connection broke after bytes were sent and before an answer arrived.
     Reset,
+    /// The backend server crashed after bytes were sent and before an answer arrived.
+    ServerCrashed,
     /// No answer arrived in time.
     TimedOut,
     /// The caller disconnected before the answer.
@@ -180,7 +182,11 @@
             // Unlike `RefusedByDaemon`, this counts against the server: its daemon had a free slot
             // for the call, and the server refused it all the same.
             Self::Shed { .. } => Some(true),
-            Self::NotConnected | Self::Reset | Self::TimedOut | Self::Truncated => Some(true),
+            Self::NotConnected
+            | Self::Reset
+            | Self::ServerCrashed
+            | Self::TimedOut
+            | Self::Truncated => Some(true),
         }
     }
 
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -328,7 +328,7 @@
                 self.update_latency(now, latency);
                 self.record_failure()
             }
-            Outcome::Reset | Outcome::Truncated => self.record_failure(),
+            Outcome::Reset | Outcome::ServerCrashed | Outcome::Truncated => self.record_failure(),
             Outcome::Cancelled if self.is_overdue(latency) => {
                 self.update_failure_rate(now, true);
                 self.record_failure()
