Known red: calls that crash servers; stand-in servers that a call crashes

Callers of a service are refused for seconds on end, because one call, sent again and again, ends all of its servers.

--- a/crates/standins/src/backend/faults.rs
+++ b/crates/standins/src/backend/faults.rs
@@ -34,6 +34,8 @@
     Slow(Duration),
     /// The call runs, and the connection breaks without an answer.
     Reset,
+    /// The call begins to run, and the whole server crashes.
+    Crash,
     /// The call runs, and the connection breaks in the middle of the answer.
     Truncate,
     /// The call runs, and the answer goes on until its connection is closed.
--- a/crates/standins/src/backend/server.rs
+++ b/crates/standins/src/backend/server.rs
@@ -16,6 +16,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use tokio::sync::watch;
+
 use crate::backend::faults::{Fault, FaultEffect, Situation, pick};
 use crate::backend::record::{CallKey, RunRecord};
 use crate::caller::Client;
@@ -30,6 +32,9 @@
 /// Time for the first half of an answer to leave before its connection breaks.
 const FLUSH_PAUSE: Duration = Duration::from_millis(5);
 
+/// Time from the beginning of a call that crashes the server to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
+
 /// Pause after each piece of an answer without end.
 const ENDLESS_PAUSE: Duration = Duration::from_millis(5);
 
@@ -68,6 +73,7 @@
     in_flight: AtomicU32,
     peak: AtomicU32,
     begun: AtomicU64,
+    crashed: watch::Sender<bool>,
     onward: Client,
 }
 
@@ -96,12 +102,14 @@
             in_flight: AtomicU32::new(0),
             peak: AtomicU32::new(0),
             begun: AtomicU64::new(0),
+            crashed: watch::Sender::new(false),
             onward: Client::default(),
             options,
         });
         let shared = Arc::clone(&inner);
         let handler = move |req| handle(Arc::clone(&shared), req);
-        Ok(Self { server: Server::start(address, handler).await?, inner })
+        let crash = crash_of(Arc::clone(&inner));
+        Ok(Self { server: Server::start_until(address, handler, crash).await?, inner })
     }
 
     /// Where it listens.
@@ -134,12 +142,22 @@
         self.inner.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Waits until a call crashes the server.
+    pub async fn crashed(&self) {
+        crash_of(Arc::clone(&self.inner)).await;
+    }
+
     /// Ends at once and cuts its connections, as a killed process would.
     pub async fn stop(mut self) {
         self.server.stop().await;
     }
 }
 
+async fn crash_of(inner: Arc<Inner>) {
+    // The sender is part of `inner`, so it is not dropped meanwhile.
+    let _ = inner.crashed.subscribe().wait_for(|crashed| *crashed).await;
+}
+
 /// Counts a call as running until dropped.
 struct Running(Arc<Inner>);
 
@@ -181,6 +199,11 @@
         return None;
     }
     inner.record.add(key.clone());
+    if effect == Some(FaultEffect::Crash) {
+        tokio::time::sleep(CRASH_DELAY).await;
+        inner.crashed.send_replace(true);
+        return None;
+    }
     inner.work(&wish, effect).await;
     let onward = inner.call_onward(&path, &wish, &headers).await;
     drop(running);
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -32,11 +32,30 @@
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Option<Response<Body>>> + Send + 'static,
+    {
+        Self::start_until(address, handler, std::future::pending()).await
+    }
+
+    /// Like [`Server::start`]; the server ends and cuts its connections when `end` does.
+    pub(crate) async fn start_until<H, F, E>(
+        address: SocketAddr,
+        handler: H,
+        end: E,
+    ) -> std::io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Option<Response<Body>>> + Send + 'static,
+        E: Future<Output = ()> + Send + 'static,
     {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, handler));
+        tasks.spawn(async move {
+            tokio::select! {
+                () = accept(listener, handler) => {}
+                () = end => {}
+            }
+        });
         Ok(Self { address, tasks })
     }
 
