--- a/crates/cyclamenmoor/src/dump.rs
+++ b/crates/cyclamenmoor/src/dump.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use cyclamen_blocklist::{BlockedCall, BlocklistCounters};
 use cyclamen_distribution::DistributionCounters;
 use cyclamen_ledger::LedgerCounters;
 use cyclamen_membership::{MemberState, MembershipCounters, ServerState, ServerView};
@@ -47,6 +48,12 @@
     pub slots: Vec<SlotsDump>,
     /// Status of each move.
     pub moves: Vec<MoveStatus>,
+    /// Calls that are refused because backend servers crashed while they ran them.
+    #[serde(default)]
+    pub blocked_calls: Vec<BlockedCall>,
+    /// Counters of the blocklist.
+    #[serde(default)]
+    pub blocklist: BlocklistCounters,
     /// Counters of the ledger.
     pub ledger: LedgerCounters,
     /// Counters of membership.
@@ -126,6 +133,8 @@
             servers: self.membership.servers().into_iter().map(ServerDump::from).collect(),
             slots,
             moves: self.moves.statuses(),
+            blocked_calls: self.blocked_calls(),
+            blocklist: *self.blocked_calls.counters(),
             ledger: *self.ledger.counters(),
             membership: *self.membership.counters(),
             distribution: *self.distribution.counters(),
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -1,5 +1,5 @@
-//! [`Instance`]: combines ledger, distribution, membership, moves and routing into one state
-//! machine.
+//! [`Instance`]: combines ledger, distribution, membership, moves, routing and the blocklist into
+//! one state machine.
 //!
 //! Events and public methods update one of these parts. [`Instance::reconcile`] then brings the
 //! state derived from them up to date and emits the resulting effects.
@@ -20,6 +20,7 @@
 use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, Offset, ServerName};
 
 use crate::appends::Appends;
+use crate::blocked_calls::BlockedCalls;
 use crate::conversions;
 use crate::event::{AppendError, AppendTicket, Effect, Effects, Event};
 use crate::local_servers::LocalServer;
@@ -37,6 +38,7 @@
     pub(crate) distribution: Distribution,
     pub(crate) membership: Membership,
     pub(crate) moves: Moves,
+    pub(crate) blocked_calls: BlockedCalls,
     pub(crate) router: Router,
     pub(crate) local_servers: FastMap<ServerName, LocalServer>,
     /// Start time, in Unix milliseconds, of the latest incarnation of each backend server that was
@@ -59,7 +61,7 @@
     /// Version of the ledger's configuration that was last applied to routing and moves; `None` if
     /// the configuration has to be applied again, even at an unchanged version.
     applied_version: Option<ConfigVersion>,
-    outgoing: Vec<Outgoing>,
+    pub(crate) outgoing: Vec<Outgoing>,
     fetches: Vec<Fetch>,
     pub(crate) move_effects: Vec<MovesEffect>,
 }
@@ -90,6 +92,7 @@
             distribution: Distribution::new(settings.distribution.clone(), seed, now),
             membership: Membership::new(me, settings.membership.clone(), seed, now),
             moves: Moves::new(moves, now),
+            blocked_calls: BlockedCalls::new(now),
             router: Router::new(router, seed),
             local_servers: FastMap::default(),
             withdrawn: FastMap::default(),
@@ -170,6 +173,7 @@
         let mut next = self.membership.next_tick();
         next = next.min(self.distribution.next_tick());
         next = next.min(self.moves.next_tick());
+        next = next.min(self.blocked_calls.next_tick());
         next = next.min(self.appends.next_retry());
         next.min(self.next_server_timer())
     }
@@ -244,6 +248,7 @@
         if now.mono >= self.moves.next_tick() {
             self.tick_moves(now);
         }
+        self.tick_blocklist(now, out);
         self.appends.retry(now, out);
         self.tick_servers(now, out);
     }
@@ -263,7 +268,12 @@
         };
         for broadcast in received.broadcasts {
             match broadcast.kind {
-                BroadcastKind::Rollback | BroadcastKind::Evidence => {
+                BroadcastKind::Urgent | BroadcastKind::Evidence
+                    if cyclamen_blocklist::is_payload(&broadcast.payload) =>
+                {
+                    self.merge_blocklist(now, &broadcast.payload, out);
+                }
+                BroadcastKind::Urgent | BroadcastKind::Evidence => {
                     self.moves.merge_payload(now, &broadcast.payload, &mut self.move_effects);
                 }
                 BroadcastKind::Records => self.apply_gossiped_records(now, &broadcast),
@@ -431,7 +441,7 @@
         for effect in effects.drain(..) {
             match effect {
                 MovesEffect::BroadcastRollback(payload) => {
-                    self.gossip_move_payload(now, BroadcastKind::Rollback, payload);
+                    self.gossip_move_payload(now, BroadcastKind::Urgent, payload);
                 }
                 MovesEffect::SendEvidence(payload) => {
                     self.gossip_move_payload(now, BroadcastKind::Evidence, payload);
@@ -454,7 +464,7 @@
     }
 
     fn gossip_move_payload(&mut self, now: Now, kind: BroadcastKind, payload: Arc<[u8]>) {
-        let urgent = kind == BroadcastKind::Rollback;
+        let urgent = kind == BroadcastKind::Urgent;
         self.membership.broadcast(now, Broadcast { kind, payload }, urgent, &mut self.outgoing);
     }
 }
--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -43,6 +43,7 @@
     Rejected,
     NoSlot,
     Shed,
+    Blocked,
     NotConnected,
     Broken,
     Crashed,
@@ -95,6 +96,9 @@
     retries_refused: Gauge,
     ejections: Gauge,
     store_restores: Gauge,
+    blocked_calls: Gauge,
+    blocked_refusals: Gauge,
+    server_crashes: Gauge,
 }
 
 impl Default for CallMetrics {
@@ -146,6 +150,7 @@
             AttemptEnd::Answered(_) => End::Answered,
             AttemptEnd::NoSlot => End::NoSlot,
             AttemptEnd::Shed => End::Shed,
+            AttemptEnd::Blocked => End::Blocked,
             AttemptEnd::NotConnected => End::NotConnected,
             AttemptEnd::Broken => End::Broken,
             AttemptEnd::Crashed => End::Crashed,
@@ -225,6 +230,12 @@
         registry.register("ejections", "servers taken out of choice", state.ejections.clone());
         let restores = state.store_restores.clone();
         registry.register("store_restores", "times the store came back older", restores);
+        let help = "different calls that are refused because they crash backend servers";
+        registry.register("blocked_calls", help, state.blocked_calls.clone());
+        let help = "refusals of calls that crash backend servers";
+        registry.register("blocked_refusals", help, state.blocked_refusals.clone());
+        let help = "crashes of local backend servers while they ran calls";
+        registry.register("server_crashes", help, state.server_crashes.clone());
     }
 }
 
@@ -243,6 +254,9 @@
         self.retries_refused.set(to_gauge_value(dump.router.retries_refused));
         self.ejections.set(to_gauge_value(dump.router.ejections));
         self.store_restores.set(to_gauge_value(dump.distribution.store_restores));
+        self.blocked_calls.set(to_gauge_value(dump.blocked_calls.len() as u64));
+        self.blocked_refusals.set(to_gauge_value(dump.blocklist.calls_refused));
+        self.server_crashes.set(to_gauge_value(dump.blocklist.server_crashes));
     }
 }
 
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cyclamen_routing::{Attempt, Hop, Next, Outcome, ServerLoad};
+use cyclamen_blocklist::{CallDigest, CallKey, Scope};
+use cyclamen_routing::{Attempt, Hop, Next, Outcome, Refusal, ServerLoad};
 use cyclamen_types::{Mono, ServerName};
 use cyclamenmoor::BodyEnd;
 use http::header::HeaderName;
@@ -16,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::calls::body::{AttemptBody, ResponseBody};
+use crate::calls::call_identity;
 use crate::calls::context::CallContext;
 use crate::calls::headers;
 use crate::calls::hop::{HOP_REQUEST_HEADER, HopCall, HopId, HopOutcome, HopResponse};
@@ -34,10 +36,19 @@
 pub(super) struct ActiveAttempt {
     ctx: CallContext,
     attempt: Attempt,
-    ancestors: AncestorServices,
+    origin: CallOrigin,
     finished: bool,
 }
 
+/// What all attempts of a call have in common.
+#[derive(Clone)]
+pub(super) struct CallOrigin {
+    /// The ancestor services of the call.
+    pub(super) ancestors: AncestorServices,
+    /// Digest of the call; `None` if its body is streamed.
+    pub(super) digest: Option<CallDigest>,
+}
+
 /// The result of an attempt.
 pub(super) struct AttemptResult {
     pub(super) outcome: Outcome,
@@ -59,8 +70,8 @@
 
 impl ActiveAttempt {
     /// Starts an attempt that the instance has just planned.
-    pub(super) fn start(ctx: &CallContext, attempt: Attempt, ancestors: AncestorServices) -> Self {
-        Self { ctx: ctx.clone(), attempt, ancestors, finished: false }
+    pub(super) fn start(ctx: &CallContext, attempt: Attempt, origin: CallOrigin) -> Self {
+        Self { ctx: ctx.clone(), attempt, origin, finished: false }
     }
 
     /// The routing decision behind the attempt.
@@ -68,9 +79,27 @@
         &self.attempt
     }
 
-    /// The ancestor services of the call.
-    pub(super) fn ancestors(&self) -> &AncestorServices {
-        &self.ancestors
+    /// What this attempt has in common with the others of its call.
+    pub(super) fn origin(&self) -> &CallOrigin {
+        &self.origin
+    }
+
+    /// The key under which the call is blocked, if it is.
+    pub(super) fn blocked_key(&self) -> Option<CallKey> {
+        let scope = Scope {
+            caller: self.ctx.caller_service.as_ref(),
+            service: &self.attempt.service,
+            version: &self.attempt.version,
+        };
+        let key = call_identity::key(&self.ctx, self.origin.digest?, &scope);
+        self.ctx.shared.read(|instance| instance.is_blocked(key)).then_some(key)
+    }
+
+    /// Ends an attempt of a blocked call, which must not be sent, and returns the refusal for the
+    /// caller.
+    pub(super) fn refuse_blocked(mut self) -> Refusal {
+        self.finished = true;
+        self.ctx.shared.with(|instance, now, _| instance.refuse_blocked(now, &self.attempt))
     }
 
     /// The position of this attempt among those of its call, from 1.
@@ -129,7 +158,9 @@
         let call = InboundCall {
             server: self.attempt.server.clone(),
             service: self.attempt.service.clone(),
-            ancestors: self.ancestors.clone(),
+            version: self.attempt.version.clone(),
+            ancestors: self.origin.ancestors.clone(),
+            digest: self.origin.digest,
             route: self.attempt.route.clone(),
             address,
             criticality: self.attempt.criticality,
@@ -138,6 +169,7 @@
             latency_target_at: self.attempt.target_at,
             deadline: self.attempt.deadline,
             repeat: self.attempt.repeat,
+            crashed_server: self.attempt.crashed_server.clone(),
         };
         let end = inbound::run(&self.ctx, call, req).await;
         let (server, route) = (&self.attempt.server, &self.attempt.route);
@@ -200,8 +232,9 @@
             latency_target_left,
             criticality,
             idempotent: self.attempt.idempotent,
-            ancestors: self.ancestors.clone(),
+            ancestors: self.origin.ancestors.clone(),
             repeat: self.attempt.repeat,
+            crashed_server: self.attempt.crashed_server.clone(),
         };
         let header = self.ctx.hop_seal.seal_call(self.ctx.wall_now(), &call, req)?;
         req.headers_mut().insert(HeaderName::from_static(HOP_REQUEST_HEADER), header);
@@ -246,6 +279,7 @@
             HopOutcome::Ran => answered_outcome(&response),
             HopOutcome::Full => Outcome::RefusedByDaemon { retry_after: answer.retry_after },
             HopOutcome::Shed => Outcome::Shed { retry_after: answer.retry_after },
+            HopOutcome::Blocked => Outcome::Blocked,
             HopOutcome::Down => Outcome::NotConnected,
             HopOutcome::Unknown => Outcome::Reset,
             HopOutcome::Crashed => Outcome::ServerCrashed,
--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -1,6 +1,7 @@
 //! Request and response bodies. Small request bodies are buffered so that a call can be retried;
 //! larger ones, and responses, are streamed with back-pressure.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
@@ -26,6 +27,9 @@
 /// Largest request body, in bytes, that is buffered so that the call can be retried.
 const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
 
+/// Longest wait for the end of a request body of unknown length, so that small ones are buffered.
+const UNKNOWN_LENGTH_WAIT: Duration = Duration::from_millis(50);
+
 /// Longest silence of a response after its deadline. The rest of a response that has begun may wait
 /// behind other traffic on a full link.
 const LATE_BODY_SILENCE: Duration = Duration::from_millis(200);
@@ -63,6 +67,8 @@
 
 /// A request body that is forwarded as it arrives.
 pub(super) struct StreamedBody {
+    /// The first parts, which have arrived already.
+    arrived: VecDeque<Bytes>,
     incoming: Incoming,
     /// Number of the latest attempt, the only one that may read.
     attempt: u32,
@@ -85,8 +91,9 @@
         Self::Buffered { bytes: Bytes::new(), _permit: None }
     }
 
-    /// Receives the body of a call. A body of known length up to [`MAX_BUFFERED_BODY_BYTES`] is
-    /// buffered if `budget` has that many bytes left; others are streamed.
+    /// Receives the body of a call. A body up to [`MAX_BUFFERED_BODY_BYTES`] is buffered if `budget`
+    /// has that many bytes left, one of unknown length only if it arrives whole within
+    /// [`UNKNOWN_LENGTH_WAIT`]; others are streamed.
     ///
     /// # Errors
     /// [`Rejection::BodyTimeout`] if a body to buffer does not arrive whole by `until`, or its
@@ -99,7 +106,10 @@
         if incoming.is_end_stream() {
             return Ok(Self::empty());
         }
-        let bytes = incoming.size_hint().upper().filter(|bytes| *bytes <= MAX_BUFFERED_BODY_BYTES);
+        let Some(bytes) = incoming.size_hint().upper() else {
+            return Ok(Self::receive_unknown_length(incoming, budget, until).await);
+        };
+        let bytes = Some(bytes).filter(|bytes| *bytes <= MAX_BUFFERED_BODY_BYTES);
         let bytes = bytes.and_then(|bytes| u32::try_from(bytes).ok());
         let permit = bytes.and_then(|n| Arc::clone(budget).try_acquire_many_owned(n).ok());
         let Some(permit) = permit else {
@@ -114,9 +124,45 @@
         }
     }
 
+    async fn receive_unknown_length(
+        mut incoming: Incoming,
+        budget: &Arc<Semaphore>,
+        until: Instant,
+    ) -> Self {
+        let most = MAX_BUFFERED_BODY_BYTES as usize;
+        let Ok(mut permit) = Arc::clone(budget).try_acquire_many_owned(most as u32) else {
+            return Self::streamed(incoming);
+        };
+        let until = until.min(Instant::now() + UNKNOWN_LENGTH_WAIT);
+        let mut arrived = VecDeque::new();
+        let mut bytes = 0;
+        while bytes <= most {
+            let frame = match tokio::time::timeout_at(until, incoming.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) => {
+                    drop(permit.split(most - bytes));
+                    let bytes = Bytes::from(Vec::from(arrived).concat());
+                    return Self::Buffered { bytes, _permit: Some(permit) };
+                }
+                // The error comes again when the rest is read.
+                Ok(Some(Err(_))) | Err(_) => break,
+            };
+            if let Ok(data) = frame.into_data() {
+                bytes += data.len();
+                arrived.push_back(data);
+            }
+        }
+        Self::streamed_after(arrived, incoming)
+    }
+
     /// A body that is forwarded as it arrives.
     pub(super) fn streamed(incoming: Incoming) -> Self {
-        let stream = StreamedBody { incoming, attempt: 0, bytes_read: 0, limit: u64::MAX };
+        Self::streamed_after(VecDeque::new(), incoming)
+    }
+
+    /// Like [`RequestBody::streamed`], after the parts that have arrived already.
+    fn streamed_after(arrived: VecDeque<Bytes>, incoming: Incoming) -> Self {
+        let stream = StreamedBody { arrived, incoming, attempt: 0, bytes_read: 0, limit: u64::MAX };
         Self::Streamed(Arc::new(Mutex::new(stream)))
     }
 
@@ -128,7 +174,7 @@
             Self::Streamed(stream) => {
                 let mut stream = lock(stream);
                 stream.limit = bytes;
-                stream.incoming.size_hint().lower() <= bytes
+                stream.size_hint().lower() <= bytes
             }
         }
     }
@@ -141,6 +187,14 @@
         }
     }
 
+    /// The bytes of a buffered body; `None` if it is streamed.
+    pub(super) fn buffered_bytes(&self) -> Option<&Bytes> {
+        match self {
+            Self::Buffered { bytes, .. } => Some(bytes),
+            Self::Streamed(_) => None,
+        }
+    }
+
     /// Whether [`RequestBody::for_attempt`] has a body for one more attempt.
     pub(super) fn is_retryable(&self) -> bool {
         match self {
@@ -171,11 +225,30 @@
         self.bytes_read > self.limit
     }
 
+    fn is_end_stream(&self) -> bool {
+        self.arrived.is_empty() && self.incoming.is_end_stream()
+    }
+
+    /// Bounds of the bytes that are still to come.
+    fn size_hint(&self) -> SizeHint {
+        let arrived: u64 = self.arrived.iter().map(|part| part.len() as u64).sum();
+        let rest = self.incoming.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(arrived + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(arrived + upper);
+        }
+        hint
+    }
+
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let Some(frame) = ready!(Pin::new(&mut self.incoming).poll_frame(cx)) else {
-            return Poll::Ready(None);
+        let frame = match self.arrived.pop_front() {
+            Some(part) => Frame::data(part),
+            None => match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
+                Some(frame) => frame.map_err(BodyError::Connection)?,
+                None => return Poll::Ready(None),
+            },
         };
-        let frame = frame.map_err(BodyError::Connection)?;
         self.bytes_read += frame.data_ref().map_or(0, |data| data.len() as u64);
         if self.over_limit() {
             return Poll::Ready(Some(Err(BodyError::TooLarge)));
@@ -212,7 +285,7 @@
             Self::Buffered(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
             Self::Streamed(shared, attempt) => {
                 let stream = lock(shared);
-                stream.attempt == *attempt && stream.incoming.is_end_stream()
+                stream.attempt == *attempt && stream.is_end_stream()
             }
         }
     }
@@ -222,7 +295,7 @@
             Self::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Streamed(shared, _) => lock(shared).incoming.size_hint(),
+            Self::Streamed(shared, _) => lock(shared).size_hint(),
         }
     }
 }
@@ -288,8 +361,9 @@
 
     /// Holds `slot` until the body ends.
     pub(super) fn with_slot(mut self, slot: SlotGuard) -> Self {
-        if self.incoming.is_some() {
-            self.slot = Some(slot);
+        match self.incoming {
+            Some(_) => self.slot = Some(slot),
+            None => slot.complete(),
         }
         self
     }
@@ -346,10 +420,10 @@
         self.incoming = None;
         self.expiry = None;
         self.end_delivery(end);
-        if let Some(slot) = self.slot.take()
-            && end == BodyEnd::Truncated
-        {
-            slot.report_truncated_response();
+        match (self.slot.take(), end) {
+            (Some(slot), BodyEnd::Complete) => slot.complete(),
+            (Some(slot), BodyEnd::Truncated) => slot.report_truncated_response(),
+            (Some(_), BodyEnd::Cancelled) | (None, _) => {}
         }
         if let Some(mut body_end) = self.body_end.take() {
             body_end.report(end);
--- a/crates/daemon/src/calls/context.rs
+++ b/crates/daemon/src/calls/context.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use cyclamen_blocklist::DigestKey;
 use cyclamen_port::CallHeaders;
 use cyclamen_routing::{CallId, Nesting};
 use cyclamen_types::{Mono, ServiceName, Wall};
@@ -59,6 +60,8 @@
     pub(super) server_pool: Pool,
     /// Connections to other daemons.
     pub(super) daemon_pool: Pool,
+    /// Computes the digests by which calls that crash servers are recognised.
+    pub(super) digest_key: DigestKey,
     /// Checks whether local backend servers have crashed.
     pub(super) crash_checks: CrashChecks,
     /// One permit per byte of request body that may still be buffered.
@@ -88,6 +91,7 @@
             caller_service: settings.platform.as_ref().map(|platform| platform.service.clone()),
             server_pool: Pool::new(SERVER_POOL_LIMITS),
             daemon_pool: Pool::new(DAEMON_POOL_LIMITS),
+            digest_key: DigestKey::new(&settings.mesh_key.0),
             crash_checks: CrashChecks::default(),
             body_budget: Arc::new(Semaphore::new(MAX_TOTAL_BUFFERED_BODY_BYTES)),
             held_response_budget: Arc::new(Semaphore::new(MAX_TOTAL_HELD_RESPONSE_BYTES)),
--- a/crates/daemon/src/calls/decision_trace.rs
+++ b/crates/daemon/src/calls/decision_trace.rs
@@ -185,9 +185,10 @@
     match kind {
         RefusalKind::NoRoute => CallEnd::NoRoute,
         RefusalKind::OutcomeUnknown => CallEnd::Unknown,
-        RefusalKind::Unavailable | RefusalKind::Overloaded | RefusalKind::Expired => {
-            CallEnd::Refused
-        }
+        RefusalKind::Unavailable
+        | RefusalKind::Overloaded
+        | RefusalKind::Expired
+        | RefusalKind::Blocked => CallEnd::Refused,
     }
 }
 
@@ -197,6 +198,7 @@
         Outcome::Answered { status } => AttemptEnd::Answered(status),
         Outcome::RefusedByDaemon { .. } => AttemptEnd::NoSlot,
         Outcome::Shed { .. } => AttemptEnd::Shed,
+        Outcome::Blocked => AttemptEnd::Blocked,
         Outcome::NotConnected => AttemptEnd::NotConnected,
         Outcome::Reset | Outcome::Truncated => AttemptEnd::Broken,
         Outcome::ServerCrashed => AttemptEnd::Crashed,
--- a/crates/daemon/src/calls/hop.rs
+++ b/crates/daemon/src/calls/hop.rs
@@ -2,12 +2,12 @@
 //!
 //! A request carries [`HOP_REQUEST_HEADER`]: backend server, route, hop id, time left, time left to
 //! the latency target, criticality, whether the call is idempotent, its ancestor services, the
-//! sender's wall clock, how far the call is a repeat, and a keyed hash over these, the method and
-//! the request target. A response carries [`HOP_RESPONSE_HEADER`]: how the call ended, when to
+//! sender's wall clock, how far the call is a repeat, the server that crashed during an earlier
+//! attempt, and a keyed hash over these, the method and the request target. A response carries [`HOP_RESPONSE_HEADER`]: how the call ended, when to
 //! retry, the load of the backend server and those of other servers, whether the route carries
 //! nested calls, whether a call that the server made failed, and a keyed hash over these, the hop
-//! id and the status. Earlier releases neither send nor read how far the call is a repeat, and what
-//! concerns nested calls; these fields may be missing.
+//! id and the status. Earlier releases neither send nor read how far the call is a repeat, the crashed server, and
+//! what concerns nested calls; these fields may be missing.
 
 mod encoding;
 
@@ -60,6 +60,8 @@
     pub(super) ancestors: AncestorServices,
     /// How far the call is a repeat, see [`Attempt::repeat`](cyclamen_routing::Attempt::repeat).
     pub(super) repeat: f64,
+    /// The server that crashed during an earlier attempt of the call, if one did.
+    pub(super) crashed_server: Option<ServerName>,
 }
 
 /// How a call ended at the daemon that hosts the backend server. The names are sent in
@@ -73,6 +75,8 @@
     Full,
     /// The backend server reported that it did not run the call.
     Shed,
+    /// Servers crashed while they ran the call before. Not run this time.
+    Blocked,
     /// The backend server could not be connected to, is unknown or draining, or the call counts
     /// as a replay. Not run.
     Down,
@@ -109,7 +113,7 @@
     Forged,
     /// The hop header is authentic, but cannot be told from a replay: its id was seen before, too
     /// many ids are remembered, or its wall clock differs by more than [`CLOCK_TOLERANCE`].
-    Replayed(HopCall),
+    Replayed(Box<HopCall>),
 }
 
 /// Creates and verifies the hop headers of one daemon.
@@ -164,13 +168,15 @@
             idempotent,
             ancestors,
             repeat,
+            crashed_server,
         } = call;
         let ancestors = encoding::format_services(ancestors);
+        let crashed_server = encoding::format_server(crashed_server.as_ref());
         let time_left = time_left.as_millis();
         let target_left =
             latency_target_left.map_or(-1, |left| i64::try_from(left.as_millis()).unwrap_or(-1));
         let claim = format!(
-            "v2 {server} {route} {id} {time_left} {target_left} {criticality} {idempotent} {ancestors} {now} {repeat:.2}"
+            "v2 {server} {route} {id} {time_left} {target_left} {criticality} {idempotent} {ancestors} {now} {repeat:.2} {crashed_server}"
         );
         let hash = self.keyed_hash(&[b"call", claim.as_bytes(), &request_binding(req)]);
         HeaderValue::from_str(&format!("{claim} {hash}")).ok()
@@ -189,7 +195,7 @@
         let (call, sent_at) = encoding::parse_call(claim).ok_or(HopError::Forged)?;
         let skew = now.since(sent_at).max(sent_at.since(now));
         if skew > CLOCK_TOLERANCE || !self.remember(now, call.id) {
-            return Err(HopError::Replayed(call));
+            return Err(HopError::Replayed(Box::new(call)));
         }
         Ok(call)
     }
--- a/crates/daemon/src/calls/hop/encoding.rs
+++ b/crates/daemon/src/calls/hop/encoding.rs
@@ -16,6 +16,14 @@
 /// Encodes a flag that is not known.
 const UNKNOWN_FLAG: &str = "-";
 
+/// Encodes that no server is named. It is no valid name.
+const NO_SERVER: &str = "-";
+
+/// The name of a server; [`NO_SERVER`] for `None`.
+pub(super) fn format_server(server: Option<&ServerName>) -> &str {
+    server.map_or(NO_SERVER, ServerName::as_str)
+}
+
 /// Service names separated by commas; [`EMPTY_LIST`] for none.
 pub(super) fn format_services(services: &[ServiceName]) -> String {
     if services.is_empty() {
@@ -48,6 +56,7 @@
     let ancestors = parse_services(fields.next()?)?;
     let sent_at = Wall(fields.next()?.parse().ok()?);
     let repeat = fields.next().map_or(Some(0.0), parse_repeat)?;
+    let crashed_server = fields.next().and_then(|name| ServerName::try_from(name).ok());
     let call = HopCall {
         server,
         route,
@@ -58,6 +67,7 @@
         idempotent,
         ancestors,
         repeat,
+        crashed_server,
     };
     Some((call, sent_at))
 }
@@ -145,6 +155,7 @@
         HopOutcome::Ran,
         HopOutcome::Full,
         HopOutcome::Shed,
+        HopOutcome::Blocked,
         HopOutcome::Down,
         HopOutcome::Unknown,
         HopOutcome::Crashed,
--- a/crates/daemon/src/calls/hop/tests.rs
+++ b/crates/daemon/src/calls/hop/tests.rs
@@ -31,6 +31,7 @@
         idempotent: true,
         ancestors: ["dvere", "zavady"].map(|name| name.try_into().expect("a name")).into(),
         repeat: 0.25,
+        crashed_server: Some("dvere-2".try_into().expect("a name")),
     }
 }
 
@@ -47,22 +48,36 @@
     let call = call(&sender);
     let req = sealed(&sender, &call, "/notices");
     assert_eq!(receiver.verify_call(NOW, &req), Ok(call.clone()));
-    assert_eq!(receiver.verify_call(NOW, &req), Err(HopError::Replayed(call)));
+    assert_eq!(receiver.verify_call(NOW, &req), Err(HopError::Replayed(Box::new(call))));
+}
+
+/// A call whose header lacks the last `missing` fields, as daemons of earlier releases send it.
+fn sealed_without_last(seal: &HopSeal, call: &HopCall, missing: usize) -> Request<()> {
+    let mut req = sealed(seal, call, "/notices");
+    let header = req.headers()[HOP_REQUEST_HEADER].to_str().expect("text");
+    // The hash comes after the fields.
+    let claim = header.rsplitn(missing + 2, ' ').nth(missing + 1).expect("more fields");
+    let hash = seal.keyed_hash(&[b"call", claim.as_bytes(), &request_binding(&req)]);
+    let header = HeaderValue::from_str(&format!("{claim} {hash}")).expect("a header");
+    req.headers_mut().insert(HOP_REQUEST_HEADER, header);
+    req
 }
 
-/// The fields without the last one, as daemons of an earlier release send them.
 #[test]
 fn verify_call_without_repeat() {
     let sender = seal(1);
     let call = call(&sender);
-    let mut req = sealed(&sender, &call, "/notices");
-    let header = req.headers()[HOP_REQUEST_HEADER].to_str().expect("text");
-    let claim = header.rsplitn(3, ' ').nth(2).expect("more than two fields");
-    let binding = request_binding(&req);
-    let hash = sender.keyed_hash(&[b"call", claim.as_bytes(), &binding]);
-    let header = HeaderValue::from_str(&format!("{claim} {hash}")).expect("a header");
-    req.headers_mut().insert(HOP_REQUEST_HEADER, header);
-    assert_eq!(seal(1).verify_call(NOW, &req), Ok(HopCall { repeat: 0.0, ..call }));
+    let req = sealed_without_last(&sender, &call, 2);
+    let expected = HopCall { repeat: 0.0, crashed_server: None, ..call };
+    assert_eq!(seal(1).verify_call(NOW, &req), Ok(expected));
+}
+
+#[test]
+fn verify_call_without_crashes() {
+    let sender = seal(1);
+    let call = call(&sender);
+    let req = sealed_without_last(&sender, &call, 1);
+    assert_eq!(seal(1).verify_call(NOW, &req), Ok(HopCall { crashed_server: None, ..call }));
 }
 
 #[test]
@@ -71,11 +86,14 @@
     let call = call(&sender);
     let req = sealed(&sender, &call, "/notices");
     for now in [NOW + Duration::from_secs(61), Wall(NOW.0 - 61_000)] {
-        assert_eq!(receiver.verify_call(now, &req), Err(HopError::Replayed(call.clone())));
+        assert_eq!(
+            receiver.verify_call(now, &req),
+            Err(HopError::Replayed(Box::new(call.clone())))
+        );
     }
     assert_eq!(receiver.verify_call(NOW + Duration::from_secs(59), &req), Ok(call.clone()));
     let later = NOW + Duration::from_secs(60);
-    assert_eq!(receiver.verify_call(later, &req), Err(HopError::Replayed(call)));
+    assert_eq!(receiver.verify_call(later, &req), Err(HopError::Replayed(Box::new(call))));
 }
 
 #[test]
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -6,19 +6,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cyclamen_blocklist::{CallDigest, CallKey, Denial, Scope};
 use cyclamen_decisions::SlotAnswer;
 use cyclamen_declarations::Criticality;
 use cyclamen_port::CallHeaders;
 use cyclamen_routing::{
     Admission, AncestorCalls, CallId, Outcome, Refusal, RefusalKind, RunOutcome, SlotRequest,
 };
-use cyclamen_types::{Mono, RouteName, ServerName, ServiceName};
+use cyclamen_types::{Mono, RouteName, ServerName, ServiceName, VersionName};
 use cyclamenmoor::{Instance, LocalCallResult};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
-use log::info;
+use log::{info, warn};
 
 use crate::calls::body::{AttemptBody, RequestBody, ResponseBody};
+use crate::calls::call_identity;
 use crate::calls::context::CallContext;
 use crate::calls::decision_trace::{DecisionTrace, attempt_end};
 use crate::calls::headers;
@@ -34,12 +36,24 @@
 /// server may be retried.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Statuses by which a server may say that it did not run a call.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// A call for a local backend server.
 pub(super) struct InboundCall {
     pub(super) server: ServerName,
     pub(super) service: ServiceName,
+    /// Version of the service that the server runs.
+    pub(super) version: VersionName,
     /// The ancestor services of the call.
     pub(super) ancestors: AncestorServices,
+    /// Digest of the call; `None` if its body is streamed.
+    pub(super) digest: Option<CallDigest>,
     pub(super) route: RouteName,
     pub(super) address: SocketAddr,
     pub(super) criticality: Criticality,
@@ -52,6 +66,8 @@
     pub(super) deadline: Mono,
     /// How far the call is a repeat, see [`Attempt::repeat`](cyclamen_routing::Attempt::repeat).
     pub(super) repeat: f64,
+    /// The server that crashed during an earlier attempt of the call, if one did.
+    pub(super) crashed_server: Option<ServerName>,
 }
 
 /// The response of a local backend server.
@@ -69,6 +85,8 @@
     NoSlot(Duration),
     /// The server reported that it did not run the call; retry after the given time.
     Shed(Duration),
+    /// Servers crashed while they ran the call before. Not run this time.
+    Blocked,
     /// The server could not be connected to, is unknown or draining, or the call counts as a
     /// replay. Not run.
     Unavailable,
@@ -89,6 +107,7 @@
             }
             Self::NoSlot(retry_after) => Outcome::RefusedByDaemon { retry_after: *retry_after },
             Self::Shed(retry_after) => Outcome::Shed { retry_after: *retry_after },
+            Self::Blocked => Outcome::Blocked,
             Self::Unavailable => Outcome::NotConnected,
             Self::Unknown => Outcome::Reset,
             Self::Crashed => Outcome::ServerCrashed,
@@ -103,16 +122,48 @@
     server: ServerName,
     route: RouteName,
     call: CallId,
+    address: SocketAddr,
     outcome: RunOutcome,
+    /// Whether the head of the response says that the server has run the call.
+    ran: bool,
+    /// Whether the server has run the call and answered it whole.
+    answered: bool,
     /// Registers the running call, so that its nested calls are recognised. The latency of a call
     /// with nested calls is not measured, since it says nothing about the speed of its server.
     running: Option<RunningCallGuard>,
 }
 
 impl SlotGuard {
-    /// Reports that the response body failed after the head had arrived.
-    pub(super) fn report_truncated_response(&self) {
+    /// Records that the response has arrived whole.
+    pub(super) fn complete(mut self) {
+        self.answered = self.ran;
+    }
+
+    /// Reports that the response body failed after the head had arrived. The call counts as running
+    /// until it is known whether the server crashed.
+    pub(super) fn report_truncated_response(self) {
         self.report(LocalCallResult::failed(Duration::ZERO));
+        tokio::spawn(async move { self.has_server_crashed().await });
+    }
+
+    /// Whether the server, to which the connection of this call broke, has crashed.
+    async fn has_server_crashed(&self) -> bool {
+        let ctx = &self.ctx;
+        let crashed =
+            ctx.crash_checks.has_crashed(&ctx.server_pool, &self.server, self.address).await;
+        if !crashed {
+            return false;
+        }
+        let suspects = ctx
+            .shared
+            .with(|instance, now, effects| instance.server_crashed(now, &self.server, effects));
+        if suspects > 0 {
+            warn!(
+                "backend server `{}` crashed while it ran {suspects} different calls",
+                self.server
+            );
+        }
+        true
     }
 
     fn report(&self, sample: LocalCallResult) {
@@ -124,9 +175,10 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        let (call, outcome) = (self.call, self.outcome);
+        let (call, outcome, answered) = (self.call, self.outcome, self.answered);
         self.ctx.shared.cancel_slot_wait(call);
         self.ctx.shared.with(|instance, now, effects| {
+            instance.end_run(now, &self.server, call, answered, effects);
             instance.release_call(now, &self.server, call, outcome, effects);
         });
     }
@@ -140,14 +192,18 @@
 ) -> Response<ResponseBody> {
     let local_server = |instance: &Instance| {
         let record = instance.local_server(&hop_call.server)?;
-        Some((record.address, record.service.clone()))
+        let version = instance.local_server_version(&hop_call.server);
+        let version = version.unwrap_or_else(|| record.version.clone());
+        Some((record.address, record.service.clone(), version))
     };
-    let Some((address, service)) = ctx.shared.read(local_server) else {
+    let Some((address, service, version)) = ctx.shared.read(local_server) else {
         return hop_response(&ctx, &hop_call, InboundOutcome::Unavailable);
     };
-    let call = InboundCall {
+    let mut call = InboundCall {
         server: hop_call.server.clone(),
         service,
+        version,
+        digest: None,
         ancestors: hop_call.ancestors.clone(),
         route: hop_call.route.clone(),
         address,
@@ -159,6 +215,7 @@
             .map_or(Mono::NEVER, |left| ctx.mono_now() + left),
         deadline: ctx.mono_now() + hop_call.time_left,
         repeat: hop_call.repeat,
+        crashed_server: hop_call.crashed_server.clone(),
     };
     let (parts, incoming) = req.into_parts();
     // A small body is buffered, so that the call can be resent over a new connection.
@@ -169,6 +226,7 @@
     let Some(attempt_body) = body.for_attempt() else {
         return hop_response(&ctx, &hop_call, InboundOutcome::Unavailable);
     };
+    call.digest = call_identity::digest(&ctx, &parts, &body);
     let end = run(&ctx, call, Request::from_parts(parts, attempt_body)).await;
     hop_response(&ctx, &hop_call, end)
 }
@@ -186,10 +244,17 @@
 ) -> InboundOutcome {
     let mut trace = DecisionTrace::start(ctx, req.headers());
     let server = call.server.clone();
-    let slot = acquire_slot(ctx, &call, trace.as_mut()).await;
+    let key = blocklist_key(ctx, &call);
+    let slot = match is_blocked(ctx, key) {
+        true => Err(InboundOutcome::Blocked),
+        false => acquire_slot(ctx, &call, trace.as_mut()).await,
+    };
     let began = ctx.mono_now();
     let end = match slot {
-        Ok(slot) => run_with_slot(ctx, call, slot, req).await,
+        Ok(slot) => match begin_run(ctx, &call, &slot, key) {
+            Ok(()) => run_with_slot(ctx, call, slot, req).await,
+            Err(end) => end,
+        },
         Err(end) => end,
     };
     if let Some(trace) = trace {
@@ -198,6 +263,37 @@
     end
 }
 
+/// The key under which a call is blocked; `None` if it is not known because its body is streamed.
+fn blocklist_key(ctx: &CallContext, call: &InboundCall) -> Option<CallKey> {
+    let (caller, service) = (call.caller_service.as_ref(), &call.service);
+    let scope = Scope { caller, service, version: &call.version };
+    Some(call_identity::key(ctx, call.digest?, &scope))
+}
+
+fn is_blocked(ctx: &CallContext, key: Option<CallKey>) -> bool {
+    key.is_some_and(|key| ctx.shared.read(|instance| instance.is_blocked(key)))
+}
+
+/// Registers the run of a call that holds a slot, so that it is a suspect if the server crashes.
+/// The call may have become blocked while it waited for the slot.
+fn begin_run(
+    ctx: &CallContext,
+    call: &InboundCall,
+    slot: &SlotGuard,
+    key: Option<CallKey>,
+) -> Result<(), InboundOutcome> {
+    let Some(key) = key else {
+        return Ok(());
+    };
+    let begun = ctx.shared.with(|instance, now, _| {
+        instance.begin_run(now, &call.server, slot.call, key, call.crashed_server.clone())
+    });
+    begun.map_err(|denial| match denial {
+        Denial::Blocked => InboundOutcome::Blocked,
+        Denial::SuspectRuns => InboundOutcome::NoSlot(SHORT_RETRY_AFTER),
+    })
+}
+
 /// Runs a call that holds a slot.
 async fn run_with_slot(
     ctx: &CallContext,
@@ -232,7 +328,12 @@
         Ok(exchange) => exchange,
         Err(SendFailure::NotConnected) => return InboundOutcome::Unavailable,
         Err(SendFailure::Unsent) => return InboundOutcome::NoSlot(SHORT_RETRY_AFTER),
-        Err(SendFailure::Reset) => return after_break(ctx, &call).await,
+        Err(SendFailure::Reset) => {
+            return match slot.has_server_crashed().await {
+                true => InboundOutcome::Crashed,
+                false => InboundOutcome::Unknown,
+            };
+        }
         Err(SendFailure::TimedOut) => {
             // The adaptive limit treats a timeout as a response that took this long.
             slot.outcome = RunOutcome::Answered(latency);
@@ -257,6 +358,7 @@
     if status.is_success() && !has_proof(&ctx.headers, response_headers) {
         return InboundOutcome::Unknown;
     }
+    slot.ran = !NOT_RUN_STATUSES.contains(&status);
     slot.outcome = match exchange.response.status() {
         _ if slot.running.as_ref().is_some_and(RunningCallGuard::made_nested_calls) => {
             RunOutcome::Unmeasured
@@ -275,15 +377,6 @@
     InboundOutcome::Answered(Box::new(Answer { response, nested_failure }))
 }
 
-/// The outcome of a call whose connection broke: whether the server crashed, or only the connection
-/// failed.
-async fn after_break(ctx: &CallContext, call: &InboundCall) -> InboundOutcome {
-    match ctx.crash_checks.has_crashed(&ctx.server_pool, &call.server, call.address).await {
-        true => InboundOutcome::Crashed,
-        false => InboundOutcome::Unknown,
-    }
-}
-
 /// Tells the instance what a backend server says of itself in a response.
 fn take_over_hints(ctx: &CallContext, server: &ServerName, headers: &HeaderMap) {
     if headers::says_leaving(&ctx.headers, headers) {
@@ -351,7 +444,10 @@
         server: call.server.clone(),
         route: call.route.clone(),
         call: id,
+        address: call.address,
         outcome: RunOutcome::Unmeasured,
+        ran: false,
+        answered: false,
         running: None,
     };
     if admission == Admission::Run {
@@ -387,6 +483,7 @@
         RefusalKind::Overloaded | RefusalKind::Expired => {
             InboundOutcome::NoSlot(refusal.retry_after.unwrap_or_default())
         }
+        RefusalKind::Blocked => InboundOutcome::Blocked,
         RefusalKind::NoRoute | RefusalKind::Unavailable | RefusalKind::OutcomeUnknown => {
             InboundOutcome::Unavailable
         }
@@ -452,6 +549,7 @@
         InboundOutcome::Answered(_) => (HopOutcome::Ran, Duration::ZERO),
         InboundOutcome::NoSlot(retry_after) => (HopOutcome::Full, *retry_after),
         InboundOutcome::Shed(retry_after) => (HopOutcome::Shed, *retry_after),
+        InboundOutcome::Blocked => (HopOutcome::Blocked, Duration::ZERO),
         InboundOutcome::Unavailable => (HopOutcome::Down, UNAVAILABLE_RETRY_AFTER),
         InboundOutcome::Unknown => (HopOutcome::Unknown, Duration::ZERO),
         InboundOutcome::Crashed => (HopOutcome::Crashed, Duration::ZERO),
@@ -460,9 +558,10 @@
     let nested_failure = matches!(&end, InboundOutcome::Answered(answer) if answer.nested_failure);
     let mut response = match end {
         InboundOutcome::Answered(answer) => answer.response,
-        InboundOutcome::NoSlot(_) | InboundOutcome::Shed(_) | InboundOutcome::Unavailable => {
-            empty_response(StatusCode::SERVICE_UNAVAILABLE)
-        }
+        InboundOutcome::NoSlot(_)
+        | InboundOutcome::Shed(_)
+        | InboundOutcome::Blocked
+        | InboundOutcome::Unavailable => empty_response(StatusCode::SERVICE_UNAVAILABLE),
         InboundOutcome::Unknown | InboundOutcome::Crashed | InboundOutcome::TimedOut => {
             empty_response(StatusCode::BAD_GATEWAY)
         }
--- a/crates/daemon/src/calls/local_reply.rs
+++ b/crates/daemon/src/calls/local_reply.rs
@@ -64,9 +64,10 @@
     let status = match refusal.kind {
         RefusalKind::NoRoute => StatusCode::NOT_FOUND,
         RefusalKind::OutcomeUnknown => StatusCode::BAD_GATEWAY,
-        RefusalKind::Unavailable | RefusalKind::Overloaded | RefusalKind::Expired => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        RefusalKind::Unavailable
+        | RefusalKind::Overloaded
+        | RefusalKind::Expired
+        | RefusalKind::Blocked => StatusCode::SERVICE_UNAVAILABLE,
     };
     let outcome = match refusal.kind {
         RefusalKind::OutcomeUnknown => UNKNOWN,
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod body;
 mod body_expiry;
+mod call_identity;
 mod context;
 mod crash_checks;
 mod decision_trace;
--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use cyclamen_blocklist::CallKey;
 use cyclamen_decisions::CallEnd;
 use cyclamen_routing::{Attempt, CallHead, Next, Outcome, Refusal, RefusalKind};
 use cyclamen_types::{Mono, ServiceName};
@@ -10,10 +11,12 @@
 use http::request::Parts;
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
+use log::warn;
 use tokio::time::Instant;
 
-use crate::calls::attempt::ActiveAttempt;
+use crate::calls::attempt::{ActiveAttempt, CallOrigin};
 use crate::calls::body::{RequestBody, ResponseBody};
+use crate::calls::call_identity;
 use crate::calls::context::CallContext;
 use crate::calls::decision_trace::{DecisionTrace, attempt_end, call_end};
 use crate::calls::headers;
@@ -66,7 +69,8 @@
     let limit = ctx.shared.read(|instance| instance.table().limits(&attempt.service).body_bytes);
     let ancestors = parent.map(|parent| parent.services).unwrap_or_default();
     // Started before the body is checked, so that the planned attempt is reported on every return.
-    let first_attempt = ActiveAttempt::start(&ctx, attempt, ancestors);
+    let origin = CallOrigin { ancestors, digest: call_identity::digest(&ctx, &parts, &body) };
+    let first_attempt = ActiveAttempt::start(&ctx, attempt, origin);
     if limit.is_some_and(|bytes| !body.set_limit(bytes)) {
         return reject(&ctx, Rejection::TooLarge);
     }
@@ -169,6 +173,11 @@
             // An earlier attempt read a part of the body after `is_retryable` was checked.
             return give_up(ctx, arrived, trace, fallback, possible_run);
         };
+        if let Some(key) = current.blocked_key() {
+            record_blocked_call(ctx, key, parts);
+            let refusal = current.refuse_blocked();
+            return refuse_or_fall_back(ctx, arrived, trace, fallback, &refusal);
+        }
         let (number, server) = (current.number(), current.server().clone());
         let began = ctx.mono_now();
         if let Some(trace) = &mut trace {
@@ -188,21 +197,17 @@
             drop(current);
             return reject(ctx, Rejection::GrewTooLarge);
         }
-        let current_ancestors = current.ancestors().clone();
+        let origin = current.origin().clone();
         let (next, body_end) = current.finish(&result);
         match next {
             Next::Deliver => {
                 return answered(ctx, arrived, trace, result.into_response(body_end));
             }
             Next::Refuse(refusal) => {
-                return match fallback {
-                    Some(response) => answered(ctx, arrived, trace, response),
-                    None => refuse(ctx, arrived, trace, &refusal),
-                };
+                return refuse_or_fall_back(ctx, arrived, trace, fallback, &refusal);
             }
             Next::Retry(attempt, pause) => {
-                let ancestors = current_ancestors;
-                current = ActiveAttempt::start(ctx, attempt, ancestors);
+                current = ActiveAttempt::start(ctx, attempt, origin);
                 if !body.is_retryable() {
                     let answer = result.into_answer().or(fallback);
                     return give_up(ctx, arrived, trace, answer, possible_run);
@@ -214,6 +219,33 @@
     }
 }
 
+/// Ends a call that is refused: with the answer of an earlier attempt, if one is left.
+fn refuse_or_fall_back(
+    ctx: &CallContext,
+    began: Mono,
+    trace: Option<DecisionTrace>,
+    fallback: Option<Response<ResponseBody>>,
+    refusal: &Refusal,
+) -> Response<ResponseBody> {
+    match fallback {
+        Some(response) => answered(ctx, began, trace, response),
+        None => refuse(ctx, began, trace, refusal),
+    }
+}
+
+/// Counts a call that is refused because it is blocked, and logs the first one of its kind.
+fn record_blocked_call(ctx: &CallContext, key: CallKey, parts: &Parts) {
+    let example = || call_identity::example(parts);
+    let first = ctx.shared.with(|instance, _, _| instance.record_blocked_call(key, example));
+    if let Some(example) = first {
+        let digest = key.call;
+        warn!(
+            "`{example}` is refused, since backend servers crashed while they ran it: find the \
+             fault in the service, or lift the block with `cyclamen unblock {digest}`"
+        );
+    }
+}
+
 /// Ends a call that would be retried if its body were not partly sent already: with the answer of
 /// an earlier attempt, if one is left.
 fn give_up(
--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -75,6 +75,7 @@
             idempotent: false,
             ancestors: AncestorServices::default(),
             repeat: 0.0,
+            crashed_server: None,
         };
         let req = Request::get("/").body(()).expect("a request");
         let now = self.running.shared.now().wall;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -179,6 +179,7 @@
     }
     let cut_off = dump.members.iter().filter(|member| member.cut_off).count();
     gauge("members.cut-off", cut_off as u64);
+    gauge("blocked_calls", dump.blocked_calls.len() as u64);
     for phase in MOVE_PHASES {
         let count = dump.moves.iter().filter(|status| status.phase == phase).count();
         gauge(&format!("moves.{}", phase_name(phase)), count as u64);
--- a/crates/daemon/tests/calls_crashing.rs
+++ b/crates/daemon/tests/calls_crashing.rs
@@ -16,6 +16,8 @@
 use cyclamenmoor::{Announcement, AnnouncementOrder};
 use http::Method;
 use mesh::{DECLARATIONS, Mesh, call_plan, loopback};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// Paths below this crash the servers that run them.
@@ -36,6 +38,9 @@
 /// Time for which crashing calls are sent.
 const CRASHING_TIME: Duration = Duration::from_secs(9);
 
+/// Time for daemons to agree that a call is blocked.
+const VERDICT_TIME: Duration = Duration::from_secs(1);
+
 /// Backend servers beside each daemon.
 const SERVERS_PER_DAEMON: usize = 2;
 
@@ -84,6 +89,19 @@
         self.mesh.call(daemon, &plan).await
     }
 
+    /// Sends a crashing call until it is blocked.
+    async fn block(&self, path: &str) {
+        for number in 0..20 {
+            let key = format!("blocking-{number}");
+            self.call(number % self.mesh.members.len(), Method::GET, path, &key).await;
+            if number > 0 && self.runs(&key) == 0 {
+                return;
+            }
+            tokio::time::sleep(VERDICT_TIME).await;
+        }
+        panic!("the call is not blocked in time");
+    }
+
     /// Waits until all servers are back.
     async fn wait_until_whole(&self) {
         tokio::time::sleep(RESTART_TIME * 2).await;
@@ -204,3 +222,75 @@
     }
     assert_eq!(mesh.crashes(), crashes);
 }
+
+#[tokio::test]
+async fn blocked_call_is_refused_without_retry_hint() {
+    let mesh = CrashingMesh::start(3).await;
+    mesh.block("/crash/records").await;
+    let req = "GET /crash/records HTTP/1.1\r\nhost: dvere\r\nx-request-deadline-ms: 2000\r\n\
+               connection: close\r\ncontent-length: 10\r\n\r\nxxxxxxxxxx";
+    let answer = exchange(mesh.mesh.members[0].calls, req).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("x-cyclamen-outcome: not-run"), "{answer}");
+    assert!(answer.contains("\"kind\":\"blocked\""), "{answer}");
+    assert!(!answer.contains("retry-after"), "{answer}");
+}
+
+#[tokio::test]
+async fn unblocked_call_reaches_servers_again() {
+    let mesh = CrashingMesh::start(3).await;
+    mesh.block("/crash/records").await;
+    mesh.wait_until_whole().await;
+    let blocked = mesh.mesh.members[1].daemon().shared.read(|instance| instance.blocked_calls());
+    let digest = blocked[0].digest.parse().expect("a digest");
+    let shared = &mesh.mesh.members[2].daemon().shared;
+    assert!(shared.with(|instance, now, out| instance.unblock_call(now, digest, out)));
+    let no_blocks = |mesh: &Mesh| {
+        let blocked = |daemon: &SharedInstance| daemon.read(|instance| instance.blocked_calls());
+        mesh.members.iter().all(|member| blocked(&member.daemon().shared).is_empty())
+    };
+    mesh.mesh.wait_until(no_blocks).await;
+    let crashes = mesh.crashes();
+    let answer = mesh.call(0, Method::GET, "/crash/records", "after").await;
+    assert_eq!(answer.told, Told::Unknown, "{answer:?}");
+    assert!(mesh.crashes() > crashes);
+}
+
+#[tokio::test]
+async fn daemon_that_joins_learns_the_blocked_calls() {
+    let mut mesh = CrashingMesh::start(3).await;
+    mesh.block("/crash/records").await;
+    mesh.mesh.add_member(4).await;
+    let knows = |mesh: &Mesh| {
+        let joined = mesh.members.last().expect("a member").daemon();
+        joined.shared.read(|instance| instance.blocked_calls().len()) == 1
+    };
+    mesh.mesh.wait_until(knows).await;
+    let answer = mesh.call(3, Method::GET, "/crash/records", "joined").await;
+    assert_eq!(answer.told, Told::NotRun, "{answer:?}");
+    assert_eq!(mesh.runs("joined"), 0);
+}
+
+#[tokio::test]
+async fn crashing_call_with_a_body_of_unknown_length_is_blocked() {
+    let mesh = CrashingMesh::start(3).await;
+    let req = "POST /crash/notices HTTP/1.1\r\nhost: dvere\r\nx-request-deadline-ms: 2000\r\n\
+               connection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nnote\r\n0\r\n\r\n";
+    for visit in 0..5 {
+        let answer = exchange(mesh.mesh.members[visit % 3].calls, req).await;
+        if answer.contains("\"kind\":\"blocked\"") {
+            return;
+        }
+        tokio::time::sleep(VERDICT_TIME).await;
+    }
+    panic!("the call is not blocked in time");
+}
+
+/// Sends a request and returns the answer.
+async fn exchange(to: SocketAddr, req: &str) -> String {
+    let mut stream = TcpStream::connect(to).await.expect("a listener");
+    stream.write_all(req.as_bytes()).await.expect("an open connection");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("text");
+    answer
+}
--- a/crates/daemon/tests/mesh/mod.rs
+++ b/crates/daemon/tests/mesh/mod.rs
@@ -103,6 +103,13 @@
         mesh
     }
 
+    /// Starts one more daemon with a backend server.
+    pub async fn add_member(&mut self, slots: u32) {
+        let index = self.members.len();
+        let member = self.start_member(index, slots, LimitSettings::default(), None).await;
+        self.members.push(member);
+    }
+
     async fn start_member(
         &self,
         index: usize,
--- a/crates/decisions/src/explain.rs
+++ b/crates/decisions/src/explain.rs
@@ -200,6 +200,9 @@
         (CallEnd::Unknown, Some((AttemptEnd::TimedOut, server)), _) => {
             format!("{server} gave no answer in time; it may have run")
         }
+        (CallEnd::Unknown, Some((AttemptEnd::Crashed, server)), _) => {
+            format!("{server} crashed while it ran the call")
+        }
         (CallEnd::Unknown, Some((_, server)), _) => {
             format!("the connection to {server} broke before the answer; it may have run")
         }
--- a/crates/decisions/src/line.rs
+++ b/crates/decisions/src/line.rs
@@ -164,6 +164,9 @@
     /// The server itself refused the call because of its load, without running it.
     #[display("was shed by the server itself and not run")]
     Shed,
+    /// Servers crashed while they ran the call before, so it was not run again.
+    #[display("is blocked and was not run")]
+    Blocked,
     /// No connection could be opened, or the server is leaving, so the call was not run.
     #[display("reached no server and was not run")]
     NotConnected,
--- a/crates/decisions/tests/lines.rs
+++ b/crates/decisions/tests/lines.rs
@@ -140,6 +140,8 @@
         (attempted(1, AttemptEnd::Answered(500)), ended(CallEnd::Answered, 500)),
         (attempted(1, AttemptEnd::TimedOut), ended(CallEnd::Unknown, 502)),
         (attempted(1, AttemptEnd::Broken), ended(CallEnd::Unknown, 502)),
+        (attempted(1, AttemptEnd::Crashed), ended(CallEnd::Unknown, 502)),
+        (attempted(1, AttemptEnd::Blocked), ended(CallEnd::Refused, 503)),
         (attempted(1, AttemptEnd::NotConnected), ended(CallEnd::Refused, 503)),
         (placed(1), ended(CallEnd::Refused, 503)),
         (placed(1), ended(CallEnd::NoRoute, 404)),
--- a/crates/membership/src/broadcasts.rs
+++ b/crates/membership/src/broadcasts.rs
@@ -4,9 +4,12 @@
 //! daemon or received from another one; later copies are ignored.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 use cyclamen_types::{FastSet, Now};
 
+use crate::budget::TrafficClass;
+use crate::datagram::{Item, Message};
 use crate::membership::{Membership, Outgoing};
 use crate::wire::{Broadcast, BroadcastKind};
 
@@ -79,6 +82,36 @@
         self.push_if_due(now, out);
     }
 
+    /// Replaces the payloads that members get when they join, since they have missed the gossip.
+    pub fn set_join_broadcasts(&mut self, broadcasts: Vec<Broadcast>) {
+        self.join_broadcasts = broadcasts;
+    }
+
+    /// Sends the payloads for joining members to one random member, which may have missed gossip.
+    pub fn send_join_broadcasts(&mut self, now: Now, out: &mut Vec<Outgoing>) {
+        self.budget.refill(now);
+        for id in self.choose_members(1, |_, _| true) {
+            let Some(to) = self.address_of(id) else {
+                continue;
+            };
+            self.send_join_broadcasts_to(now, to, TrafficClass::Repair, out);
+        }
+    }
+
+    /// Sends the payloads for joining members, each in a datagram of its own.
+    pub(crate) fn send_join_broadcasts_to(
+        &mut self,
+        now: Now,
+        to: SocketAddr,
+        class: TrafficClass,
+        out: &mut Vec<Outgoing>,
+    ) {
+        for broadcast in self.join_broadcasts.clone() {
+            let item = Item::Broadcast(broadcast);
+            self.send(now, to, Message::Gossip, class, &[item], out);
+        }
+    }
+
     /// Queues a payload for gossip unless it was seen before. Returns whether it was new,
     /// even if it is too large to be queued.
     pub(crate) fn accept_broadcast(&mut self, broadcast: Broadcast) -> bool {
@@ -91,7 +124,7 @@
         }
         let limit = match broadcast.kind {
             BroadcastKind::Records => RECORD_TRANSMISSIONS,
-            BroadcastKind::Rollback => self.transmission_limit(),
+            BroadcastKind::Urgent => self.transmission_limit(),
             BroadcastKind::Evidence => EVIDENCE_TRANSMISSIONS,
         };
         self.update_queue.add_broadcast(id, broadcast, limit);
--- a/crates/membership/src/joining.rs
+++ b/crates/membership/src/joining.rs
@@ -78,6 +78,7 @@
             referrals.extend(self.address_of(id).filter(|address| *address != from));
         }
         self.send(now, from, Message::JoinReply { referrals }, TrafficClass::Urgent, &items, out);
+        self.send_join_broadcasts_to(now, from, TrafficClass::Urgent, out);
     }
 
     /// Schedules joins to the members that an answer referred to, unless this daemon was already
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -105,6 +105,8 @@
     pub(crate) failure_detection: FailureDetector,
     pub(crate) anti_entropy: AntiEntropy,
     pub(crate) seen_broadcasts: SeenBroadcasts,
+    /// Payloads for members that join.
+    pub(crate) join_broadcasts: Vec<Broadcast>,
     pub(crate) counters: MembershipCounters,
     pub(crate) applied_config: AppliedConfig,
     /// When the source of the configuration, log or store, last answered any daemon.
@@ -147,6 +149,7 @@
             failure_detection: FailureDetector::default(),
             anti_entropy: AntiEntropy::new(now),
             seen_broadcasts: SeenBroadcasts::default(),
+            join_broadcasts: Vec::new(),
             update_queue: UpdateQueue::default(),
             counters: MembershipCounters::default(),
             applied_config: AppliedConfig::default(),
--- a/crates/membership/src/update_queue.rs
+++ b/crates/membership/src/update_queue.rs
@@ -25,7 +25,7 @@
 /// Transmission priority of an update; lower values are sent first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Priority {
-    /// Verdicts, members that leave, and backend servers that drain or are gone.
+    /// Urgent broadcasts, members that leave, and backend servers that drain or are gone.
     Urgent,
     /// Log records. They are pushed at once, but members that miss them can pull them.
     Records,
@@ -73,7 +73,7 @@
     /// Queues a payload to be sent `limit` times.
     pub(crate) fn add_broadcast(&mut self, id: u64, broadcast: Broadcast, limit: u32) {
         let priority = match broadcast.kind {
-            BroadcastKind::Rollback => Priority::Urgent,
+            BroadcastKind::Urgent => Priority::Urgent,
             BroadcastKind::Records => Priority::Records,
             BroadcastKind::Evidence => Priority::Evidence,
         };
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -26,13 +26,13 @@
 /// What a broadcast payload contains. Payloads of earlier kinds come first within a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum BroadcastKind {
-    /// The decision to roll a rollout back. Sent at once, with enough transmissions to reach all
-    /// members.
-    Rollback,
+    /// What every member has to know within seconds: the decision to roll a rollout back, and
+    /// crashes of backend servers. Sent at once, with enough transmissions to reach all members.
+    Urgent,
     /// New records of the log. Sent at once, but with few transmissions per member; members that
     /// they do not reach pull them.
     Records,
-    /// Evidence counters. Sent as the byte limit allows.
+    /// Evidence that can wait, such as counters. Sent as the byte limit allows.
     Evidence,
 }
 
@@ -40,7 +40,7 @@
     /// Whether a member that receives a new payload of this kind pushes it to a few others at once.
     pub fn is_urgent(self) -> bool {
         match self {
-            Self::Rollback | Self::Records => true,
+            Self::Urgent | Self::Records => true,
             Self::Evidence => false,
         }
     }
--- a/crates/membership/tests/authentication_and_limits.rs
+++ b/crates/membership/tests/authentication_and_limits.rs
@@ -15,7 +15,7 @@
 /// A datagram from node 1 that node 0 has not received.
 fn fresh_datagram(cluster: &mut Cluster) -> Vec<u8> {
     let mut out = Vec::new();
-    let broadcast = Broadcast { kind: BroadcastKind::Rollback, payload: vec![1, 2, 3].into() };
+    let broadcast = Broadcast { kind: BroadcastKind::Urgent, payload: vec![1, 2, 3].into() };
     cluster.nodes[1].membership.broadcast(cluster.now, broadcast, true, &mut out);
     out[0].bytes.clone()
 }
--- a/crates/routing/src/call.rs
+++ b/crates/routing/src/call.rs
@@ -106,6 +106,8 @@
     /// server, else how far the running call that made this one is a repeat. Calls that a server
     /// makes while it runs a repeat are repeats at the services called.
     pub repeat: f64,
+    /// The server that crashed during an earlier attempt of this call, if one did.
+    pub crashed_server: Option<ServerName>,
     /// Version of the route table when the server was picked. A retry keeps the route of the first
     /// attempt, which may be of an earlier table.
     pub config: ConfigVersion,
@@ -152,6 +154,9 @@
         /// Also the retry hint for the caller if there is no retry.
         retry_after: Duration,
     },
+    /// The daemon that hosts the backend server refused the call because servers crashed while they
+    /// ran it; it was not run this time.
+    Blocked,
     /// The connection could not be opened, so no byte of the call was sent.
     NotConnected,
     /// The connection broke after bytes were sent and before an answer arrived.
@@ -170,7 +175,10 @@
 impl Outcome {
     /// Whether it is certain that the backend server did not run the call.
     pub fn not_run(self) -> bool {
-        matches!(self, Self::RefusedByDaemon { .. } | Self::Shed { .. } | Self::NotConnected)
+        matches!(
+            self,
+            Self::RefusedByDaemon { .. } | Self::Shed { .. } | Self::Blocked | Self::NotConnected
+        )
     }
 
     /// Whether the backend server failed the call; `None` where the outcome says nothing about
@@ -178,7 +186,7 @@
     pub fn failed(self) -> Option<bool> {
         match self {
             Self::Answered { status } => Some(status >= MIN_SERVER_ERROR_STATUS),
-            Self::RefusedByDaemon { .. } | Self::Cancelled => None,
+            Self::RefusedByDaemon { .. } | Self::Blocked | Self::Cancelled => None,
             // Unlike `RefusedByDaemon`, this counts against the server: its daemon had a free slot
             // for the call, and the server refused it all the same.
             Self::Shed { .. } => Some(true),
@@ -194,11 +202,12 @@
     /// are limited to the number of attempts of the route or service, without the extra ones of
     /// [`RetryLimits`](crate::RetryLimits).
     pub fn reached_server(self) -> bool {
-        !matches!(self, Self::RefusedByDaemon { .. } | Self::NotConnected)
+        !matches!(self, Self::RefusedByDaemon { .. } | Self::Blocked | Self::NotConnected)
     }
 }
 
 /// What to do after an attempt ended.
+#[expect(clippy::large_enum_variant, reason = "moving an attempt is cheaper than boxing each one")]
 #[derive(Clone, Debug, PartialEq)]
 pub enum Next {
     /// Pass the answer on to the caller.
@@ -222,6 +231,8 @@
     Overloaded,
     /// The call could not be started before its deadline; it was not run.
     Expired,
+    /// Backend servers crashed while they ran the call before; it was not run this time.
+    Blocked,
     /// The call may have run, and no answer tells whether it did.
     OutcomeUnknown,
 }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -224,6 +224,16 @@
         next
     }
 
+    /// Ends an attempt that must not be made because the call is blocked, before any byte of it is
+    /// sent, and returns the refusal for the caller.
+    pub fn refuse_blocked(&mut self, now: Now, attempt: AttemptId) -> Refusal {
+        match self.finish(now, attempt, Outcome::Blocked) {
+            Next::Refuse(refusal) => refusal,
+            // No call is delivered or tried again after this outcome.
+            Next::Deliver | Next::Retry(..) => refusals::blocked(),
+        }
+    }
+
     /// Ends an attempt whose answer was delivered, at the end of its body. `whole` is false if
     /// the server's side broke off within the body, which counts as a failure of the server.
     pub fn end_body(&mut self, now: Now, attempt: AttemptId, whole: bool) {
@@ -373,6 +383,7 @@
             split_point,
             tried: FastSet::default(),
             previous_attempts: 0,
+            crashed_server: None,
             earlier_run: None,
             inherited_repeat,
             nested,
@@ -433,6 +444,7 @@
             deadline: plan.deadline,
             previous_attempts: plan.previous_attempts,
             repeat: if plan.reached_attempts > 0 { 1.0 } else { plan.inherited_repeat },
+            crashed_server: plan.crashed_server,
             config: self.table.version(),
             selection,
         };
@@ -522,6 +534,8 @@
     idempotent: bool,
     deadline: Mono,
     previous_attempts: u32,
+    /// The server that crashed during an earlier attempt, if one did.
+    crashed_server: Option<ServerName>,
     earlier_run: Option<Outcome>,
     inherited_repeat: f64,
     nested: bool,
--- a/crates/routing/src/router/refusals.rs
+++ b/crates/routing/src/router/refusals.rs
@@ -38,6 +38,14 @@
     refusal(RefusalKind::OutcomeUnknown, "the caller went away before the answer", None)
 }
 
+/// The refusal of a call under which backend servers crashed. Without a retry hint, since it would
+/// be refused again.
+pub(super) fn blocked() -> Refusal {
+    let reason = "backend servers crashed while they ran this call, so it is not run again; earlier \
+                  it may have run: change it, or ask an operator to unblock it";
+    refusal(RefusalKind::Blocked, reason, None)
+}
+
 /// The refusal for an answer of an attempt that has ended already.
 pub(super) fn already_ended() -> Refusal {
     let reason = "the answer came after the call had ended: look up whether it was run";
@@ -52,6 +60,10 @@
             Outcome::TimedOut => {
                 "no answer came in time; the call may have run: look up whether it did"
             }
+            Outcome::ServerCrashed => {
+                "the backend server crashed while it ran the call: look up what it did before you \
+                 send it again"
+            }
             Outcome::Answered { .. } => {
                 "a backend server failed the call, and nothing is left of its answer; the call may \
                  have run: look up whether it did"
@@ -77,6 +89,7 @@
                 "no backend server could be reached; the call was not run: come back later";
             refusal(RefusalKind::Unavailable, reason, Some(DEFAULT_RETRY_AFTER))
         }
+        Outcome::Blocked => blocked(),
         _ => Refusal::outcome_unknown(outcome),
     }
 }
--- a/crates/routing/src/router/retries.rs
+++ b/crates/routing/src/router/retries.rs
@@ -77,6 +77,7 @@
             idempotent: true,
             deadline: last.deadline,
             previous_attempts: last.previous_attempts + 1,
+            crashed_server: last.crashed_server.clone(),
             earlier_run: Some(Outcome::Answered { status }),
             inherited_repeat: call.inherited_repeat,
             nested: call.nested,
@@ -122,6 +123,12 @@
         if outcome == Outcome::Cancelled {
             return Next::Refuse(refusals::cancelled());
         }
+        let crashed = outcome == Outcome::ServerCrashed;
+        // One crash may have any cause. If a second server crashes, the call is the likely one.
+        let crashes_servers = crashed && last.crashed_server.is_some() && !baseline;
+        if outcome == Outcome::Blocked || crashes_servers {
+            return Next::Refuse(refusals::after_attempt(outcome));
+        }
         if !not_run && !last.idempotent && !baseline {
             return Next::Refuse(Refusal::outcome_unknown(outcome));
         }
@@ -156,6 +163,10 @@
             deadline: last.deadline,
             idempotent: last.idempotent,
             previous_attempts: last.previous_attempts + 1,
+            crashed_server: match crashed {
+                true => Some(last.server.clone()),
+                false => last.crashed_server.clone(),
+            },
             earlier_run: if not_run { call.earlier_run } else { Some(outcome) },
             inherited_repeat: call.inherited_repeat,
             nested: call.nested,
--- a/crates/routing/src/router/server.rs
+++ b/crates/routing/src/router/server.rs
@@ -318,6 +318,7 @@
                 self.overloaded_until = now + retry_after;
                 EjectionAdvice::Keep
             }
+            Outcome::Blocked => EjectionAdvice::Keep,
             Outcome::NotConnected => {
                 match self.connect_backoff.record_failure(now, now - latency) {
                     true => EjectionAdvice::BackedOff,
