--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+mod blocked;
 mod check;
 mod demo;
 mod explain;
@@ -50,6 +51,8 @@
     Verdict(verdict::Verdict),
     State(state::State),
     Members(members::Members),
+    Blocked(blocked::Blocked),
+    Unblock(blocked::Unblock),
     Order(order::Order),
     Token(token::Token),
 }
@@ -83,6 +86,8 @@
             Command::Verdict(args) => args.run(&cx).await,
             Command::State(args) => args.run(&cx).await,
             Command::Members(args) => args.run(&cx).await,
+            Command::Blocked(args) => args.run(&cx).await,
+            Command::Unblock(args) => args.run(&cx).await,
             Command::Order(args) => args.run(&cx).await,
             Command::Token(args) => args.run(&cx),
         }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -113,6 +113,9 @@
     assert_eq!(bench.run("state"), Status::Done);
     assert_eq!(bench.run("state --instance praha-a-1"), Status::Done);
     assert_eq!(bench.run("state --instance absent"), Status::NotFound);
+    assert_eq!(bench.run("blocked"), Status::Done);
+    assert_eq!(bench.run("unblock 0123456789abcdef"), Status::NotFound);
+    assert_eq!(bench.run("unblock everything"), Status::Usage);
 }
 
 #[test]
@@ -135,6 +138,7 @@
     bench.token = file("wrong");
     assert_eq!(bench.publish("declarations: []"), Status::Unauthorized);
     assert_eq!(bench.run("order m pause"), Status::Unauthorized);
+    assert_eq!(bench.run("unblock 0123456789abcdef"), Status::Unauthorized);
 }
 
 #[test]
--- a/crates/daemon/src/admin/api.rs
+++ b/crates/daemon/src/admin/api.rs
@@ -297,6 +297,44 @@
     pub members: Vec<MemberAnswer>,
 }
 
+/// A call that is refused because backend servers crashed while they ran it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct BlockedCallAnswer {
+    /// Digest of the call, 16 hexadecimal digits, by which it is unblocked.
+    pub digest: String,
+    /// Method, host and target of the call; empty until this daemon has refused it.
+    pub call: String,
+    /// The backend servers that crashed while they ran it.
+    pub crashed_servers: Vec<String>,
+    /// When the last of them crashed, in Unix milliseconds.
+    pub since_ms: u64,
+    /// When the call is served again without an order, in Unix milliseconds.
+    pub until_ms: u64,
+    /// Calls that this daemon refused for it.
+    pub refused: u64,
+}
+
+/// The calls that are refused because backend servers crashed while they ran them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct BlockedCallList {
+    /// The calls, by digest.
+    pub calls: Vec<BlockedCallAnswer>,
+}
+
+/// Names one blocked call.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+pub struct DigestPath {
+    /// Its digest.
+    pub digest: String,
+}
+
+/// A call that has been unblocked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct UnblockAnswer {
+    /// Its digest.
+    pub digest: String,
+}
+
 /// Whether a daemon is ready for new callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct ReadyAnswer {
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod api;
 mod auth;
+mod blocked_calls;
 mod changes;
 mod context;
 mod declarations;
@@ -98,6 +99,8 @@
     api.register(changes::read_change)?;
     api.register(declarations::list_declarations)?;
     api.register(declarations::read_declaration)?;
+    api.register(blocked_calls::list_blocked_calls)?;
+    api.register(blocked_calls::unblock_call)?;
     api.register(moves::list_moves)?;
     api.register(moves::read_move)?;
     api.register(moves::order_move)?;
