Crash check: a silent server holds up no retry

A call whose connection to its server broke waited up to 400 ms for the check of whether the server has crashed, before it was tried elsewhere, if the server does not answer new connections at all.

--- a/crates/daemon/src/calls/crash_checks.rs
+++ b/crates/daemon/src/calls/crash_checks.rs
@@ -5,12 +5,17 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use cyclamen_types::{FastMap, ServerName};
 use tokio::sync::OnceCell;
 
 use crate::calls::pool::Pool;
 
+/// Longest time for a check, for which the retries of the broken calls wait. The server is on this
+/// instance, so a refusal comes at once.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// The checks in progress, by server.
 #[derive(Default)]
 pub(super) struct CrashChecks(Mutex<FastMap<ServerName, Check>>);
@@ -28,7 +33,7 @@
         address: SocketAddr,
     ) -> bool {
         let check = Arc::clone(self.lock().entry(server.clone()).or_default());
-        let crashed = *check.get_or_init(|| pool.is_refused(address)).await;
+        let crashed = *check.get_or_init(|| pool.is_refused(address, CHECK_TIMEOUT)).await;
         // The next connection that breaks begins a new check.
         let mut checks = self.lock();
         if checks.get(server).is_some_and(|current| Arc::ptr_eq(current, &check)) {
@@ -41,3 +46,6 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -195,9 +195,10 @@
     }
 
     /// Whether a target refuses new connections, as one does whose process has ended. A connection
-    /// that can be opened is kept for later calls; if none is left to try with, the answer is no.
-    pub(super) async fn is_refused(&self, to: SocketAddr) -> bool {
-        match self.target(to).connect(Instant::now() + CONNECT_TIMEOUT).await {
+    /// that can be opened is kept for later calls; if none is left to try with, or nothing comes
+    /// back within `timeout`, the answer is no.
+    pub(super) async fn is_refused(&self, to: SocketAddr, timeout: Duration) -> bool {
+        match self.target(to).connect(Instant::now() + timeout).await {
             Ok(lease) => {
                 lease.return_to_pool();
                 false
