Blocklist: judged first crashes are not sent in a mass crash either

When hundreds of servers crash at once, each with one call, their judged records went out to all daemons, although the crashes say next to nothing: 21,670 bytes for 500 servers in half a second, in first_crashes_are_not_sent_in_a_mass_crash, now under its 16,000 (4 KB/s a daemon over the 4 s in which crashes are told apart).

--- a/crates/blocklist/src/blocklist.rs
+++ b/crates/blocklist/src/blocklist.rs
@@ -169,9 +169,8 @@
         }
         self.counters.server_crashes += 1;
         self.note_crash(now, server);
-        let mass_crash = self.known_crashes.len() > MASS_CRASH;
         for suspect in &suspects {
-            self.add_crash(now, suspect.run.key, &suspect.crash_of(server, 0), mass_crash);
+            self.add_crash(now, suspect.run.key, &suspect.crash_of(server, 0));
         }
         let count = suspects.len();
         let judged_at = now.mono + SETTLING_TIME;
@@ -344,10 +343,10 @@
 
     /// Adds a crash to the record of a call, or raises its points. During a mass crash, the first
     /// crash of a call is not sent.
-    fn add_crash(&mut self, now: Now, key: CallKey, crash: &Crash, mass_crash: bool) {
+    fn add_crash(&mut self, now: Now, key: CallKey, crash: &Crash) {
         let record = &mut self.entries.entry(key).or_default().record;
         record.add(now.wall, crash);
-        if record.crashes.len() > 1 || !mass_crash {
+        if record.crashes.len() > 1 || self.known_crashes.len() <= MASS_CRASH {
             self.unsent.insert(key, true);
         }
         self.make_room();
@@ -373,7 +372,7 @@
                 continue;
             }
             let judged = suspect.crash_of(&crash.server, points);
-            self.add_crash(now, suspect.run.key, &judged, false);
+            self.add_crash(now, suspect.run.key, &judged);
         }
     }
 
--- a/crates/blocklist/tests/blocklist.rs
+++ b/crates/blocklist/tests/blocklist.rs
@@ -272,22 +272,33 @@
     assert_eq!(listed[0].crashed_servers.len(), 2);
 }
 
-#[test]
-fn first_crashes_are_not_sent_in_a_mass_crash() {
+/// Bytes of the updates while 500 servers crash within half a second, each with this many calls.
+fn bytes_in_a_mass_crash(calls: u64) -> usize {
     let mut list = Blocklist::default();
     let mut bytes = 0;
     for crash in 0..500 {
         let now = at(1_000 + crash);
-        for call in 0..13 {
-            let (id, key) = (RunId(crash * 13 + call), key(crash * 13 + call));
-            list.begin_run(now, &server(&format!("server-{crash}")), id, key, None)
-                .expect("no suspect");
+        let name = server(&format!("server-{crash}"));
+        for number in crash * calls..(crash + 1) * calls {
+            let key = call(u64::MAX - number, u64::MAX);
+            let begun = list.begin_run(now, &name, RunId(number), key, None);
+            begun.expect("no suspect");
         }
-        list.server_crashed(now, &server(&format!("server-{crash}")));
+        list.server_crashed(now, &name);
+        list.tick(now);
         let updates = list.take_updates();
         bytes += updates.iter().map(|update| update.payload.len()).sum::<usize>();
     }
-    assert!(bytes < 16_000, "{bytes} bytes for one second");
+    list.tick(at(3_000));
+    bytes + list.take_updates().iter().map(|update| update.payload.len()).sum::<usize>()
+}
+
+#[test]
+fn first_crashes_are_not_sent_in_a_mass_crash() {
+    for calls in [1, 13] {
+        let bytes = bytes_in_a_mass_crash(calls);
+        assert!(bytes < 16_000, "{bytes} bytes with {calls} calls a server");
+    }
 }
 
 #[test]
