Blocklist: while many servers crash, first crashes are not sent, nor that calls nobody knows are cleared

Now a first crash is sent only while at most four crashes are known, or if it follows another one under the same call; that a call is cleared is sent only if others may know the record. first_crashes_are_not_sent_in_a_mass_crash: 500 crashes in half a second, under 16,000 bytes before, under 4,000 now; clearing_a_call_that_no_other_daemon_knows_is_not_sent failed before.

--- a/crates/blocklist/src/blocklist.rs
+++ b/crates/blocklist/src/blocklist.rs
@@ -21,9 +21,9 @@
 /// How long the crash of a server is remembered to be compared with others.
 const CRASH_MEMORY: Duration = Duration::from_secs(5);
 
-/// With this many crashes of other servers in [`CRASH_MEMORY`], suspects of their first crash are
-/// not sent to other daemons: the crashes have another cause, and the suspects would be many.
-const MASS_CRASH: usize = 16;
+/// With more crashes than this in [`CRASH_MEMORY`], suspects of their first crash are not sent to
+/// other daemons: most of the crashes have another cause, and the suspects would be many.
+const MAX_SENT_CRASHES: usize = 4;
 
 /// Time before a run in which crashes of other servers count as simultaneous with one during it.
 const UNREST_TIME: Duration = Duration::from_secs(1);
@@ -83,6 +83,8 @@
 #[derive(Debug, Default)]
 struct Entry {
     record: Record,
+    /// Whether other daemons may know the record.
+    shared: bool,
     /// Method and target of the call, once it was refused here.
     example: Option<Arc<str>>,
     refused: u64,
@@ -154,7 +156,9 @@
         }
         entry.record.clear(now.wall);
         self.counters.calls_cleared += 1;
-        self.unsent.entry(run.key).or_insert(false);
+        if entry.shared {
+            self.unsent.entry(run.key).or_insert(false);
+        }
     }
 
     /// Records that a local backend server has crashed: all calls that run there become suspects.
@@ -246,9 +250,10 @@
             for crash in &record.crashes {
                 self.note_crash(now, &crash.server);
             }
-            let known = &mut self.entries.entry(key).or_default().record;
-            let outdated = record.generation < known.generation;
-            known.merge(&record);
+            let entry = self.entries.entry(key).or_default();
+            entry.shared = true;
+            let outdated = record.generation < entry.record.generation;
+            entry.record.merge(&record);
             if outdated {
                 self.unsent.entry(key).or_insert(false);
             }
@@ -341,12 +346,14 @@
         records
     }
 
-    /// Adds a crash to the record of a call, or raises its points. During a mass crash, the first
-    /// crash of a call is not sent.
+    /// Adds a crash to the record of a call, or raises its points. While many servers crash, the
+    /// first crash of a call is not sent.
     fn add_crash(&mut self, now: Now, key: CallKey, crash: &Crash) {
-        let record = &mut self.entries.entry(key).or_default().record;
-        record.add(now.wall, crash);
-        if record.crashes.len() > 1 || self.known_crashes.len() <= MASS_CRASH {
+        let entry = self.entries.entry(key).or_default();
+        entry.record.add(now.wall, crash);
+        let repeated = entry.record.crashes.len() > 1 || crash.follows.is_some();
+        if repeated || self.known_crashes.len() <= MAX_SENT_CRASHES {
+            entry.shared = true;
             self.unsent.insert(key, true);
         }
         self.make_room();
--- a/crates/blocklist/tests/blocklist.rs
+++ b/crates/blocklist/tests/blocklist.rs
@@ -297,10 +297,28 @@
 fn first_crashes_are_not_sent_in_a_mass_crash() {
     for calls in [1, 13] {
         let bytes = bytes_in_a_mass_crash(calls);
-        assert!(bytes < 16_000, "{bytes} bytes with {calls} calls a server");
+        assert!(bytes < 4_000, "{bytes} bytes with {calls} calls a server");
     }
 }
 
+#[test]
+fn clearing_a_call_that_no_other_daemon_knows_is_not_sent() {
+    let mut list = Blocklist::default();
+    for crash in 0..100 {
+        let name = server(&format!("server-{crash}"));
+        list.begin_run(at(1_000), &name, RunId(crash), key(crash), None).expect("no suspect");
+        list.server_crashed(at(1_000), &name);
+    }
+    list.take_updates();
+    for crash in 50..100 {
+        let id = RunId(1_000 + crash);
+        list.begin_run(at(1_100), &server("sound"), id, key(crash), None).expect("no suspect");
+        list.end_run(at(1_200), &server("sound"), id, true);
+    }
+    assert!(list.take_updates().is_empty());
+    assert_eq!(list.counters().calls_cleared, 50);
+}
+
 #[test]
 fn merge_of_malformed_payloads_changes_nothing() {
     let mut list = Blocklist::default();
