Blocklist: a summary of blocked calls is bounded

All blocked calls, up to 4,096 records of some 100 bytes, went to one member every 5 s and to each that joined: far more than 4 KB/s a daemon where a service crashes under many calls. Now 32 at a time, in turn. summary_is_bounded_and_all_rounds_hold_every_call: with all of them in one summary it failed to keep 4,000 bytes (seen in the code; the test is new with the argument that it needs).

--- a/crates/blocklist/src/blocklist.rs
+++ b/crates/blocklist/src/blocklist.rs
@@ -28,6 +28,9 @@
 /// Time before a run in which crashes of other servers count as simultaneous with one during it.
 const UNREST_TIME: Duration = Duration::from_secs(1);
 
+/// Most blocked calls in one summary.
+const SUMMARY_RECORDS: usize = 32;
+
 /// Largest difference expected between the wall clocks of two daemons.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(60);
 
@@ -294,11 +297,15 @@
         updates
     }
 
-    /// Payloads with all blocked calls, for a daemon that may have missed updates. If it knows that
-    /// one of them was cleared, it answers with an update.
-    pub fn summary(&self) -> Vec<Arc<[u8]>> {
-        let blocked = self.entries.keys().copied().filter(|key| self.is_blocked(*key));
-        wire::encode(&self.records(blocked))
+    /// Payloads with blocked calls, for a daemon that may have missed updates. If it knows that one
+    /// of them was cleared, it answers with an update. At most [`SUMMARY_RECORDS`] are in one
+    /// summary; those of as many rounds as it takes hold all.
+    pub fn summary(&self, round: usize) -> Vec<Arc<[u8]>> {
+        let blocked: Vec<CallKey> =
+            self.entries.keys().copied().filter(|key| self.is_blocked(*key)).collect();
+        let parts = blocked.len().div_ceil(SUMMARY_RECORDS).max(1);
+        let part = blocked.chunks(SUMMARY_RECORDS).nth(round % parts).unwrap_or_default();
+        wire::encode(&self.records(part.iter().copied()))
     }
 
     /// Whether no call is suspected, blocked or cleared.
--- a/crates/blocklist/tests/blocklist.rs
+++ b/crates/blocklist/tests/blocklist.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Mesh, at, call, key, server};
 use cyclamen_blocklist::{Blocklist, Denial, DigestKey, ENTRY_PERIOD, RunId, Scope};
 
@@ -223,7 +225,7 @@
 fn lift_holds_against_outdated_copies() {
     let mut mesh = Mesh::new(3);
     mesh.block(key(1));
-    let outdated = mesh.daemons[2].summary();
+    let outdated = mesh.daemons[2].summary(0);
     assert!(mesh.daemons[0].lift(at(20_000), key(1).call));
     assert!(!mesh.daemons[0].lift(at(20_000), key(2).call));
     mesh.settle(20_100);
@@ -241,12 +243,37 @@
     let mut mesh = Mesh::new(2);
     mesh.block(key(1));
     let mut restarted = Blocklist::default();
-    for payload in mesh.daemons[0].summary() {
+    for payload in mesh.daemons[0].summary(0) {
         restarted.merge(at(20_000), &payload);
     }
     assert!(restarted.is_blocked(key(1)));
 }
 
+#[test]
+fn summary_is_bounded_and_all_rounds_hold_every_call() {
+    let mut list = Blocklist::default();
+    for number in 0..500 {
+        for crash in 0..2 {
+            let now = at(10_000 * (number + 1) / 10 + 500 * crash);
+            let name = server(&format!("i-{number:08x}-{crash}"));
+            let (id, key) = (RunId(number * 2 + crash), call(u64::MAX - number, u64::MAX));
+            list.begin_run(now, &name, id, key, None).expect("not blocked yet");
+            list.server_crashed(now, &name);
+            list.tick(now + Duration::from_millis(VERDICT));
+        }
+    }
+    let blocked = list.blocked_calls().len();
+    assert!(blocked > 200, "{blocked}");
+    let mut other = Blocklist::default();
+    for round in 0..blocked {
+        let summary = list.summary(round);
+        let bytes: usize = summary.iter().map(|payload| payload.len()).sum();
+        assert!(bytes <= 4_000, "{bytes}");
+        summary.iter().for_each(|payload| other.merge(at(600_000), payload));
+    }
+    assert_eq!(other.blocked_calls().len(), blocked);
+}
+
 #[test]
 fn blocked_ends_by_itself() {
     let mut mesh = Mesh::new(2);
--- a/crates/cyclamenmoor/src/blocked_calls.rs
+++ b/crates/cyclamenmoor/src/blocked_calls.rs
@@ -14,8 +14,8 @@
 use crate::event::Effects;
 use crate::instance::Instance;
 
-/// Pause between two transmissions of all blocked calls to a random member, which may have missed
-/// the gossip.
+/// Pause between two transmissions of a part of the blocked calls to a random member, which may have
+/// missed the gossip.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(5);
 
 /// The blocklist and when it is next sent.
@@ -23,11 +23,14 @@
 pub(crate) struct BlockedCalls {
     list: Blocklist,
     next_summary: Mono,
+    /// Number of the summary that joining members get now.
+    summary_round: usize,
 }
 
 impl BlockedCalls {
     pub(crate) fn new(now: Now) -> Self {
-        Self { list: Blocklist::default(), next_summary: now.mono + SUMMARY_INTERVAL }
+        let next_summary = now.mono + SUMMARY_INTERVAL;
+        Self { list: Blocklist::default(), next_summary, summary_round: 0 }
     }
 
     /// When [`Instance::tick_blocklist`] is due.
@@ -142,6 +145,7 @@
         self.gossip_blocklist(now, out);
         if now.mono >= self.blocked_calls.next_summary {
             self.blocked_calls.next_summary = now.mono + SUMMARY_INTERVAL;
+            self.blocked_calls.summary_round += 1;
             self.update_join_broadcasts();
             self.membership.send_join_broadcasts(now, &mut self.outgoing);
         }
@@ -164,7 +168,8 @@
 
     fn update_join_broadcasts(&mut self) {
         let broadcast = |payload| Broadcast { kind: BroadcastKind::Urgent, payload };
-        let summary = self.blocked_calls.list.summary().into_iter().map(broadcast).collect();
+        let BlockedCalls { list, summary_round, .. } = &self.blocked_calls;
+        let summary = list.summary(*summary_round).into_iter().map(broadcast).collect();
         self.membership.set_join_broadcasts(summary);
     }
 }
