--- a/crates/daemon/tests/calls_crashing.rs
+++ b/crates/daemon/tests/calls_crashing.rs
@@ -9,13 +9,12 @@
 use std::time::{Duration, Instant};
 
 use cyclamen_daemon::SharedInstance;
-use cyclamen_declarations::Labels;
 use cyclamen_standins::{
     Answer, BackendOptions, BackendServer, CallKey, Fault, FaultEffect, RunRecord, Scope, Told,
 };
 use cyclamenmoor::{Announcement, AnnouncementOrder};
 use http::Method;
-use mesh::{DECLARATIONS, Mesh, call_plan, loopback};
+use mesh::{DECLARATIONS, Mesh, announcement, call_plan, loopback};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -149,19 +148,8 @@
     }
 
     fn announce(&self, server: &BackendServer, life: u64) {
-        let options = server.options();
-        let announcement = Announcement {
-            order: Some(AnnouncementOrder { started_at_ms: life, sequence: 1 }),
-            cold: None,
-            name: options.name.clone(),
-            service: options.service.clone(),
-            version: options.version.clone(),
-            labels: Labels::default(),
-            slots: options.slots,
-            connections: options.connections,
-            address: server.address(),
-            draining: false,
-        };
+        let order = AnnouncementOrder { started_at_ms: life, sequence: 1 };
+        let announcement = Announcement { order: Some(order), ..announcement(server) };
         self.daemon.with(|instance, now, out| {
             instance.announce_server(now, &announcement, out).expect("an announcement that holds");
         });
--- a/crates/daemon/tests/mesh/mod.rs
+++ b/crates/daemon/tests/mesh/mod.rs
@@ -270,7 +270,8 @@
     }
 }
 
-fn announcement(server: &BackendServer) -> Announcement {
+/// The announcement of a server, without an order.
+pub fn announcement(server: &BackendServer) -> Announcement {
     let options = server.options();
     Announcement {
         order: None,
