Blocklist: copies of known records tell of no crash now

Each summary of blocked calls, every 5 s, counted their crashes as crashes of this moment at the daemon that got it. With five or more of them, the first crash of another call was not sent, so a call that is not retried (a POST) was suspected at each daemon for itself, and ended servers without end. Found by reading; blocked_without_retries_while_many_crashes_of_a_blocked_call_are_repeated failed before.

--- a/crates/blocklist/src/blocklist.rs
+++ b/crates/blocklist/src/blocklist.rs
@@ -250,8 +250,12 @@
             if !record.is_current(now.wall) {
                 continue;
             }
+            // A copy of what is known tells of no crash now.
             for crash in &record.crashes {
-                self.note_crash(now, &crash.server);
+                let known = self.entries.get(&key);
+                if known.is_none_or(|entry| !entry.record.has_crash(&crash.server)) {
+                    self.note_crash(now, &crash.server);
+                }
             }
             let entry = self.entries.entry(key).or_default();
             entry.shared = true;
--- a/crates/blocklist/tests/blocklist.rs
+++ b/crates/blocklist/tests/blocklist.rs
@@ -68,6 +68,25 @@
     assert_eq!(mesh.blocked(), [key(1), key(2)]);
 }
 
+#[test]
+fn blocked_without_retries_while_many_crashes_of_a_blocked_call_are_repeated() {
+    let mut mesh = Mesh::new(3);
+    for crash in 0..6 {
+        mesh.crash(100 + 30 * crash, (crash % 3) as usize, &format!("a-{crash}"), &[key(1)], None);
+    }
+    mesh.settle(1_000);
+    mesh.crash(1_000, 0, "b", &[key(1)], None);
+    mesh.settle(2_000);
+    assert_eq!(mesh.blocked(), [key(1)]);
+    for crash in 0..2 {
+        let now = 20_000 + 3_000 * crash;
+        mesh.repeat_summaries(now - 100);
+        mesh.crash(now, crash as usize, &format!("c-{crash}"), &[key(2)], None);
+        mesh.settle(now + VERDICT);
+    }
+    assert_eq!(mesh.blocked(), [key(1), key(2)]);
+}
+
 #[test]
 fn unblocked_if_all_servers_crash_at_once_again_and_again() {
     let mut mesh = Mesh::new(6);
--- a/crates/blocklist/tests/common/mod.rs
+++ b/crates/blocklist/tests/common/mod.rs
@@ -100,6 +100,15 @@
         assert!(self.blocked().contains(&key));
     }
 
+    /// Has every daemon send its list of blocked calls to all.
+    pub fn repeat_summaries(&mut self, now: u64) {
+        self.settle(now);
+        let summaries: Vec<_> = self.daemons.iter().flat_map(|list| list.summary(0)).collect();
+        for payload in summaries {
+            self.daemons.iter_mut().for_each(|list| list.merge(at(now), &payload));
+        }
+    }
+
     /// Lets time pass until `until`.
     pub fn settle(&mut self, until: u64) {
         while self.now < until {
