Review case 1: bodies that break off run as complete requests

Cause: the error of a chunked body that breaks off within 50 ms is dropped, and the body then ends like a complete one, so that a backend server runs a request with a shortened body.

--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -69,7 +69,10 @@
             body = await reader.readexactly(int(headers["content-length"]))
         elif headers.get("transfer-encoding", "").lower() == "chunked":
             while True:
-                size = int((await reader.readline()).split(b";")[0], 16)
+                line = await reader.readline()
+                if not line.endswith(b"\n"):
+                    raise asyncio.IncompleteReadError(line, None)
+                size = int(line.split(b";")[0], 16)
                 body += await reader.readexactly(size)
                 await reader.readline()
                 if size == 0:
