Review case 3: ready answers lost behind a slow one on a connection

Cause: the time bound of a body without a known length runs while the body waits behind another answer; it is then dropped with its connection although it came whole.

--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import json
+import random
 import sys
 import time
 
@@ -37,6 +38,7 @@
         self.sequence = 0
         self.born = cfg.get("born") or int(time.time() * 1000)
         self.beating = None
+        self.slow_x = 1.0
 
     async def serve(self):
         server = await asyncio.start_server(self.connection, self.host, self.port, backlog=256)
@@ -103,9 +105,11 @@
             return False
         gone.cancel()
         code, extra, payload = run.result()
-        self.answer(writer, code, attempt, payload, extra)
+        no_length = code == 200 and self.cfg.get("framing") == "close"
+        chunked = code == 200 and self.cfg.get("framing") == "chunked"
+        self.answer(writer, code, attempt, payload, extra, no_length, chunked)
         await writer.drain()
-        return True
+        return not no_length
 
     async def until_closed(self, reader):
         while not reader.at_eof() and reader.exception() is None:
@@ -123,7 +127,9 @@
         self.running += 1
         try:
             note(event="ran", id=self.cfg["id"], attempt=attempt, target=target)
-            work = self.work_s
+            work = self.work_s * self.slow_x
+            if self.cfg.get("spread"):
+                work *= random.uniform(1 - self.cfg["spread"], 1 + self.cfg["spread"])
             if time.monotonic() < self.cold_until:
                 work *= self.cfg.get("cold_x", 2.0)
             left = limit - time.monotonic()
@@ -136,10 +142,16 @@
             self.running -= 1
             self.slots.release()
 
-    def answer(self, writer, code, attempt, payload, extra):
+    def answer(self, writer, code, attempt, payload, extra, no_length=False, chunked=False):
         lines = ["HTTP/1.1 %d X" % code, "Attempt-Id: " + attempt,
-                 "Content-Length: %d" % len(payload), "Keep-Alive: timeout=10",
                  "Server-Load: %d,%d,%d" % (self.running, self.waiting, self.cfg["capacity"])]
+        if no_length:
+            lines.append("Connection: close")
+        elif chunked:
+            lines += ["Transfer-Encoding: chunked", "Keep-Alive: timeout=10"]
+            payload = b"%x\r\n" % len(payload) + payload + b"\r\n0\r\n\r\n"
+        else:
+            lines += ["Content-Length: %d" % len(payload), "Keep-Alive: timeout=10"]
         if code == 200 or code == 504:
             lines.append("Server-Seal: seal." + attempt)
         lines += ["%s: %s" % pair for pair in extra]
@@ -204,6 +216,9 @@
             # A report that was sent before, and arrives now.
             code = await self.tell("instances.heartbeat", order["body"])
             note(event="late_beat", id=self.cfg["id"], code=code)
+        elif what == "slow":
+            self.slow_x = order["x"]
+            note(event="slow", id=self.cfg["id"], x=self.slow_x)
         elif what == "take_body":
             # The report is on its way from now on; "late_beat" is its arrival.
             note(event="body", id=self.cfg["id"], body=self.beat_body())
