--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,7 +15,7 @@
 HOST = "jepu9.example"
 TIMEOUT_S = 4.0
 LIMIT_S = 8.0
-RATE = 28
+RATE = 30
 SECONDS = 12
 CRASH_AT = 4.0
 DOWN_S = 0.3
@@ -49,7 +49,7 @@
     while time.monotonic() - begin < SECONDS:
         calls.append(asyncio.create_task(
             lib.request(record, one, HOST, "/pdf/%s" % lib.new_id(), LIMIT_S)))
-        await asyncio.sleep(random.expovariate(RATE))
+        await asyncio.sleep(random.uniform(0.5, 1.5) / RATE)
     ended = await asyncio.gather(*calls)
     await crashing
     unanswered = [e for e in ended if e[3] >= TIMEOUT_S]
