--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -22,6 +22,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 LIB = Path(__file__).resolve().parent
 BOUNDS = {"drainS": 2, "graceS": 6, "applyS": 2, "stableS": 3, "lossSlackS": 0.2, "retrySlack": 64}
+# Exit status of a case whose rule was broken; run.sh turns it into 1.
+BROKEN = 10
 OUTBOUND, INBOUND, READY, CONTROL, PEER, ADMIN, METRICS = 8304, 8300, 8302, 8306, 7620, 7635, 9102
 
 
@@ -401,8 +403,9 @@
 
 
 def play(case):
-    """Runs `case(record, mesh, trouble)`, which returns whether the rule was broken; exits with 1 if
-    it was, 0 if it held, and 2 if the case could not run."""
+    """Runs `case(record, mesh, trouble)`, which returns whether the rule was broken. Exits with BROKEN
+    if it was, 0 if it held, and 2 if the case could not run. An error of the interpreter exits with 1,
+    so that run.sh can tell it from a broken rule."""
     folder = Path(sys.argv[1]).resolve()
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
@@ -413,8 +416,8 @@
             async with asyncio.timeout(110):
                 broken = await case(record, mesh, trouble)
             record.say("RULE BROKEN" if broken else "rule held")
-            return 1 if broken else 0
-        except (CannotRun, TimeoutError, OSError) as error:
+            return BROKEN if broken else 0
+        except Exception as error:  # whatever it is, it says nothing about the rule
             record.say("could not run: %r" % error)
             return 2
         finally:
