Routes: a path prefix keeps the slash at its end

Cause: the last slash of a prefix was taken off while records were decoded, while declarations were checked and while the table was built, and the table compared the whole path with the bare prefix.

Change: prefixes are kept and compared as declared. One that ends with a slash takes only the paths that begin with it, any other takes whole segments, as before. `/a` and `/a/` are two routes for the table, the verifier and the canonical text.

--- a/crates/declarations/src/change.rs
+++ b/crates/declarations/src/change.rs
@@ -11,6 +11,14 @@
 use crate::shape::read_border;
 use crate::text::{format_time, resolve_time};
 
+/// The format of records that every release reads.
+pub const FORMAT: u32 = 1;
+
+/// The format of records with a route whose path prefix ends with a slash. It is used for these
+/// only: in records of [`FORMAT`] the slash has no meaning, so releases that know no other format
+/// have to skip them. Format 2 is not used: the golden log of format 1 holds a record of it.
+pub const SLASH_PREFIX_FORMAT: u32 = 3;
+
 /// Reads a change file (YAML). Times such as `+30s` count from `now`; a move without a start
 /// starts at `now`.
 ///
@@ -39,27 +47,51 @@
 
     fn try_from(record: ChangeRecord) -> Result<Self, Faults> {
         let mut faults = Faults::default();
+        let mut items = record.declarations;
+        if record.format == Some(FORMAT) {
+            items.iter_mut().for_each(trim_path_prefix);
+        }
         let id = faults.name("id", record.id);
         let team = faults.name("team", record.team);
         let (Some(id), Some(team)) = (id, team) else {
             return Err(faults);
         };
-        check_whole(id, team, record.declarations, faults, Faults::default())
+        check_whole(id, team, items, faults, Faults::default())
     }
 }
 
 impl From<&Change> for ChangeRecord {
     fn from(change: &Change) -> Self {
+        let declarations: Vec<Item> = change.entries.iter().map(Item::from).collect();
+        let format = match declarations.iter().any(has_slash_prefix) {
+            true => SLASH_PREFIX_FORMAT,
+            false => FORMAT,
+        };
         Self {
-            format: Some(1),
+            format: Some(format),
             kind: Some("change".into()),
             id: Some(change.id.to_string()),
             team: Some(change.team.to_string()),
-            declarations: change.entries.iter().map(Item::from).collect(),
+            declarations,
         }
     }
 }
 
+/// Whether an item is a route whose path prefix ends with a slash.
+fn has_slash_prefix(item: &Item) -> bool {
+    let matches = item.route.as_ref().and_then(|route| route.match_.as_ref());
+    let prefix = matches.and_then(|matches| matches.path_prefix.as_ref());
+    prefix.is_some_and(|prefix| prefix.ends_with('/'))
+}
+
+/// Takes the slashes off the end of a route's path prefix.
+fn trim_path_prefix(item: &mut Item) {
+    let matches = item.route.as_mut().and_then(|route| route.match_.as_mut());
+    if let Some(prefix) = matches.and_then(|matches| matches.path_prefix.as_mut()) {
+        prefix.truncate(prefix.trim_end_matches('/').len());
+    }
+}
+
 /// Reads a border type from JSON text.
 ///
 /// # Errors
--- a/crates/declarations/src/checked.rs
+++ b/crates/declarations/src/checked.rs
@@ -155,8 +155,9 @@
 pub struct RouteMatch {
     /// Any of these hosts; empty for all.
     pub hosts: Vec<HostPattern>,
-    /// The path starts with this, at a `/` boundary. It starts with `/` and does not end in one;
-    /// empty for all paths.
+    /// The path starts with this, which starts with `/`; empty for all paths. Without a `/` at its
+    /// end it matches whole segments only: `/a` matches `/a` and `/a/b`, but not `/ab`. With one it
+    /// does not match the path without it: `/a/` matches `/a/` and `/a/b`, but not `/a`.
     pub path_prefix: Arc<str>,
     /// All of these headers.
     pub headers: Vec<HeaderMatch>,
--- a/crates/declarations/src/generated.rs
+++ b/crates/declarations/src/generated.rs
@@ -523,7 +523,7 @@
 ///      }
 ///    },
 ///    "path_prefix": {
-///      "description": "The path starts with this, at a `/` boundary.",
+///      "description": "The path starts with this: whole segments without a `/` at its end, and not the path without that `/` with one.",
 ///      "type": "string"
 ///    }
 ///  },
@@ -540,7 +540,7 @@
     ///Any of these hosts, such as `dvere.example` or `*.example`.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub hosts: ::std::vec::Vec<::std::string::String>,
-    ///The path starts with this, at a `/` boundary.
+    ///The path starts with this: whole segments without a `/` at its end, and not the path without that `/` with one.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub path_prefix: ::std::option::Option<::std::string::String>,
 }
--- a/crates/declarations/src/lib.rs
+++ b/crates/declarations/src/lib.rs
@@ -19,7 +19,7 @@
 mod shape;
 mod text;
 
-pub use change::{parse_change, parse_json};
+pub use change::{FORMAT, SLASH_PREFIX_FORMAT, parse_change, parse_json};
 pub use checked::{
     Change, ChangeEntry, ClashRule, Criticality, Declaration, DeclarationKey, DeclarationKind,
     EntryAction, HeaderMatch, HostPattern, Idempotence, Limits, Move, MoveOrder, OrderAction,
--- a/crates/declarations/src/routes.rs
+++ b/crates/declarations/src/routes.rs
@@ -77,13 +77,14 @@
     RouteMatch { hosts, path_prefix: path_prefix.unwrap_or_default(), headers }
 }
 
-/// Checks a prefix and takes off the `/` at its end.
+/// Checks a prefix. A `/` at its end is kept, since it decides which paths the prefix matches; `/`
+/// alone matches all of them, like none.
 fn path_prefix(text: &str) -> Result<Arc<str>, Problem> {
     let odd = |c: char| !c.is_ascii_graphic() || c == '?' || c == '#';
     if !text.is_empty() && !text.starts_with('/') || text.chars().any(odd) {
         return Err(Problem::Path(text.into()));
     }
-    Ok(text.trim_end_matches('/').into())
+    Ok(if text == "/" { "".into() } else { text.into() })
 }
 
 impl TryFrom<&str> for HostPattern {
--- a/crates/ledger/src/payload.rs
+++ b/crates/ledger/src/payload.rs
@@ -3,14 +3,11 @@
 use cyclamen_declarations::generated::{
     ChangeRecord, RecordHead, SnapshotRecord, VerdictItem, VerdictRecord,
 };
-use cyclamen_declarations::{Change, Faults, parse_json};
+use cyclamen_declarations::{Change, FORMAT, Faults, SLASH_PREFIX_FORMAT, parse_json};
 use cyclamen_types::{ChangeId, InstanceName, MoveName, Offset, Wall};
 
 use crate::config::{MoveId, MoveVerdict, VerdictKind};
 
-/// The format that this release writes and reads.
-pub(crate) const FORMAT: u32 = 1;
-
 /// Longest reason of a verdict, in characters; the rest is cut off.
 const MAX_REASON_CHARS: usize = 1_000;
 
@@ -35,14 +32,13 @@
     let (Some(format), Some(kind)) = (head.format, head.kind) else {
         return Payload::Malformed;
     };
-    if format != FORMAT {
-        return Payload::Unknown;
-    }
-    match kind.as_str() {
-        "change" => parse_change(text),
-        "verdict" => parse_verdict(text).unwrap_or(Payload::Malformed),
-        "snapshot" => parse_json(text).map_or(Payload::Malformed, Payload::Snapshot),
-        "peers" => Payload::Peers,
+    match (kind.as_str(), format) {
+        ("change", FORMAT | SLASH_PREFIX_FORMAT) => parse_change(text),
+        ("verdict", FORMAT) => parse_verdict(text).unwrap_or(Payload::Malformed),
+        ("snapshot", FORMAT | SLASH_PREFIX_FORMAT) => {
+            parse_json(text).map_or(Payload::Malformed, Payload::Snapshot)
+        }
+        ("peers", FORMAT) => Payload::Peers,
         _ => Payload::Unknown,
     }
 }
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use cyclamen_declarations::generated::{HeldItem, RefusedItem, SnapshotRecord, StateSnapshot};
-use cyclamen_declarations::{ChangeEntry, DeclarationKind, EntryAction, VersionId, parse_json};
+use cyclamen_declarations::{
+    ChangeEntry, DeclarationKind, EntryAction, FORMAT, SLASH_PREFIX_FORMAT, VersionId, parse_json,
+};
 use cyclamen_types::{ChangeId, ConfigVersion, Offset, TeamName};
 
 use crate::apply::put;
@@ -12,7 +14,7 @@
 use crate::hash::{self, Fingerprint};
 use crate::ledger::{ChangeOutcome, Refusal, StateHash};
 use crate::outcomes::{Outcomes, Recorded};
-use crate::payload::{FORMAT, Payload, json, parse, verdict_of};
+use crate::payload::{Payload, json, parse, verdict_of};
 use crate::record::LogRecord;
 
 /// Bytes of a part's payload beside its text, at most.
@@ -29,10 +31,19 @@
     pub(crate) outcomes: Outcomes,
 }
 
+/// The format of a state's snapshots, by the path prefixes of its routes.
+fn format_of(config: &Config) -> u32 {
+    let mut routes = config.routes.values();
+    match routes.any(|held| held.body.matches.path_prefix.ends_with('/')) {
+        true => SLASH_PREFIX_FORMAT,
+        false => FORMAT,
+    }
+}
+
 /// Writes a state.
 pub(crate) fn write(config: &Config, hash: StateHash, outcomes: &Outcomes) -> String {
     let mut snapshot = StateSnapshot {
-        format: Some(FORMAT),
+        format: Some(format_of(config)),
         version: Some(config.version.0),
         hash: Some(hash.to_string()),
         held: config.items(),
@@ -59,7 +70,7 @@
 /// Reads a state; `None` when it is broken in any way or its hash differs.
 pub(crate) fn read(text: &str) -> Option<Restored> {
     let snapshot: StateSnapshot = parse_json(text).ok()?;
-    if snapshot.format? != FORMAT {
+    if !matches!(snapshot.format?, FORMAT | SLASH_PREFIX_FORMAT) {
         return None;
     }
     let mut hash = StateHash::default();
@@ -173,7 +184,7 @@
     let mut payloads = Vec::new();
     for (part, text) in (0..).zip(parts) {
         payloads.push(json(&sealed(SnapshotRecord {
-            format: Some(FORMAT),
+            format: Some(format_of(config)),
             kind: Some("snapshot".into()),
             version: Some(config.version.0),
             hash: Some(hash.to_string()),
--- a/crates/ledger/tests/golden.rs
+++ b/crates/ledger/tests/golden.rs
@@ -38,3 +38,23 @@
 fn golden_format_1() {
     insta::assert_snapshot!(fold_all(include_str!("golden/format-1.jsonl")));
 }
+
+/// Format 3 is format 1 with path prefixes that may end with a slash.
+#[test]
+fn golden_format_3() {
+    insta::assert_snapshot!(fold_all(include_str!("golden/format-3.jsonl")));
+}
+
+/// Guards against a release that folds records of format 1 in another way than those before it: the
+/// slash at the end of a path prefix has a meaning from format 3 on.
+#[test]
+fn fold_slash_prefix_by_format() {
+    for (format, prefix) in [(1, "/doors"), (3, "/doors/")] {
+        let payload = include_str!("golden/format-3.jsonl").lines().next().unwrap_or_default();
+        let payload = payload.replace(r#""format": 3"#, &format!(r#""format": {format}"#));
+        let mut ledger = Ledger::default();
+        ledger.fold(&LogRecord { offset: Offset(0), payload: payload.into() });
+        let route = &ledger.config().routes["doors"].body;
+        assert_eq!(&*route.matches.path_prefix, prefix);
+    }
+}
--- a/crates/ledger/tests/snapshot.rs
+++ b/crates/ledger/tests/snapshot.rs
@@ -55,6 +55,23 @@
     assert_eq!(other.snapshot(), ledger.snapshot());
 }
 
+/// Guards against daemons that know format 1 only and drop the slash at the end of a path prefix:
+/// they skip the snapshots that have one.
+#[test]
+fn snapshot_of_slash_prefix() {
+    let route = "declarations: [{name: r, route: {service: dvere, match: {path_prefix: /r/}}}]";
+    let mut ledger = full();
+    assert!(ledger.snapshot().contains(r#""format":1"#), "{}", ledger.snapshot());
+    publish(&mut ledger, "slash", route);
+    assert!(ledger.snapshot().contains(r#""format":3"#), "{}", ledger.snapshot());
+    let parts = ledger.snapshot_payloads(600);
+    assert!(parts.iter().all(|part| part.contains(r#""format":3"#)));
+    let mut other = Ledger::default();
+    assert!(other.install_snapshot(&ledger.snapshot()));
+    assert_same(&other, &ledger);
+    assert_eq!(&*other.config().routes["r"].body.matches.path_prefix, "/r/");
+}
+
 #[test]
 fn snapshot_not_newer() {
     let ledger = full();
--- a/crates/routing/src/table/build.rs
+++ b/crates/routing/src/table/build.rs
@@ -11,7 +11,6 @@
 use crate::table::hosts::HostMap;
 use crate::table::{
     CompiledRoute, CompiledService, RouteIndex, RouteTable, ServiceIndex, TableFault, policies,
-    trimmed_prefix,
 };
 
 impl RouteTable {
@@ -33,7 +32,7 @@
         let mut routes: TiVec<RouteIndex, Arc<CompiledRoute>> = TiVec::new();
         for route in declared {
             let index = routes.push_and_get_key(Arc::new(compile_route(route)));
-            hosts.insert(&route.matches.hosts, trimmed_prefix(&route.matches), index);
+            hosts.insert(&route.matches.hosts, &route.matches.path_prefix, index);
         }
         let names = routes.iter().map(|route| route.name.clone()).collect();
         let services = compile_services(config, instance);
@@ -55,7 +54,7 @@
         }
     }
     routes.sort_by_key(|route| {
-        let prefix = Reverse(trimmed_prefix(&route.matches).len());
+        let prefix = Reverse(route.matches.path_prefix.len());
         let headers = Reverse(route.matches.headers.len());
         (prefix, headers, Reverse(route.priority), &route.name)
     });
--- a/crates/routing/src/table/hosts.rs
+++ b/crates/routing/src/table/hosts.rs
@@ -7,7 +7,8 @@
 
 use crate::table::RouteIndex;
 
-/// Routes by path prefix. A prefix matches whole path segments.
+/// Routes by path prefix, as declared. One that ends with a slash matches the paths that begin with
+/// it; any other matches whole path segments.
 #[derive(Clone, Debug, Default)]
 struct PrefixMap {
     by_prefix: FastMap<Arc<str>, Vec<RouteIndex>>,
@@ -44,7 +45,9 @@
             {
                 return Some(found);
             }
-            end = path[..end].rfind('/')?;
+            // Next is the prefix that ends with the last slash, then the one that ends before it.
+            let slash = path[..end].rfind('/')?;
+            end = if slash + 1 < end { slash + 1 } else { slash };
         }
     }
 
--- a/crates/routing/src/table/mod.rs
+++ b/crates/routing/src/table/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use cyclamen_declarations::{
-    Criticality, HeaderMatch, Idempotence, RouteMatch, StickyKey, WeightedService, WeightedVersion,
+    Criticality, HeaderMatch, Idempotence, StickyKey, WeightedService, WeightedVersion,
 };
 use cyclamen_types::{ConfigVersion, FastMap, FastSet, RouteName, ServiceName, VersionName};
 use derive_more::{Display, From, Into};
@@ -125,7 +125,8 @@
         self.routes.get(index).map(|route| &route.name)
     }
 
-    /// The route that a call matches, if any; see [`RouteMatch`] for the precedence.
+    /// The route that a call matches, if any; see [`RouteMatch`](cyclamen_declarations::RouteMatch) for
+    /// the precedence.
     pub fn find(&self, head: &CallHead<'_>) -> Option<RouteIndex> {
         let accepts = |index: RouteIndex| headers_match(&self.routes[index].headers, head);
         self.hosts.find(head.host, head.path, &accepts)
@@ -156,8 +157,3 @@
     }
     true
 }
-
-/// The path prefix of a route without slashes at its end, as it is compared with paths.
-fn trimmed_prefix(matches: &RouteMatch) -> &str {
-    matches.path_prefix.trim_end_matches('/')
-}
