Slots: calls in the queue of a replaced server are answered

Cause: remove_replaced_servers dropped the server together with its queue, and a queue is what ends the wait of its calls; their tasks waited without a bound.

Change: a server that starts again where it was keeps its slots and queue, since calls run at its new process by then. The queue of any other replaced server is refused as not run, in the one place that removes servers. A call waits until 100 ms after its deadline at most, with an error line and a counter if that ever ends it. Waiting calls are looked at again when slots grow, and when a call before them is cancelled or expires.

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -383,7 +383,7 @@
         match RouteTable::build(&config, &self.labels) {
             Ok(table) => {
                 self.router.install(Arc::new(table));
-                self.apply_limits();
+                self.apply_limits(now, out);
             }
             Err(_) => self.route_table_failures += 1,
         }
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -60,7 +60,7 @@
         if self.freshness(announcement) == Freshness::Stale {
             return Ok(());
         }
-        self.remove_replaced_servers(now, announcement);
+        self.end_replaced_servers(now, announcement, out);
         let lease_ends = now.mono + self.settings.announcement_lease;
         let settings = self.slots_settings(&announcement.service, announcement.slots);
         let local =
@@ -91,6 +91,7 @@
             ServerState::Ready => local.slots.resume(),
             _ => local.slots.drain(),
         }
+        run_queued(local.slots.run_waiting(now), out);
         self.publish_record(now, announcement, state);
         self.reconcile(now, out);
         Ok(())
@@ -125,7 +126,7 @@
             self.mark_withdrawn(name, withdrawn);
         }
         self.set_server_state(now, name, ServerState::Gone);
-        self.remove_if_gone_and_idle(name);
+        self.remove_if_gone_and_idle(name, out);
         self.reconcile(now, out);
         Ok(())
     }
@@ -168,10 +169,13 @@
         Freshness::Current
     }
 
-    /// Removes the servers that an announcement replaces. Only one server at a time can listen on
-    /// an address, so servers that started earlier and were announced there are gone. A server of
-    /// the same name that has restarted no longer runs the calls of its earlier incarnation.
-    fn remove_replaced_servers(&mut self, now: Now, announcement: &Announcement) {
+    /// Ends the servers that an announcement replaces. Only one server at a time can listen on an
+    /// address, so servers that started earlier and were announced there are gone.
+    ///
+    /// A server that has restarted where it was keeps its slots and its queue: the calls that wait
+    /// have not run, and those that run may have been sent to the new process already. The calls
+    /// that wait for any other server that is replaced are refused as not run.
+    fn end_replaced_servers(&mut self, now: Now, announcement: &Announcement, out: &mut Effects) {
         let Some(order) = announcement.order else {
             return;
         };
@@ -186,8 +190,45 @@
             }
         }
         for name in replaced_names {
+            if self.restarted_in_place(&name, announcement) {
+                self.begin_incarnation(now, &name);
+                continue;
+            }
             self.set_server_state(now, &name, ServerState::Gone);
-            self.local_servers.remove(&name);
+            self.remove_local_server(&name, out);
+        }
+    }
+
+    /// Whether an announcement of a later incarnation is of the same server, at the same address, of
+    /// the same service and version, so that the calls that wait for it may run there.
+    fn restarted_in_place(&self, name: &ServerName, announcement: &Announcement) -> bool {
+        let known = self.membership.own_server(name);
+        *name == announcement.name
+            && known.is_some_and(|known| {
+                known.address == announcement.address
+                    && known.service == announcement.service
+                    && known.version == announcement.version
+            })
+    }
+
+    /// Forgets what a server said of its earlier incarnation.
+    fn begin_incarnation(&mut self, now: Now, name: &ServerName) {
+        if let Some(local) = self.local_servers.get_mut(name) {
+            local.warm_at = None;
+            local.leaving = false;
+            local.slots.set_rate_limit(now, None);
+        }
+    }
+
+    /// Removes a local server. The calls that wait for it are refused as not run; a call that runs
+    /// there frees no slot when it ends.
+    fn remove_local_server(&mut self, name: &ServerName, out: &mut Effects) {
+        let Some(local) = self.local_servers.remove(name) else {
+            return;
+        };
+        let queued = local.slots.into_queued();
+        if !queued.is_empty() {
+            out.push(Effect::RefuseQueued(queued));
         }
     }
 
@@ -264,18 +305,15 @@
         let Some(local) = self.local_servers.get_mut(server) else {
             return;
         };
-        let run = local.slots.finish(now, call, outcome);
-        if !run.is_empty() {
-            out.push(Effect::RunQueued(run));
-        }
-        self.remove_if_gone_and_idle(server);
+        run_queued(local.slots.finish(now, call, outcome), out);
+        self.remove_if_gone_and_idle(server, out);
     }
 
     /// Sets which of two waiting calls of the same criticality goes first. Used by benchmarks
     /// only.
-    pub fn set_queue_order(&mut self, order: QueueOrder) {
+    pub fn set_queue_order(&mut self, now: Now, order: QueueOrder, out: &mut Effects) {
         self.queue_order = order;
-        self.apply_limits();
+        self.apply_limits(now, out);
     }
 
     /// The record of a local backend server, with the address that it listens on; `None` if it is
@@ -351,9 +389,12 @@
     /// Expires queued calls that waited too long, and marks servers whose lease has ended as gone.
     pub(crate) fn tick_servers(&mut self, now: Now, out: &mut Effects) {
         let mut expired_leases = Vec::new();
+        let mut expired_queues = Vec::new();
         for (name, local) in &mut self.local_servers {
             if local.slots.next_expiry() <= now.mono {
                 out.push(Effect::RefuseQueued(local.slots.expire(now)));
+                run_queued(local.slots.run_waiting(now), out);
+                expired_queues.push(name.clone());
             }
             if local.lease_ends <= now.mono {
                 local.lease_ends = Mono::NEVER;
@@ -361,23 +402,25 @@
             }
         }
         expired_leases.sort();
-        for name in expired_leases {
-            self.set_server_state(now, &name, ServerState::Gone);
-            self.remove_if_gone_and_idle(&name);
+        for name in &expired_leases {
+            self.set_server_state(now, name, ServerState::Gone);
+        }
+        for name in expired_leases.iter().chain(&expired_queues) {
+            self.remove_if_gone_and_idle(name, out);
         }
     }
 
     /// Drops the slots of a server that is gone once no call runs or waits there.
-    fn remove_if_gone_and_idle(&mut self, name: &ServerName) {
+    fn remove_if_gone_and_idle(&mut self, name: &ServerName, out: &mut Effects) {
         let gone = self.membership.own_server(name).is_none_or(|s| s.state == ServerState::Gone);
         let idle = self.local_servers.get(name).is_some_and(|local| local.slots.is_idle());
         if gone && idle {
-            self.local_servers.remove(name);
+            self.remove_local_server(name, out);
         }
     }
 
     /// Updates the limits of the local servers from the policies in the active route table.
-    pub(crate) fn apply_limits(&mut self) {
+    pub(crate) fn apply_limits(&mut self, now: Now, out: &mut Effects) {
         let mut settings = FastMap::default();
         for (name, local) in &self.local_servers {
             let wanted = self.slots_settings(&local.service, local.announced_slots);
@@ -385,6 +428,7 @@
         }
         for (name, local) in &mut self.local_servers {
             local.slots.set_settings(settings[name]);
+            run_queued(local.slots.run_waiting(now), out);
         }
     }
 
@@ -447,6 +491,13 @@
     }
 }
 
+/// Reports the queued calls that got a slot, if there are any.
+fn run_queued(calls: Vec<CallId>, out: &mut Effects) {
+    if !calls.is_empty() {
+        out.push(Effect::RunQueued(calls));
+    }
+}
+
 /// Refusal for a call that reached a daemon which does not host its backend server.
 fn not_local_refusal() -> Refusal {
     Refusal {
--- a/crates/cyclamenmoor/tests/store.rs
+++ b/crates/cyclamenmoor/tests/store.rs
@@ -1,73 +1,23 @@
 //! An instance that takes its configuration from a store instead of the log, and the ordering of
 //! announcements of its local backend servers.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use cyclamen_declarations::{
     ClashRule, Labels, Move, Route, RouteMatch, Selector, Service, Version, VersionId,
 };
-use cyclamen_distribution::{ConfigSource, DistributionSettings};
 use cyclamen_ledger::{Config, Held, HeldMove, MoveVerdict, VerdictKind};
-use cyclamen_membership::{Addresses, MemberRecord, MembershipSettings, MeshKey, ServerState};
+use cyclamen_membership::ServerState;
 use cyclamen_routing::{CallHead, Nesting, RefusalKind};
-use cyclamen_types::{ConfigVersion, Incarnation, Mono, Now, Offset, Wall};
-use cyclamenmoor::{
-    AnnounceError, Announcement, AnnouncementOrder, Effect, Event, Instance, InstanceSettings,
+use cyclamen_types::{ConfigVersion, Mono, Offset, Wall};
+use cyclamenmoor::{AnnounceError, Announcement, Effect, Event, Instance};
+use support::{
+    START_MS, address, announce, announcement, new_instance, new_named_instance, server_state, time,
 };
 
-const START_MS: u64 = 1_000_000;
-
-fn time(millis: u64) -> Now {
-    Now { mono: Mono(millis * 1_000), wall: Wall(START_MS + millis) }
-}
-
-fn address(port: u16) -> SocketAddr {
-    ([127, 0, 0, 1], port).into()
-}
-
-fn new_instance() -> Instance {
-    new_named_instance("a", 2, Vec::new())
-}
-
-fn new_named_instance(name: &str, port: u16, seeds: Vec<SocketAddr>) -> Instance {
-    let addresses = Addresses { calls: address(1), peer: address(port), admin: address(3) };
-    let settings = InstanceSettings {
-        local_member: MemberRecord {
-            instance: name.parse().unwrap(),
-            incarnation: Incarnation(START_MS),
-            domain: "praha-a".parse().unwrap(),
-            region: "cz-stred".parse().unwrap(),
-            addresses,
-        },
-        labels: Labels::default(),
-        membership: MembershipSettings {
-            gossip_period: Duration::from_secs(1),
-            suspicion_timeout: Duration::from_secs(3),
-            max_datagram_bytes: 1_200,
-            bytes_per_second: 2_048,
-            seeds,
-            key: MeshKey([7; 32]),
-        },
-        distribution: DistributionSettings {
-            source: ConfigSource::Store,
-            long_poll: Duration::from_secs(10),
-            relay_silence: Duration::from_secs(5),
-            snapshot_transfers: 2,
-            fresh_peers: 3,
-            log_poll_interval: None,
-        },
-        announcement_lease: Duration::from_secs(6),
-        evidence_period: Duration::from_secs(1),
-        default_queue_limit: 32,
-        default_queue_wait: Duration::from_millis(200),
-        adaptive_slots: false,
-        retry_limits: Default::default(),
-    };
-    Instance::new(settings, 1, time(0))
-}
-
 fn held_by_operators<T>(body: T) -> Held<T> {
     Held { offset: Offset(4), team: "operators".parse().unwrap(), body: Arc::new(body) }
 }
@@ -149,30 +99,6 @@
     MoveVerdict { kind, reason: "a test".into(), by: "b".parse().unwrap(), at: Wall(START_MS) }
 }
 
-fn announcement(name: &str, version: &str, started_at_ms: u64, sequence: u64) -> Announcement {
-    Announcement {
-        name: name.parse().unwrap(),
-        service: "dvere".parse().unwrap(),
-        version: version.parse().unwrap(),
-        labels: Labels::default(),
-        slots: 13,
-        connections: 130,
-        address: address(9),
-        draining: false,
-        order: Some(AnnouncementOrder { started_at_ms, sequence }),
-        cold: None,
-    }
-}
-
-fn announce(instance: &mut Instance, millis: u64, announcement: &Announcement) {
-    instance.announce_server(time(millis), announcement, &mut Vec::new()).unwrap();
-}
-
-fn server_state(instance: &Instance, name: &str) -> Option<ServerState> {
-    let name = name.parse().unwrap();
-    instance.membership().own_server(&name).map(|record| record.state)
-}
-
 /// Begins a call and returns the backend server chosen for it, or why it was refused.
 fn begin_call(instance: &mut Instance, millis: u64) -> Result<String, RefusalKind> {
     let head = CallHead {
--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -78,6 +78,7 @@
     attempts: Family<EndLabel, Counter>,
     slots: Family<EndLabel, Counter>,
     losses: Family<CauseLabel, Counter>,
+    lost_waits: Counter,
     call_seconds: Histogram,
     run_seconds: Histogram,
     state: StateGauges,
@@ -111,6 +112,7 @@
             attempts: Family::default(),
             slots: Family::default(),
             losses: Family::default(),
+            lost_waits: Counter::default(),
             call_seconds: histogram(),
             run_seconds: histogram(),
             state: StateGauges::default(),
@@ -185,6 +187,11 @@
         self.losses.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Records a call whose time in the queue for a slot was never ended by the instance.
+    pub(crate) fn record_lost_wait(&self) {
+        self.lost_waits.inc();
+    }
+
     /// Records the time from sending a call to a local backend server to its response or failure,
     /// of a call that the server ran or may have run.
     pub(crate) fn record_run(&self, took: Duration) {
@@ -213,6 +220,8 @@
         );
         let help = "calls whose callers got no whole response, by cause";
         registry.register("unanswered", help, self.losses.clone());
+        let help = "calls forgotten while they waited for a slot, refused after their deadline";
+        registry.register("lost_waits", help, self.lost_waits.clone());
         registry.register("call_seconds", "time to the end of a call", self.call_seconds.clone());
         registry.register("run_seconds", "time of a call at its server", self.run_seconds.clone());
         let state = &self.state;
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -17,7 +17,8 @@
 use cyclamenmoor::{Instance, LocalCallResult};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
-use log::{info, warn};
+use log::{error, info, warn};
+use tokio::sync::oneshot;
 
 use crate::calls::body::{AttemptBody, RequestBody, ResponseBody};
 use crate::calls::call_identity;
@@ -36,6 +37,10 @@
 /// server may be retried.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// How much longer than until its deadline a call waits for the end of its time in the queue. The
+/// instance ends that time by the deadline.
+const SLOT_WAIT_GRACE: Duration = Duration::from_millis(100);
+
 /// Statuses by which a server may say that it did not run a call.
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -453,13 +458,35 @@
     if admission == Admission::Run {
         return (SlotAnswer::Run, Ok(slot));
     }
-    match slot_outcome.await {
-        Ok(SlotOutcome::Run) => (SlotAnswer::Waited, Ok(slot)),
-        Ok(SlotOutcome::Expired) | Err(_) => {
-            let retry_after = ctx.shared.read(|instance| instance.retry_after(&call.server));
-            (SlotAnswer::Expired, Err(InboundOutcome::NoSlot(retry_after)))
-        }
+    if await_slot(ctx, call, slot_outcome).await == SlotOutcome::Run {
+        return (SlotAnswer::Waited, Ok(slot));
+    }
+    // Zero if the server is gone: another one may have a slot.
+    let retry_after = match ctx.shared.read(|instance| instance.retry_after(&call.server)) {
+        Duration::ZERO => SHORT_RETRY_AFTER,
+        retry_after => retry_after,
+    };
+    (SlotAnswer::Expired, Err(InboundOutcome::NoSlot(retry_after)))
+}
+
+/// Waits until the instance ends the time of a call in the queue. One that the instance has lost is
+/// refused after its deadline, so that its caller gets an answer.
+async fn await_slot(
+    ctx: &CallContext,
+    call: &InboundCall,
+    outcome: oneshot::Receiver<SlotOutcome>,
+) -> SlotOutcome {
+    let until = ctx.to_instant(call.deadline) + SLOT_WAIT_GRACE;
+    if let Ok(Ok(outcome)) = tokio::time::timeout_at(until, outcome).await {
+        return outcome;
     }
+    ctx.metrics.record_lost_wait();
+    error!(
+        "a call that waited for a slot of backend server `{}` was forgotten and is refused as not \
+         run: report this as a fault of the daemon, with its state dump",
+        call.server
+    );
+    SlotOutcome::Expired
 }
 
 /// The sample that an exchange contributes to the evidence about the version that served it; `None`
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -120,9 +120,9 @@
             end: Some(end),
             announcement,
         };
-        member.shared.with(|instance, _, _| {
+        member.shared.with(|instance, now, out| {
             instance.set_router_mode(options.mode);
-            instance.set_queue_order(options.order);
+            instance.set_queue_order(now, options.order, out);
         });
         member.announce(false);
         Ok(member)
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -209,7 +209,8 @@
         let Some(running) = self.running.remove(&call) else {
             self.queue.remove(call);
             self.queued.remove(&call);
-            return Vec::new();
+            // It may have been the one that the calls behind it waited for.
+            return self.start_queued(now);
         };
         if running.criticality == Criticality::Bulk {
             self.running_bulk -= 1;
@@ -231,6 +232,17 @@
         expired
     }
 
+    /// Returns the queued calls to run now, after a change that may have made room for some: of the
+    /// settings, or of the queue.
+    pub fn run_waiting(&mut self, now: Now) -> Vec<CallId> {
+        self.start_queued(now.mono)
+    }
+
+    /// Ends the queue of a server that is gone. Returns all queued calls, which have not run.
+    pub fn into_queued(self) -> Vec<CallId> {
+        self.queued.into_keys().collect()
+    }
+
     /// When [`Slots::expire`] is to be called next; [`Mono::NEVER`] while no call is queued.
     pub fn next_expiry(&self) -> Mono {
         self.queue.next_expiry()
