Departures of backend servers outlive a restart of their daemon

Cause: which processes of a server had left was known to the daemon beside it only, in memory. Other daemons dropped its record, gone, with the earlier incarnation of that daemon.

Change: a daemon writes departures (left, or draining since a sequence number) into the store before it acknowledges them, for 0.6 s at most, and tells all other daemons at once. After its start it reads them there and asks other daemons, and holds reports of ready servers until then.

--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -17,12 +17,14 @@
 };
 use cyclamen_moves::{Moves, MovesEffect, MovesSettings};
 use cyclamen_routing::{QueueOrder, RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
-use cyclamen_types::{ConfigVersion, FastMap, Mono, Now, Offset, ServerName};
+use cyclamen_types::{ConfigVersion, FastMap, InstanceName, Mono, Now, Offset, ServerName};
 
 use crate::appends::Appends;
 use crate::blocked_calls::BlockedCalls;
 use crate::conversions;
+use crate::departures::{self, Departures};
 use crate::event::{AppendError, AppendTicket, Effect, Effects, Event};
+use crate::history::History;
 use crate::local_servers::LocalServer;
 use crate::settings::InstanceSettings;
 
@@ -41,9 +43,9 @@
     pub(crate) blocked_calls: BlockedCalls,
     pub(crate) router: Router,
     pub(crate) local_servers: FastMap<ServerName, LocalServer>,
-    /// Start time, in Unix milliseconds, of the latest incarnation of each backend server that was
-    /// withdrawn.
-    pub(crate) withdrawn: FastMap<ServerName, u64>,
+    /// Departures of backend servers, by the daemon that hosts them; its own among them.
+    pub(crate) departures: FastMap<InstanceName, Departures>,
+    pub(crate) history: History,
     pub(crate) queue_order: QueueOrder,
     pub(crate) appends: Appends,
     /// Sequence number of the last server record that this instance published.
@@ -95,7 +97,8 @@
             blocked_calls: BlockedCalls::new(now),
             router: Router::new(router, seed),
             local_servers: FastMap::default(),
-            withdrawn: FastMap::default(),
+            departures: FastMap::default(),
+            history: History::new(settings.awaits_history, now),
             queue_order: QueueOrder::default(),
             appends: Appends::new(seed),
             record_sequence: 0,
@@ -175,6 +178,7 @@
         next = next.min(self.moves.next_tick());
         next = next.min(self.blocked_calls.next_tick());
         next = next.min(self.appends.next_retry());
+        next = next.min(self.history.next_tick());
         next.min(self.next_server_timer())
     }
 
@@ -182,7 +186,13 @@
     /// [`Instance::snapshot_transfer_ended`] once the transfer has ended: concurrent snapshot
     /// transfers are limited.
     pub fn answer_peer(&mut self, now: Now, request: &PeerRequest) -> PeerResponse {
-        self.distribution.serve(now, request, &self.ledger)
+        match request {
+            PeerRequest::Departures { host, incarnation } => PeerResponse::Departures {
+                departures: self.departures_of(host),
+                knew_before: self.knew_before(host, *incarnation),
+            },
+            _ => self.distribution.serve(now, request, &self.ledger),
+        }
     }
 
     /// Reports that a snapshot transfer has ended, whether it was sent or its connection broke.
@@ -250,6 +260,7 @@
         }
         self.tick_blocklist(now, out);
         self.appends.retry(now, out);
+        self.tick_history(now, out);
         self.tick_servers(now, out);
     }
 
@@ -273,6 +284,9 @@
                 {
                     self.merge_blocklist(now, &broadcast.payload, out);
                 }
+                BroadcastKind::Urgent if departures::is_payload(&broadcast.payload) => {
+                    self.merge_departure(now, &broadcast.payload, out);
+                }
                 BroadcastKind::Urgent | BroadcastKind::Evidence => {
                     self.moves.merge_payload(now, &broadcast.payload, &mut self.move_effects);
                 }
--- a/crates/cyclamenmoor/src/lib.rs
+++ b/crates/cyclamenmoor/src/lib.rs
@@ -13,8 +13,10 @@
 mod blocked_calls;
 mod calls;
 mod conversions;
+mod departures;
 mod dump;
 mod event;
+mod history;
 mod instance;
 mod local_servers;
 mod settings;
@@ -25,5 +27,6 @@
     AnnounceError, Announcement, AnnouncementOrder, AppendError, AppendTicket, Effect, Effects,
     Event,
 };
+pub use history::HistorySource;
 pub use instance::Instance;
 pub use settings::InstanceSettings;
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cyclamen_membership::{ServerRecord, ServerState};
+use cyclamen_membership::{Departure, DepartureState, ServerRecord, ServerState};
 use cyclamen_routing::{
     Admission, CallId, QueueOrder, Refusal, RefusalKind, RouterMode, RunOutcome, RunningRepeats,
     ServerLoad, SlotRequest, Slots, SlotsSettings,
@@ -30,6 +30,8 @@
     warm_at: Option<Mono>,
     /// Whether it said in an answer that it leaves.
     leaving: bool,
+    /// Whether its latest announcement says that it drains.
+    draining: bool,
 }
 
 /// Whether an announcement is the latest or is outdated and has to be ignored.
@@ -38,7 +40,7 @@
     /// No later announcement for its name or address is known.
     Current,
     /// It repeats or precedes an announcement for its name, its address has passed to a server
-    /// that started later, or its incarnation of the server was withdrawn.
+    /// that started later, or its incarnation of the server has left or began to drain after it.
     Stale,
 }
 
@@ -57,10 +59,16 @@
         if announcement.slots == 0 {
             return Err(AnnounceError::NoSlots(announcement.name.clone()));
         }
-        if self.freshness(announcement) == Freshness::Stale {
+        if self.freshness(announcement) == Freshness::Stale || self.hold_announcement(announcement)
+        {
             return Ok(());
         }
         self.end_replaced_servers(now, announcement, out);
+        let was_draining =
+            self.local_servers.get(&announcement.name).is_some_and(|local| local.draining);
+        if announcement.draining && !was_draining {
+            self.note_draining(now, announcement, out);
+        }
         let lease_ends = now.mono + self.settings.announcement_lease;
         let settings = self.slots_settings(&announcement.service, announcement.slots);
         let local =
@@ -73,12 +81,14 @@
                 lease_ends,
                 warm_at: None,
                 leaving: false,
+                draining: false,
             });
         local.address = announcement.address;
         local.order = announcement.order;
         local.service = announcement.service.clone();
         local.announced_slots = announcement.slots;
         local.lease_ends = lease_ends;
+        local.draining = announcement.draining;
         // Later announcements, of a warm server, would move the time on and on.
         let warm_at = announcement.cold.map(|cold| now.mono + cold);
         local.warm_at = local.warm_at.into_iter().chain(warm_at).min();
@@ -114,16 +124,18 @@
     ) -> Result<(), AnnounceError> {
         let Some(local) = self.local_servers.get(name) else {
             if let Some(started_at_ms) = started_at_ms {
-                self.mark_withdrawn(name, started_at_ms);
+                self.note_left(now, name, started_at_ms, None, out);
+                self.reconcile(now, out);
             }
             return Err(AnnounceError::Unknown(name.clone()));
         };
+        let address = local.address;
         let known = local.order.map(|order| order.started_at_ms);
         if started_at_ms.zip(known).is_some_and(|(withdrawn, known)| withdrawn < known) {
             return Ok(());
         }
         if let Some(withdrawn) = started_at_ms.or(known) {
-            self.mark_withdrawn(name, withdrawn);
+            self.note_left(now, name, withdrawn, Some(address), out);
         }
         self.set_server_state(now, name, ServerState::Gone);
         self.remove_if_gone_and_idle(name, out);
@@ -131,11 +143,23 @@
         Ok(())
     }
 
-    /// Records that an incarnation of a server was withdrawn. A withdrawal that arrives after that
-    /// of a later incarnation changes nothing.
-    fn mark_withdrawn(&mut self, name: &ServerName, started_at_ms: u64) {
-        let latest = self.withdrawn.entry(name.clone()).or_default();
-        *latest = started_at_ms.max(*latest);
+    /// Ends or drains a local server by a departure that was acknowledged before this daemon's start,
+    /// unless the server has been announced since by a later process or as drained.
+    pub(crate) fn apply_departure(&mut self, now: Now, departure: &Departure, out: &mut Effects) {
+        let name = &departure.server;
+        let order = self.local_servers.get(name).and_then(|local| local.order);
+        if !order.is_some_and(|order| departure.covers(order.started_at_ms, order.sequence)) {
+            return;
+        }
+        match departure.state {
+            DepartureState::Draining { .. } => {
+                self.set_server_state(now, name, ServerState::Draining);
+            }
+            DepartureState::Left => {
+                self.set_server_state(now, name, ServerState::Gone);
+                self.remove_if_gone_and_idle(name, out);
+            }
+        }
     }
 
     /// Checks an announcement against the ones known for its name and address.
@@ -143,11 +167,7 @@
         let Some(order) = announcement.order else {
             return Freshness::Current;
         };
-        if self
-            .withdrawn
-            .get(&announcement.name)
-            .is_some_and(|withdrawn| order.started_at_ms <= *withdrawn)
-        {
+        if self.own_departures_precede(announcement, order) {
             return Freshness::Stale;
         }
         for (name, local) in &self.local_servers {
@@ -216,6 +236,7 @@
         if let Some(local) = self.local_servers.get_mut(name) {
             local.warm_at = None;
             local.leaving = false;
+            local.draining = false;
             local.slots.set_rate_limit(now, None);
         }
     }
--- a/crates/cyclamenmoor/src/settings.rs
+++ b/crates/cyclamenmoor/src/settings.rs
@@ -21,6 +21,9 @@
     pub distribution: DistributionSettings,
     /// Time after which a backend server that has not renewed its announcement is marked gone.
     pub announcement_lease: Duration,
+    /// Whether announcements of ready servers are held after the start until the store or another
+    /// daemon has told which servers left before it.
+    pub awaits_history: bool,
     /// Maximum time between two gossip payloads with the evidence about moves.
     pub evidence_period: Duration,
     /// Maximum number of calls queued for one local backend server, unless a policy sets another.
--- a/crates/cyclamenmoor/tests/fleet/fleet.rs
+++ b/crates/cyclamenmoor/tests/fleet/fleet.rs
@@ -460,6 +460,7 @@
                 log_poll_interval: None,
             },
             announcement_lease: period * 6,
+            awaits_history: false,
             evidence_period: period,
             default_queue_limit: 32,
             default_queue_wait: Duration::from_millis(200),
--- a/crates/cyclamenmoor/tests/support/mod.rs
+++ b/crates/cyclamenmoor/tests/support/mod.rs
@@ -29,8 +29,13 @@
 
 /// The same, with a name, a port for gossip and the addresses of members to join.
 pub fn new_named_instance(name: &str, port: u16, seeds: Vec<SocketAddr>) -> Instance {
+    Instance::new(settings(name, port, seeds), 1, time(0))
+}
+
+/// The settings of such an instance.
+pub fn settings(name: &str, port: u16, seeds: Vec<SocketAddr>) -> InstanceSettings {
     let addresses = Addresses { calls: address(1), peer: address(port), admin: address(3) };
-    let settings = InstanceSettings {
+    InstanceSettings {
         local_member: MemberRecord {
             instance: name.parse().unwrap(),
             incarnation: Incarnation(START_MS),
@@ -56,13 +61,13 @@
             log_poll_interval: None,
         },
         announcement_lease: Duration::from_secs(6),
+        awaits_history: false,
         evidence_period: Duration::from_secs(1),
         default_queue_limit: 32,
         default_queue_wait: Duration::from_millis(200),
         adaptive_slots: false,
         retry_limits: Default::default(),
-    };
-    Instance::new(settings, 1, time(0))
+    }
 }
 
 /// An announcement of a server of the service `dvere` with 13 slots.
--- a/crates/daemon/src/http_endpoints.rs
+++ b/crates/daemon/src/http_endpoints.rs
@@ -21,6 +21,7 @@
 
 use crate::call_metrics::CallMetrics;
 use crate::shared::SharedInstance;
+use crate::store::StoreSync;
 
 /// Time in which a connection has to send the headers of its next request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
@@ -28,19 +29,23 @@
 /// Pause after a failed accept, so that a persistent error does not busy-loop.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
 
+/// Longest time that an acknowledgement is held back for what is known of departures, before the start
+/// or in the store. A backend server counts on an acknowledgement within a second.
+const ACKNOWLEDGE_WITHIN: Duration = Duration::from_millis(600);
+
 /// What a listener serves.
 #[derive(Clone)]
 enum Endpoint {
-    /// Readiness and announcements.
-    Platform,
+    /// Readiness and announcements; departures are kept in the store, if there is one.
+    Platform(Option<StoreSync>),
     /// Metrics as text.
     Metrics(Arc<CallMetrics>),
 }
 
 /// Serves readiness checks and announcements on `listener` until the task is dropped. The daemon
 /// has a listener for each of the two, and both serve both.
-pub(crate) async fn serve(shared: SharedInstance, listener: TcpListener) {
-    serve_endpoint(shared, Endpoint::Platform, listener).await;
+pub(crate) async fn serve(shared: SharedInstance, store: Option<StoreSync>, listener: TcpListener) {
+    serve_endpoint(shared, Endpoint::Platform(store), listener).await;
 }
 
 /// Serves metrics on `listener` until the task is dropped.
@@ -67,7 +72,7 @@
         let (shared, endpoint) = (shared.clone(), endpoint.clone());
         async move {
             Ok::<_, Infallible>(match endpoint {
-                Endpoint::Platform => platform_response(&shared, req).await,
+                Endpoint::Platform(store) => platform_response(&shared, store.as_ref(), req).await,
                 Endpoint::Metrics(metrics) => metrics_response(&shared, &metrics),
             })
         }
@@ -90,6 +95,7 @@
 
 async fn platform_response(
     shared: &SharedInstance,
+    store: Option<&StoreSync>,
     req: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if req.uri().path() == READY_PATH {
@@ -104,7 +110,15 @@
     };
     let query = parts.uri.query().unwrap_or_default();
     match announcements::decode(parts.uri.path(), query, &body.to_bytes()) {
-        Some(message) => empty_response(apply_announcement(shared, message)),
+        Some(message) => {
+            let departs = departs(&message);
+            let status = apply_announcement(shared, message);
+            match departs {
+                true => await_stored_departures(shared, store).await,
+                false => await_history(shared).await,
+            }
+            empty_response(status)
+        }
         None => {
             warn!("ignored a request that is not a valid announcement");
             empty_response(StatusCode::BAD_REQUEST)
@@ -112,6 +126,40 @@
     }
 }
 
+/// Waits until announcements of ready servers are applied, so that one that is acknowledged is in
+/// use; not for long, since they are applied later all the same.
+async fn await_history(shared: &SharedInstance) {
+    let mut changed = shared.changed();
+    let known =
+        async { while shared.read(Instance::awaits_history) && changed.changed().await.is_ok() {} };
+    // Not known in time: the announcement is held.
+    let _ = tokio::time::timeout(ACKNOWLEDGE_WITHIN, known).await;
+}
+
+/// Whether a backend server says that it drains or leaves.
+fn departs(message: &Said) -> bool {
+    match message {
+        Said::Heartbeat(announcement) => announcement.draining,
+        Said::Leave(..) => true,
+    }
+}
+
+/// Waits until the store holds all departures that are known here, so that the acknowledgement of one
+/// still binds after a restart of the daemon.
+async fn await_stored_departures(shared: &SharedInstance, store: Option<&StoreSync>) {
+    let Some(store) = store else {
+        return;
+    };
+    let revision = shared.read(Instance::departures_revision);
+    let stored = store.departures_stored(revision);
+    if tokio::time::timeout(ACKNOWLEDGE_WITHIN, stored).await.is_err() {
+        warn!(
+            "the store does not hold yet which backend servers left: until it does, only the other \
+             daemons know"
+        );
+    }
+}
+
 fn apply_announcement(shared: &SharedInstance, message: Said) -> StatusCode {
     match message {
         Said::Heartbeat(announcement) => {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -139,8 +139,10 @@
     admin.set_instance(shared.clone());
     let mut tasks = JoinSet::new();
     let hops = platform.map(|listeners| {
-        tasks.spawn(http_endpoints::serve(shared.clone(), listeners.ready));
-        tasks.spawn(http_endpoints::serve(shared.clone(), listeners.announcements));
+        for listener in [listeners.ready, listeners.announcements] {
+            let store = effect_runner.store.clone();
+            tasks.spawn(http_endpoints::serve(shared.clone(), store, listener));
+        }
         listeners.hops
     });
     let observers = CallObservers { decision_log, metrics: Arc::default() };
@@ -154,8 +156,11 @@
         let me =
             StoredMember { instance: settings.instance.clone(), incarnation, peer: addresses.peer };
         tasks.spawn(store::follow_store(sync.clone()));
+        tasks.spawn(store::keep_departures(sync.clone(), settings.instance.clone()));
         tasks.spawn(store::register_and_discover(sync.clone(), me));
     }
+    let (key, me) = (settings.mesh_key.clone(), settings.instance.clone());
+    tasks.spawn(store::ask_peers(shared.clone(), key, me, incarnation));
     tasks.spawn(gossip::receive(shared.clone(), Arc::clone(&effect_runner.socket)));
     let key = settings.mesh_key.clone();
     tasks.spawn(peers::serve(shared.clone(), effect_runner.store.clone(), peer_listener, key));
@@ -250,6 +255,7 @@
         adaptive_slots: limits.adaptive_slots,
         retry_limits: limits.retries,
         announcement_lease: limits.announcement_lease,
+        awaits_history: settings.platform.is_some(),
         evidence_period: limits.evidence_period,
         default_queue_limit: limits.queue,
         default_queue_wait: limits.queue_wait,
--- a/crates/daemon/src/store/registration.rs
+++ b/crates/daemon/src/store/registration.rs
@@ -7,6 +7,7 @@
 use cyclamen_platform::era::Era;
 use cyclamen_platform::{Appended, Newest, Topic, members};
 use cyclamen_port::StoredMember;
+use cyclamenmoor::HistorySource;
 use log::info;
 use rand::Rng;
 use tokio::sync::watch;
@@ -100,5 +101,12 @@
         }
     }
     info!("found {} other daemons in the store", peers.len());
-    sync.shared.with(|instance, now, out| instance.add_seed_addresses(now, &peers, out));
+    sync.shared.with(|instance, now, out| {
+        if peers.is_empty() {
+            // Nobody else can know what happened before the start.
+            let nobody = HistorySource::Peer { knew_before: false };
+            instance.learn_history(now, nobody, Vec::new(), out);
+        }
+        instance.add_seed_addresses(now, &peers, out);
+    });
 }
--- a/crates/daemon/src/store/sync.rs
+++ b/crates/daemon/src/store/sync.rs
@@ -60,6 +60,8 @@
     /// The era of the latest records; `None` before the first read. Subscribers are notified when
     /// it rises, that is, when the store has come back from an older copy.
     pub(super) era: watch::Sender<Option<Era>>,
+    /// The revision of the own departures that the store holds.
+    pub(super) stored_departures: watch::Sender<u64>,
 }
 
 impl StoreSync {
@@ -73,9 +75,17 @@
             view: Arc::new(Mutex::new(view)),
             record_cache: Arc::default(),
             era: watch::Sender::new(None),
+            stored_departures: watch::Sender::new(0),
         }
     }
 
+    /// Completes once the store holds the departures of this revision, or a later one.
+    pub(crate) async fn departures_stored(&self, revision: u64) {
+        let mut stored = self.stored_departures.subscribe();
+        // The sender is borrowed here, so the channel is open.
+        let _ = stored.wait_for(|stored| *stored >= revision).await;
+    }
+
     /// Locks the records that are served to other daemons.
     pub(crate) fn record_cache(&self) -> MutexGuard<'_, RecordCache> {
         self.record_cache.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -348,7 +348,10 @@
                 self.take_word(now, from, held, ready);
             }
             // Only the reader of a store asks for what was read of it, and takes the answer itself.
-            Some(PeerResponse::Stored { .. }) => self.fresh.forget(from),
+            // The same holds for what a peer knows of departures.
+            Some(PeerResponse::Stored { .. } | PeerResponse::Departures { .. }) => {
+                self.fresh.forget(from);
+            }
         }
         self.fresh.judge(now, ledger.version());
         Vec::new()
@@ -357,11 +360,15 @@
     /// Answers a peer. Each answer that carries a snapshot holds a transfer until
     /// [`Distribution::served`].
     pub fn serve(&mut self, _now: Now, request: &PeerRequest, ledger: &Ledger) -> PeerResponse {
-        let held = match *request {
-            PeerRequest::Catchup { held } => held,
+        let held = match request {
+            PeerRequest::Catchup { held } => *held,
             // What was read of a store is kept by its reader, which answers by itself.
             PeerRequest::Stored { from } => {
-                return PeerResponse::Stored { records: Vec::new(), next: from };
+                return PeerResponse::Stored { records: Vec::new(), next: *from };
+            }
+            // Departures are kept by the instance, which answers by itself.
+            PeerRequest::Departures { .. } => {
+                return PeerResponse::Departures { departures: Vec::new(), knew_before: false };
             }
         };
         let (mine, ready) = (ledger.version(), self.fresh.ready());
--- a/crates/distribution/src/messages.rs
+++ b/crates/distribution/src/messages.rs
@@ -1,7 +1,8 @@
 //! Requests between daemons over TCP, encoded with postcard.
 
 use cyclamen_ledger::LogRecord;
-use cyclamen_types::{ConfigVersion, Offset};
+use cyclamen_membership::Departure;
+use cyclamen_types::{ConfigVersion, Incarnation, InstanceName, Offset};
 use serde::{Deserialize, Serialize};
 
 /// What a daemon asks of a peer.
@@ -17,6 +18,13 @@
         /// The first offset wanted.
         from: Offset,
     },
+    /// Which servers of a daemon left or drain, as the peer was told before that daemon's start.
+    Departures {
+        /// The daemon that asks.
+        host: InstanceName,
+        /// Its incarnation at its start.
+        incarnation: Incarnation,
+    },
 }
 
 /// A record of the store as a daemon read it.
@@ -65,4 +73,11 @@
         /// When to come back, in milliseconds.
         retry_after_ms: u32,
     },
+    /// The departures of the servers of the daemon that asked.
+    Departures {
+        /// The departures, by name of the server.
+        departures: Vec<Departure>,
+        /// Whether the peer knew that daemon before its start.
+        knew_before: bool,
+    },
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -498,6 +498,7 @@
                 log_poll_interval: None,
             },
             announcement_lease: Duration::from_secs(6),
+            awaits_history: false,
             evidence_period: Duration::from_secs(1),
             default_queue_limit: 32,
             default_queue_wait: Duration::from_millis(200),
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -27,6 +27,7 @@
 pub use membership::{Membership, MembershipCounters, MembershipSettings, Outgoing, Received};
 pub use peers::Peer;
 pub use records::{
-    Addresses, MemberRecord, MemberState, MemberView, ServerRecord, ServerState, ServerView,
+    Addresses, Departure, DepartureState, MemberRecord, MemberState, MemberView, ServerRecord,
+    ServerState, ServerView,
 };
 pub use wire::{AppliedConfig, Broadcast, BroadcastKind, DatagramError, MeshKey};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -329,6 +329,12 @@
         self.roster.get(MemberId::of(instance))?.applied_config
     }
 
+    /// The incarnation in which this daemon first knew a member, at that member's start; `None` if it
+    /// knows no such member.
+    pub fn first_start_of(&self, instance: &InstanceName) -> Option<Incarnation> {
+        Some(self.roster.get(MemberId::of(instance))?.first_start)
+    }
+
     /// The highest configuration version that any daemon, this one included, has reported.
     pub fn highest_version(&self) -> ConfigVersion {
         self.highest_version
--- a/crates/membership/src/records.rs
+++ b/crates/membership/src/records.rs
@@ -107,6 +107,46 @@
     pub sequence: (Incarnation, u64),
 }
 
+/// That a process of a backend server has left or drains, by an acknowledgement of its host daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// The server.
+    pub server: ServerName,
+    /// The address that it listened on, if it was known when it left.
+    pub address: Option<SocketAddr>,
+    /// When the process started, in Unix milliseconds. Earlier ones are gone as well.
+    pub started_at_ms: u64,
+    /// Whether it drains or has left.
+    pub state: DepartureState,
+}
+
+/// How far a backend server has departed. Of two states of the same process the later variant holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum DepartureState {
+    /// It gets no new calls.
+    Draining {
+        /// Sequence number of the announcement that said so first. Announcements before it are
+        /// void.
+        since: u64,
+    },
+    /// All its announcements are void.
+    Left,
+}
+
+impl Departure {
+    /// Whether it makes an announcement of the same server void, by the start of the process that
+    /// made it, in Unix milliseconds, and its sequence number.
+    pub fn covers(&self, started_at_ms: u64, sequence: u64) -> bool {
+        if started_at_ms != self.started_at_ms {
+            return started_at_ms < self.started_at_ms;
+        }
+        match self.state {
+            DepartureState::Draining { since } => sequence < since,
+            DepartureState::Left => true,
+        }
+    }
+}
+
 /// A backend server together with what this daemon knows of its host daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerView {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -33,6 +33,8 @@
     pub(crate) record: MemberRecord,
     /// Its incarnation when its process started; that of `record` grows with each refutation.
     pub(crate) start_incarnation: Incarnation,
+    /// That incarnation when this daemon first heard of it.
+    pub(crate) first_start: Incarnation,
     pub(crate) state: MemberState,
     /// When it entered this state.
     pub(crate) state_since: Mono,
@@ -61,6 +63,7 @@
         let mut known = Self {
             record,
             start_incarnation,
+            first_start: start_incarnation,
             state,
             state_since: now.mono,
             last_heard: None,
