Calls: a refusal without an id is no promise about the call

Callers could see: a 503 as not run for a call that had run, and with that a second run, where a faulty backend server writes a refusal of an earlier call once more on a kept connection, without its id.

Cause: an answer without an id was taken for that of the call, also where it says that the call was not run. One with another call's id was no promise before either.

Change: where servers name the calls that they did not run, an answer that says so and has no id is no answer of the call: 502 at most for what may run once, and its connection is closed.

Only calls whose answer the refusal comes before end with 502.

--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -347,7 +347,8 @@
     };
     let status = exchange.response.status();
     let response_headers = exchange.response.headers();
-    if !echoes_request_id(&ctx.headers, response_headers, request_id.as_ref()) {
+    // The connection of a response that may belong to another call is closed with the exchange.
+    if !belongs_to(&ctx.headers, status, response_headers, request_id.as_ref()) {
         return InboundOutcome::Unknown;
     }
     take_over_hints(ctx, &call.server, response_headers);
@@ -535,14 +536,19 @@
     Some(Request::from_parts(parts, body))
 }
 
-/// Whether a response belongs to this call. A response without a request id is assumed to.
-fn echoes_request_id(
+/// Whether a response belongs to this call. A response without a request id is assumed to, unless it
+/// says that the call was not run where servers name the calls that they did not run.
+fn belongs_to(
     names: &CallHeaders,
+    status: StatusCode,
     headers: &HeaderMap,
     request_id: Option<&HeaderValue>,
 ) -> bool {
-    let echo = headers.get(&names.request_id);
-    echo.is_none() || echo == request_id
+    let says_not_run = reports_not_run(names, headers) || NOT_RUN_STATUSES.contains(&status);
+    match headers.get(&names.request_id) {
+        Some(echo) => Some(echo) == request_id,
+        None => names.not_run.is_none() || !says_not_run,
+    }
 }
 
 /// Whether the backend server may have run the call, by how sending it ended.
