Odd entries of other writers name no server, and are counted

Callers could see: calls at an address that is no backend server's of that machine; a server that is out of use for good after one odd report with a sequence number or a start near the end of its range, since all its own reports look outdated after that.

Cause: any well-formed report was taken for one of the server beside the daemon.

Each entry that is passed over has a line and is counted.

--- a/crates/cyclamenmoor/src/departures.rs
+++ b/crates/cyclamenmoor/src/departures.rs
@@ -82,6 +82,16 @@
     (departure.started_at_ms, departure.state)
 }
 
+/// Whether a server may have departed like this by now, see [`AnnouncementOrder::is_plausible`].
+fn is_plausible(now: Now, departure: &Departure) -> bool {
+    let sequence = match departure.state {
+        DepartureState::Draining { since } => since,
+        DepartureState::Left => 0,
+    };
+    let order = AnnouncementOrder { started_at_ms: departure.started_at_ms, sequence };
+    order.is_plausible(now.wall)
+}
+
 /// Whether a payload tells of a departure.
 pub(crate) fn is_payload(payload: &[u8]) -> bool {
     payload.first() == Some(&PAYLOAD_TAG)
@@ -118,6 +128,10 @@
         out: &mut Effects,
     ) {
         for departure in departures {
+            if !is_plausible(now, &departure) {
+                self.record_unreadable_entry();
+                continue;
+            }
             if self.own_departures_mut().merge(departure.clone()) {
                 self.apply_departure(now, &departure, out);
                 out.push(Effect::Changed);
--- a/crates/cyclamenmoor/src/event.rs
+++ b/crates/cyclamenmoor/src/event.rs
@@ -10,7 +10,7 @@
 use cyclamen_ledger::{MoveId, MoveVerdict};
 use cyclamen_membership::Outgoing;
 use cyclamen_routing::CallId;
-use cyclamen_types::{Offset, ServerName, ServiceName, VersionName};
+use cyclamen_types::{Offset, ServerName, ServiceName, VersionName, Wall};
 use derive_more::{Display, From, Into};
 use thiserror::Error;
 
@@ -67,12 +67,38 @@
     pub sequence: u64,
 }
 
+/// Largest difference between the clocks of a daemon and its backend servers at which announcements
+/// are believed.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(3_600);
+
+/// Most slots that a backend server may announce.
+pub(crate) const MAX_SLOTS: u32 = 65_536;
+
+impl AnnouncementOrder {
+    /// Whether a server may have announced itself like this by now: it has started, and announced
+    /// itself no more than once a millisecond since then. An announcement that says more would make
+    /// those of the server that follow look outdated.
+    pub(crate) fn is_plausible(&self, now: Wall) -> bool {
+        let latest = now + MAX_CLOCK_DIFFERENCE;
+        self.started_at_ms <= latest.0 && self.sequence <= latest.0 - self.started_at_ms
+    }
+}
+
 /// Why an announcement or a withdrawal was refused.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum AnnounceError {
     /// The announcement has zero slots, so the server could never run a call.
     #[error("backend server `{0}` announces no slots: announce at least 1")]
     NoSlots(ServerName),
+    /// The announcement has more slots than any server.
+    #[error("backend server `{0}` announces too many slots: announce {MAX_SLOTS} at most")]
+    TooManySlots(ServerName),
+    /// The start or the sequence number of the server cannot be.
+    #[error(
+        "backend server `{0}` names a start in the future, or a sequence number that it cannot have \
+         reached: name the time of its start, and count from there"
+    )]
+    ImplausibleOrder(ServerName),
     /// This daemon knows no local backend server of this name.
     #[error("backend server `{0}` is not announced at this daemon: announce it first")]
     Unknown(ServerName),
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -165,6 +165,11 @@
         self.distribution.store_restored();
     }
 
+    /// Counts a record of the store, or an announcement of a backend server, that cannot be used.
+    pub fn record_unreadable_entry(&mut self) {
+        self.distribution.unreadable_entry();
+    }
+
     /// Adds seed addresses of other members, through which this daemon joins.
     pub fn add_seed_addresses(&mut self, now: Now, peers: &[SocketAddr], out: &mut Effects) {
         self.membership.add_seeds(now, peers);
--- a/crates/cyclamenmoor/src/lib.rs
+++ b/crates/cyclamenmoor/src/lib.rs
@@ -19,6 +19,7 @@
 mod history;
 mod instance;
 mod local_servers;
+mod server_slots;
 mod settings;
 
 pub use calls::{BodyEnd, LocalCallResult};
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -1,17 +1,13 @@
-//! The local backend servers, which are those that this daemon hosts: their announcements and
-//! leases, and the slots that bound how many calls each of them runs at a time.
+//! The local backend servers, which are those that this daemon hosts: their announcements, leases and
+//! states. The calls at them are in [`server_slots`](crate::server_slots).
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use cyclamen_membership::{Departure, DepartureState, ServerRecord, ServerState};
-use cyclamen_routing::{
-    Admission, CallId, QueueOrder, Refusal, RefusalKind, RouterMode, RunOutcome, RunningRepeats,
-    ServerLoad, SlotRequest, Slots, SlotsSettings,
-};
-use cyclamen_types::{FastMap, Mono, Now, RouteName, ServerName, ServiceName};
+use cyclamen_routing::{CallId, Slots, SlotsSettings};
+use cyclamen_types::{Mono, Now, ServerName, ServiceName};
 
-use crate::event::{AnnounceError, Announcement, AnnouncementOrder, Effect, Effects};
+use crate::event::{AnnounceError, Announcement, AnnouncementOrder, Effect, Effects, MAX_SLOTS};
 use crate::instance::Instance;
 
 /// A local backend server.
@@ -19,7 +15,7 @@
 pub(crate) struct LocalServer {
     pub(crate) slots: Slots,
     pub(crate) service: ServiceName,
-    announced_slots: u32,
+    pub(crate) announced_slots: u32,
     address: SocketAddr,
     /// Order of the latest announcement.
     order: Option<AnnouncementOrder>,
@@ -27,7 +23,7 @@
     /// `Mono::NEVER` after the lease has ended.
     lease_ends: Mono,
     /// When the server has warmed up after its start, if it says.
-    warm_at: Option<Mono>,
+    pub(crate) warm_at: Option<Mono>,
     /// Whether it said in an answer that it leaves.
     leaving: bool,
     /// Whether its latest announcement says that it drains.
@@ -49,16 +45,14 @@
     /// announcement is ignored, which is not an error.
     ///
     /// # Errors
-    /// [`AnnounceError::NoSlots`] if the announcement has zero slots; nothing changes then.
+    /// The announcement has no slots or too many, or an order that cannot be; nothing changes then.
     pub fn announce_server(
         &mut self,
         now: Now,
         announcement: &Announcement,
         out: &mut Effects,
     ) -> Result<(), AnnounceError> {
-        if announcement.slots == 0 {
-            return Err(AnnounceError::NoSlots(announcement.name.clone()));
-        }
+        check_announcement(now, announcement)?;
         if self.freshness(announcement) == Freshness::Stale || self.hold_announcement(announcement)
         {
             return Ok(());
@@ -115,6 +109,7 @@
     /// # Errors
     /// [`AnnounceError::Unknown`] if no local server has this name. The incarnation counts as
     /// withdrawn all the same, so that its announcements are ignored if they arrive late.
+    /// [`AnnounceError::ImplausibleOrder`] if the incarnation is of the future; nothing changes then.
     pub fn withdraw_server(
         &mut self,
         now: Now,
@@ -122,6 +117,11 @@
         started_at_ms: Option<u64>,
         out: &mut Effects,
     ) -> Result<(), AnnounceError> {
+        let started =
+            started_at_ms.map(|started_at_ms| AnnouncementOrder { started_at_ms, sequence: 0 });
+        if started.is_some_and(|started| !started.is_plausible(now.wall)) {
+            return Err(AnnounceError::ImplausibleOrder(name.clone()));
+        }
         let Some(local) = self.local_servers.get(name) else {
             if let Some(started_at_ms) = started_at_ms {
                 self.note_left(now, name, started_at_ms, None, out);
@@ -253,31 +253,6 @@
         }
     }
 
-    /// Requests a slot for a call at a local backend server. Waiting calls of lower criticality
-    /// that this evicts from the queue are reported through [`Effect::Expire`]. A server that is
-    /// not local refuses the call; in baseline mode, every call to a local one runs at once.
-    pub fn admit_call(
-        &mut self,
-        now: Now,
-        server: &ServerName,
-        call: CallId,
-        request: &SlotRequest,
-        out: &mut Effects,
-    ) -> Admission {
-        let Some(local) = self.local_servers.get_mut(server) else {
-            return Admission::Refused(not_local_refusal());
-        };
-        if self.router.mode() == RouterMode::Baseline {
-            return Admission::Run;
-        }
-        let mut evicted = Vec::new();
-        let admission = local.slots.admit(now, call, request, &mut evicted);
-        if !evicted.is_empty() {
-            out.push(Effect::RefuseQueued(evicted));
-        }
-        admission
-    }
-
     /// Drains a local backend server that says in an answer that it leaves. It stays draining,
     /// whatever it announces, until its next incarnation. Returns whether that is news.
     pub fn drain_leaving_server(
@@ -299,44 +274,6 @@
         true
     }
 
-    /// Takes over how many calls per second a local backend server takes, by its latest answer;
-    /// `None` if it names no limit. Returns what was known before.
-    pub fn limit_rate(
-        &mut self,
-        now: Now,
-        server: &ServerName,
-        calls_per_second: Option<f64>,
-    ) -> Option<f64> {
-        let local = self.local_servers.get_mut(server)?;
-        let before = local.slots.rate_limit();
-        local.slots.set_rate_limit(now, calls_per_second);
-        before
-    }
-
-    /// Releases the slot of a call that has ended, or removes a cancelled call from the queue.
-    /// Waiting calls that get a slot now are reported through [`Effect::RunQueued`].
-    pub fn release_call(
-        &mut self,
-        now: Now,
-        server: &ServerName,
-        call: CallId,
-        outcome: RunOutcome,
-        out: &mut Effects,
-    ) {
-        let Some(local) = self.local_servers.get_mut(server) else {
-            return;
-        };
-        run_queued(local.slots.finish(now, call, outcome), out);
-        self.remove_if_gone_and_idle(server, out);
-    }
-
-    /// Sets which of two waiting calls of the same criticality goes first. Used by benchmarks
-    /// only.
-    pub fn set_queue_order(&mut self, now: Now, order: QueueOrder, out: &mut Effects) {
-        self.queue_order = order;
-        self.apply_limits(now, out);
-    }
-
     /// The record of a local backend server, with the address that it listens on; `None` if it is
     /// unknown or gone.
     pub fn local_server(&self, server: &ServerName) -> Option<&ServerRecord> {
@@ -359,44 +296,6 @@
         addresses
     }
 
-    /// Current load of a local backend server, with the time that it typically holds a call if
-    /// enough is known about it; all zero if the server is not local.
-    pub fn server_load(&self, server: &ServerName) -> ServerLoad {
-        let Some(local) = self.local_servers.get(server) else {
-            return ServerLoad::default();
-        };
-        let load = local.slots.load();
-        match self.router.average_hold_seconds(&local.service, local.slots.route_hold_times()) {
-            Some(seconds) => ServerLoad { hold_us: (seconds * 1e6) as u64, ..load },
-            None => load,
-        }
-    }
-
-    /// Whether a local backend server had warmed up after its start at a time; `None` if it does not
-    /// say how long that takes.
-    pub fn was_warm(&self, server: &ServerName, at: Mono) -> Option<bool> {
-        Some(at >= self.local_servers.get(server)?.warm_at?)
-    }
-
-    /// The calls that run at all local backend servers, and how many of them are repeats.
-    pub fn running_repeats(&self) -> RunningRepeats {
-        let servers = self.local_servers.values();
-        servers
-            .fold(RunningRepeats::default(), |sum, local| sum.plus(local.slots.running_repeats()))
-    }
-
-    /// Whether the calls of a route to a local backend server are taken for nested ones, by where
-    /// they come from; `None` while that is not known, or if the server is not local.
-    pub fn is_nested_route(&self, server: &ServerName, route: &RouteName) -> Option<bool> {
-        self.local_servers.get(server)?.slots.is_nested_route(route)
-    }
-
-    /// Time after which a call that a local backend server refused for lack of a slot may be
-    /// retried; zero if the server is not local.
-    pub fn retry_after(&self, server: &ServerName) -> Duration {
-        self.local_servers.get(server).map(|local| local.slots.retry_after()).unwrap_or_default()
-    }
-
     /// When [`Instance::tick_servers`] is due: at the next end of a lease or expiry of a queued
     /// call.
     pub(crate) fn next_server_timer(&self) -> Mono {
@@ -432,7 +331,7 @@
     }
 
     /// Drops the slots of a server that is gone once no call runs or waits there.
-    fn remove_if_gone_and_idle(&mut self, name: &ServerName, out: &mut Effects) {
+    pub(crate) fn remove_if_gone_and_idle(&mut self, name: &ServerName, out: &mut Effects) {
         let gone = self.membership.own_server(name).is_none_or(|s| s.state == ServerState::Gone);
         let idle = self.local_servers.get(name).is_some_and(|local| local.slots.is_idle());
         if gone && idle {
@@ -440,19 +339,6 @@
         }
     }
 
-    /// Updates the limits of the local servers from the policies in the active route table.
-    pub(crate) fn apply_limits(&mut self, now: Now, out: &mut Effects) {
-        let mut settings = FastMap::default();
-        for (name, local) in &self.local_servers {
-            let wanted = self.slots_settings(&local.service, local.announced_slots);
-            settings.insert(name.clone(), wanted);
-        }
-        for (name, local) in &mut self.local_servers {
-            local.slots.set_settings(settings[name]);
-            run_queued(local.slots.run_waiting(now), out);
-        }
-    }
-
     /// Drains all local servers because the daemon stops.
     pub(crate) fn drain_local_servers(&mut self, now: Now) {
         let names: Vec<ServerName> = self.local_servers.keys().cloned().collect();
@@ -462,7 +348,7 @@
     }
 
     /// Limits for one server: those of its service's policy, else the defaults in the settings.
-    fn slots_settings(&self, service: &ServiceName, slots: u32) -> SlotsSettings {
+    pub(crate) fn slots_settings(&self, service: &ServiceName, slots: u32) -> SlotsSettings {
         let limits = self.router.table().limits(service);
         SlotsSettings {
             slots,
@@ -512,18 +398,25 @@
     }
 }
 
-/// Reports the queued calls that got a slot, if there are any.
-fn run_queued(calls: Vec<CallId>, out: &mut Effects) {
-    if !calls.is_empty() {
-        out.push(Effect::RunQueued(calls));
+fn check_announcement(now: Now, announcement: &Announcement) -> Result<(), AnnounceError> {
+    let name = || announcement.name.clone();
+    if announcement.slots == 0 {
+        return Err(AnnounceError::NoSlots(name()));
+    }
+    if announcement.slots > MAX_SLOTS {
+        return Err(AnnounceError::TooManySlots(name()));
+    }
+    match announcement.order {
+        Some(order) if !order.is_plausible(now.wall) => {
+            Err(AnnounceError::ImplausibleOrder(name()))
+        }
+        _ => Ok(()),
     }
 }
 
-/// Refusal for a call that reached a daemon which does not host its backend server.
-fn not_local_refusal() -> Refusal {
-    Refusal {
-        kind: RefusalKind::Unavailable,
-        reason: "the backend server is not beside this daemon: try another".into(),
-        retry_after: None,
+/// Reports the queued calls that got a slot, if there are any.
+pub(crate) fn run_queued(calls: Vec<CallId>, out: &mut Effects) {
+    if !calls.is_empty() {
+        out.push(Effect::RunQueued(calls));
     }
 }
--- a/crates/cyclamenmoor/tests/store.rs
+++ b/crates/cyclamenmoor/tests/store.rs
@@ -198,6 +198,31 @@
     );
 }
 
+/// Guards against an odd announcement after which those of the server itself look outdated.
+#[test]
+fn announce_implausible_order_is_refused() {
+    let mut instance = new_instance();
+    let name = || "s-1".parse().unwrap();
+    for (started_at_ms, sequence) in [
+        (u64::MAX, 1),
+        (START_MS + 10 * 3_600_000, 1),
+        (5, u64::MAX),
+        (5, 1 << 53),
+        (u64::MAX, u64::MAX),
+    ] {
+        let odd = announcement("s-1", "v1", started_at_ms, sequence);
+        let refused = instance.announce_server(time(1), &odd, &mut Vec::new());
+        assert_eq!(refused, Err(AnnounceError::ImplausibleOrder(name())));
+    }
+    let slots = Announcement { slots: u32::MAX, ..announcement("s-1", "v1", 5, 1) };
+    let refused = instance.announce_server(time(1), &slots, &mut Vec::new());
+    assert_eq!(refused, Err(AnnounceError::TooManySlots(name())));
+    let left = instance.withdraw_server(time(1), &name(), Some(u64::MAX), &mut Vec::new());
+    assert_eq!(left, Err(AnnounceError::ImplausibleOrder(name())));
+    announce(&mut instance, 2, &announcement("s-1", "v1", 5, 1));
+    assert_eq!(server_state(&instance, "s-1"), Some(ServerState::Ready));
+}
+
 #[test]
 fn was_warm_since_the_first_announcement_that_says_so() {
     let mut instance = new_instance();
--- a/crates/daemon/src/admin/servers.rs
+++ b/crates/daemon/src/admin/servers.rs
@@ -70,7 +70,9 @@
 impl From<AnnounceError> for ApiError {
     fn from(error: AnnounceError) -> Self {
         let code = match error {
-            AnnounceError::NoSlots(_) => ErrorCode::Malformed,
+            AnnounceError::NoSlots(_)
+            | AnnounceError::TooManySlots(_)
+            | AnnounceError::ImplausibleOrder(_) => ErrorCode::Malformed,
             AnnounceError::Unknown(_) => ErrorCode::NotFound,
         };
         Self::new(code, error.to_string())
--- a/crates/daemon/src/call_metrics.rs
+++ b/crates/daemon/src/call_metrics.rs
@@ -97,6 +97,7 @@
     retries_refused: Gauge,
     ejections: Gauge,
     store_restores: Gauge,
+    unreadable_entries: Gauge,
     blocked_calls: Gauge,
     blocked_refusals: Gauge,
     server_crashes: Gauge,
@@ -239,6 +240,8 @@
         registry.register("ejections", "servers taken out of choice", state.ejections.clone());
         let restores = state.store_restores.clone();
         registry.register("store_restores", "times the store came back older", restores);
+        let help = "records and announcements that could not be used";
+        registry.register("unreadable_entries", help, state.unreadable_entries.clone());
         let help = "different calls that are refused because they crash backend servers";
         registry.register("blocked_calls", help, state.blocked_calls.clone());
         let help = "refusals of calls that crash backend servers";
@@ -263,6 +266,7 @@
         self.retries_refused.set(to_gauge_value(dump.router.retries_refused));
         self.ejections.set(to_gauge_value(dump.router.ejections));
         self.store_restores.set(to_gauge_value(dump.distribution.store_restores));
+        self.unreadable_entries.set(to_gauge_value(dump.distribution.unreadable_entries));
         self.blocked_calls.set(to_gauge_value(dump.blocked_calls.len() as u64));
         self.blocked_refusals.set(to_gauge_value(dump.blocklist.calls_refused));
         self.server_crashes.set(to_gauge_value(dump.blocklist.server_crashes));
--- a/crates/daemon/src/calls/tests.rs
+++ b/crates/daemon/src/calls/tests.rs
@@ -40,6 +40,7 @@
             peers: Vec::new(),
             log_service: SocketAddr::from(([127, 0, 0, 1], 9)),
             platform: Some(PlatformSettings {
+                server: None,
                 store: SocketAddr::from(([127, 0, 0, 1], 9)),
                 hops: free,
                 ready: free,
--- a/crates/daemon/src/http_endpoints.rs
+++ b/crates/daemon/src/http_endpoints.rs
@@ -4,6 +4,7 @@
 //! leaves, and a monitoring system reads metrics as text.
 
 use std::convert::Infallible;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::call_metrics::CallMetrics;
+use crate::local_backend::LocalBackend;
 use crate::shared::SharedInstance;
 use crate::store::StoreSync;
 
@@ -36,16 +38,30 @@
 /// What a listener serves.
 #[derive(Clone)]
 enum Endpoint {
-    /// Readiness and announcements; departures are kept in the store, if there is one.
-    Platform(Option<StoreSync>),
+    /// Readiness, and announcements of the local backend server.
+    Platform(Arc<Announcements>),
     /// Metrics as text.
     Metrics(Arc<CallMetrics>),
 }
 
+/// What announcements need.
+struct Announcements {
+    /// Where departures are kept.
+    store: StoreSync,
+    /// Whose announcements are believed.
+    backend: LocalBackend,
+}
+
 /// Serves readiness checks and announcements on `listener` until the task is dropped. The daemon
 /// has a listener for each of the two, and both serve both.
-pub(crate) async fn serve(shared: SharedInstance, store: Option<StoreSync>, listener: TcpListener) {
-    serve_endpoint(shared, Endpoint::Platform(store), listener).await;
+pub(crate) async fn serve(
+    shared: SharedInstance,
+    store: StoreSync,
+    backend: LocalBackend,
+    listener: TcpListener,
+) {
+    let announcements = Arc::new(Announcements { store, backend });
+    serve_endpoint(shared, Endpoint::Platform(announcements), listener).await;
 }
 
 /// Serves metrics on `listener` until the task is dropped.
@@ -72,7 +88,9 @@
         let (shared, endpoint) = (shared.clone(), endpoint.clone());
         async move {
             Ok::<_, Infallible>(match endpoint {
-                Endpoint::Platform(store) => platform_response(&shared, store.as_ref(), req).await,
+                Endpoint::Platform(announcements) => {
+                    platform_response(&shared, &announcements, req).await
+                }
                 Endpoint::Metrics(metrics) => metrics_response(&shared, &metrics),
             })
         }
@@ -95,7 +113,7 @@
 
 async fn platform_response(
     shared: &SharedInstance,
-    store: Option<&StoreSync>,
+    announcements: &Announcements,
     req: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if req.uri().path() == READY_PATH {
@@ -112,17 +130,14 @@
     match announcements::decode(parts.uri.path(), query, &body.to_bytes()) {
         Some(message) => {
             let departs = departs(&message);
-            let status = apply_announcement(shared, message);
+            let status = apply_announcement(shared, &announcements.backend, message);
             match departs {
-                true => await_stored_departures(shared, store).await,
+                true => await_stored_departures(shared, &announcements.store).await,
                 false => await_history(shared).await,
             }
             empty_response(status)
         }
-        None => {
-            warn!("ignored a request that is not a valid announcement");
-            empty_response(StatusCode::BAD_REQUEST)
-        }
+        None => empty_response(refuse(shared, &"ignored a request that is no valid announcement")),
     }
 }
 
@@ -146,10 +161,7 @@
 
 /// Waits until the store holds all departures that are known here, so that the acknowledgement of one
 /// still binds after a restart of the daemon.
-async fn await_stored_departures(shared: &SharedInstance, store: Option<&StoreSync>) {
-    let Some(store) = store else {
-        return;
-    };
+async fn await_stored_departures(shared: &SharedInstance, store: &StoreSync) {
     let revision = shared.read(Instance::departures_revision);
     let stored = store.departures_stored(revision);
     if tokio::time::timeout(ACKNOWLEDGE_WITHIN, stored).await.is_err() {
@@ -160,25 +172,37 @@
     }
 }
 
-fn apply_announcement(shared: &SharedInstance, message: Said) -> StatusCode {
+/// Counts and logs an announcement that is not used.
+fn refuse(shared: &SharedInstance, fault: &dyn Display) -> StatusCode {
+    shared.with(|instance, _, _| instance.record_unreadable_entry());
+    warn!("{fault}");
+    StatusCode::BAD_REQUEST
+}
+
+fn apply_announcement(
+    shared: &SharedInstance,
+    backend: &LocalBackend,
+    message: Said,
+) -> StatusCode {
     match message {
         Said::Heartbeat(announcement) => {
+            if let Err(misfit) = backend.check(&announcement) {
+                return refuse(shared, &misfit);
+            }
             let applied =
                 shared.with(|instance, now, out| instance.announce_server(now, &announcement, out));
             match applied {
                 Ok(()) => StatusCode::OK,
-                Err(fault) => {
-                    warn!("{fault}");
-                    StatusCode::BAD_REQUEST
-                }
+                Err(fault) => refuse(shared, &fault),
             }
         }
         Said::Leave(name, born) => {
             match shared.with(|instance, now, out| instance.withdraw_server(now, &name, born, out))
             {
                 Ok(()) => info!("backend server `{name}` announces that it is leaving"),
-                // An unknown server needs no withdrawal; `withdraw` does not return `NoSlots`.
-                Err(AnnounceError::Unknown(_) | AnnounceError::NoSlots(_)) => {}
+                // An unknown server needs no withdrawal.
+                Err(AnnounceError::Unknown(_)) => {}
+                Err(fault) => return refuse(shared, &fault),
             }
             StatusCode::OK
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod gossip;
 mod http_endpoints;
 mod lifecycle;
+mod local_backend;
 pub mod log_client;
 pub mod logging;
 pub mod metrics;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -54,6 +54,7 @@
     gossip_forged: u64,
     log_reads: u64,
     store_restores: u64,
+    unreadable_entries: u64,
     changes_accepted: u64,
     changes_refused: u64,
 }
@@ -109,6 +110,7 @@
             gossip_forged: dump.membership.forged,
             log_reads: dump.distribution.log_reads,
             store_restores: dump.distribution.store_restores,
+            unreadable_entries: dump.distribution.unreadable_entries,
             changes_accepted: dump.ledger.accepted,
             changes_refused: dump.ledger.refused,
         };
@@ -160,6 +162,7 @@
     count("gossip.forged", previous.gossip_forged, current.gossip_forged);
     count("log.reads", previous.log_reads, current.log_reads);
     count("store.restores", previous.store_restores, current.store_restores);
+    count("unreadable_entries", previous.unreadable_entries, current.unreadable_entries);
     count("changes.accepted", previous.changes_accepted, current.changes_accepted);
     count("changes.refused", previous.changes_refused, current.changes_refused);
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -22,6 +22,7 @@
 use crate::calls::{CallObservers, CallServer};
 use crate::decision_log::DecisionLog;
 use crate::effects::{self, EffectRunner};
+use crate::local_backend::LocalBackend;
 use crate::log_client::LogClient;
 use crate::settings::{PlatformSettings, Settings};
 use crate::shared::{self, SharedInstance};
@@ -138,13 +139,17 @@
     };
     admin.set_instance(shared.clone());
     let mut tasks = JoinSet::new();
-    let hops = platform.map(|listeners| {
+    let mut hops = None;
+    if let (Some(listeners), Some(platform), Some(store)) =
+        (platform, &settings.platform, &effect_runner.store)
+    {
+        let backend = LocalBackend { service: platform.service.clone(), address: platform.server };
         for listener in [listeners.ready, listeners.announcements] {
-            let store = effect_runner.store.clone();
-            tasks.spawn(http_endpoints::serve(shared.clone(), store, listener));
+            let (store, backend) = (store.clone(), backend.clone());
+            tasks.spawn(http_endpoints::serve(shared.clone(), store, backend, listener));
         }
-        listeners.hops
-    });
+        hops = Some(listeners.hops);
+    }
     let observers = CallObservers { decision_log, metrics: Arc::default() };
     if let Some(listener) = metrics_listener {
         let metrics = Arc::clone(&observers.metrics);
--- a/crates/daemon/src/settings/platform.rs
+++ b/crates/daemon/src/settings/platform.rs
@@ -17,4 +17,6 @@
     pub announcements: SocketAddr,
     /// Service of the local backend server; calls that enter the mesh here are attributed to it.
     pub service: ServiceName,
+    /// Address that the local backend server listens on; `None` to believe any that is announced.
+    pub server: Option<SocketAddr>,
 }
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -185,6 +185,7 @@
     let ready = section.required("ready", ADDRESS_REMEDY, values::listen_address);
     let announcements = section.required("announcements", ADDRESS_REMEDY, values::listen_address);
     let service = section.required("service", NAME_REMEDY, values::name);
+    let server = section.optional("server", values::destination);
     section.finish();
     Some(PlatformSettings {
         store: store?,
@@ -192,6 +193,7 @@
         ready: ready?,
         announcements: announcements?,
         service: service?,
+        server,
     })
 }
 
--- a/crates/daemon/src/store/history.rs
+++ b/crates/daemon/src/store/history.rs
@@ -7,7 +7,7 @@
 
 use cyclamen_distribution::{PeerRequest, PeerResponse};
 use cyclamen_membership::{Departure, MeshKey};
-use cyclamen_platform::{StoreError, Topic, departures};
+use cyclamen_platform::{NewestRecord, StoreError, Topic, departures};
 use cyclamen_types::{Incarnation, InstanceName};
 use cyclamenmoor::{HistorySource, Instance};
 use log::info;
@@ -59,13 +59,24 @@
         match sync.store.newest(Topic::Departures).await {
             Ok(newest) => {
                 let own = newest.records.iter().find(|record| record.key == me.as_str());
-                return own.map(departures::decode).unwrap_or_default();
+                return own.map(|record| decode(sync, record)).unwrap_or_default();
             }
             Err(error) => tokio::time::sleep(availability.failed(&error)).await,
         }
     }
 }
 
+fn decode(sync: &StoreSync, record: &NewestRecord) -> Vec<Departure> {
+    let mut readable = Vec::new();
+    for departure in departures::decode(record) {
+        match departure {
+            Some(departure) => readable.push(departure),
+            None => sync.record_unreadable(Topic::Departures, &record.key),
+        }
+    }
+    readable
+}
+
 /// Writes the departures of this daemon's servers, until the store has taken them.
 async fn write_departures(sync: &StoreSync, me: &InstanceName, own: &[Departure]) {
     let mut availability = StoreAvailability::default();
--- a/crates/daemon/src/store/registration.rs
+++ b/crates/daemon/src/store/registration.rs
@@ -95,9 +95,11 @@
 
 fn add_stored_members(sync: &StoreSync, me: &StoredMember, newest: &Newest) {
     let mut peers = Vec::new();
-    for member in newest.records.iter().filter_map(members::decode) {
-        if member.instance != me.instance {
-            peers.push(member.peer);
+    for record in &newest.records {
+        match members::decode(record) {
+            Some(member) if member.instance != me.instance => peers.push(member.peer),
+            Some(_) => {}
+            None => sync.record_unreadable(Topic::Members, &record.key),
         }
     }
     info!("found {} other daemons in the store", peers.len());
--- a/crates/daemon/src/store/sync.rs
+++ b/crates/daemon/src/store/sync.rs
@@ -96,6 +96,12 @@
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts and logs a record that cannot be read and is passed over.
+    pub(super) fn record_unreadable(&self, topic: Topic, key: &str) {
+        self.shared.with(|instance, _, _| instance.record_unreadable_entry());
+        warn!("record `{key}` of the {topic} cannot be read and is passed over: write it anew");
+    }
+
     /// Passes the configuration of the view to the instance, once there is one.
     pub(crate) fn activate_config(&self) {
         let config = self.view().config();
@@ -138,6 +144,7 @@
         let now = self.shared.now().wall;
         let applied = self.view().apply_orders(now, decoded, next_offset);
         for fault in applied.unreadable {
+            self.shared.with(|instance, _, _| instance.record_unreadable_entry());
             warn!("{fault}");
         }
         for outdated in applied.outdated {
@@ -173,8 +180,11 @@
         let Newest { records, end } = self.store.newest(Topic::Orders).await?;
         if records.iter().any(orders::is_move) {
             let status = self.store.newest(Topic::Status).await?;
-            for recorded in status.records.iter().filter_map(moves::decode) {
-                self.view().apply_recorded_move(recorded);
+            for record in &status.records {
+                match moves::decode(record) {
+                    Some(recorded) => self.view().apply_recorded_move(recorded),
+                    None => self.record_unreadable(Topic::Status, &record.key),
+                }
             }
         }
         self.apply_records(&records, end);
--- a/crates/distribution/src/distribution.rs
+++ b/crates/distribution/src/distribution.rs
@@ -121,6 +121,9 @@
     /// Times that the store was found to have come back from an older copy.
     #[serde(default)]
     pub store_restores: u64,
+    /// Records of the store and announcements of backend servers that could not be used.
+    #[serde(default)]
+    pub unreadable_entries: u64,
     /// Bytes of records and snapshots sent to peers.
     pub bytes_sent: u64,
     /// Bytes of records and snapshots received from peers and the log.
@@ -230,6 +233,11 @@
         self.counters.store_restores += 1;
     }
 
+    /// Counts a record of the store, or an announcement, that cannot be used.
+    pub fn unreadable_entry(&mut self) {
+        self.counters.unreadable_entries += 1;
+    }
+
     /// Notes a version that the log is known to have reached, so that this daemon soon holds it.
     pub fn expect(&mut self, now: Now, version: ConfigVersion) {
         self.log.expect(now, version);
