Calls: an answer to a call without an id need not echo one

run_seconds_without_calls_that_never_ran caught the rule for refusals without an id: a call that has none cannot get it back. Its refusal is believed as before.

--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -536,8 +536,8 @@
     Some(Request::from_parts(parts, body))
 }
 
-/// Whether a response belongs to this call. A response without a request id is assumed to, unless it
-/// says that the call was not run where servers name the calls that they did not run.
+/// Whether a response belongs to this call. A response without the id of the call is assumed to,
+/// unless it says that the call was not run where servers name the calls that they did not run.
 fn belongs_to(
     names: &CallHeaders,
     status: StatusCode,
@@ -545,9 +545,10 @@
     request_id: Option<&HeaderValue>,
 ) -> bool {
     let says_not_run = reports_not_run(names, headers) || NOT_RUN_STATUSES.contains(&status);
-    match headers.get(&names.request_id) {
-        Some(echo) => Some(echo) == request_id,
-        None => names.not_run.is_none() || !says_not_run,
+    match (headers.get(&names.request_id), request_id) {
+        (Some(echo), id) => Some(echo) == id,
+        (None, Some(_)) => names.not_run.is_none() || !says_not_run,
+        (None, None) => true,
     }
 }
 
