--- a/crates/cyclamenmoor/src/server_slots.rs
+++ b/crates/cyclamenmoor/src/server_slots.rs
@@ -14,8 +14,8 @@
 
 impl Instance {
     /// Requests a slot for a call at a local backend server. Waiting calls of lower criticality
-    /// that this evicts from the queue are reported through [`Effect::Expire`]. A server that is
-    /// not local refuses the call; in baseline mode, every call to a local one runs at once.
+    /// that this evicts from the queue are reported through [`Effect::RefuseQueued`]. A server that
+    /// is not local refuses the call; in baseline mode, every call to a local one runs at once.
     pub fn admit_call(
         &mut self,
         now: Now,
