--- a/crates/cyclamenmoor/src/departures.rs
+++ b/crates/cyclamenmoor/src/departures.rs
@@ -31,9 +31,9 @@
     revision: u64,
 }
 
-/// A departure as daemons tell each other.
+/// A departure as daemons tell each other of it by gossip.
 #[derive(Debug, Serialize, Deserialize)]
-struct Told {
+struct DepartureNews {
     host: InstanceName,
     departure: Departure,
 }
@@ -139,13 +139,9 @@
         }
     }
 
-    /// Whether an announcement was made by a process of a local server that has left, or before it
+    /// Whether an announcement of a local server was made by a process that has left, or before it
     /// began to drain.
-    pub(crate) fn own_departures_precede(
-        &self,
-        announcement: &Announcement,
-        order: AnnouncementOrder,
-    ) -> bool {
+    pub(crate) fn is_void(&self, announcement: &Announcement, order: AnnouncementOrder) -> bool {
         let own = self.departures.get(&self.settings.local_member.instance);
         own.is_some_and(|own| own.make_void(announcement, order))
     }
@@ -191,7 +187,7 @@
         let host = self.settings.local_member.instance.clone();
         let mut payload = vec![PAYLOAD_TAG];
         // Encoding cannot fail: postcard rejects only sequences of unknown length.
-        payload.extend(postcard::to_stdvec(&Told { host, departure }).unwrap_or_default());
+        payload.extend(postcard::to_stdvec(&DepartureNews { host, departure }).unwrap_or_default());
         let broadcast = Broadcast { kind: BroadcastKind::Urgent, payload: payload.into() };
         self.membership.broadcast(now, broadcast, true, &mut self.outgoing);
         out.push(Effect::Changed);
@@ -200,7 +196,7 @@
     /// Takes over a departure that another daemon tells of. A payload that cannot be decoded is
     /// ignored.
     pub(crate) fn merge_departure(&mut self, now: Now, payload: &[u8], out: &mut Effects) {
-        let Ok(Told { host, departure }) = postcard::from_bytes(&payload[1..]) else {
+        let Ok(DepartureNews { host, departure }) = postcard::from_bytes(&payload[1..]) else {
             return;
         };
         if host == self.settings.local_member.instance {
--- a/crates/cyclamenmoor/src/history.rs
+++ b/crates/cyclamenmoor/src/history.rs
@@ -17,8 +17,8 @@
 /// answers, there is usually no configuration to serve calls by either.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
-/// How much longer than for the store a daemon waits for another daemon. The store is away for some
-/// departures when they are acknowledged; the other daemons know these too.
+/// How much longer than for the store a daemon waits for another daemon, which may know of a departure
+/// that was acknowledged while the store was away.
 const MAX_WAIT_FOR_PEERS: Duration = Duration::from_millis(500);
 
 /// Who tells a daemon of the departures that it acknowledged before its start.
@@ -139,8 +139,8 @@
             return;
         }
         for announcement in self.history.release() {
-            // Announcements without slots are refused before they are held, and there is no other
-            // error. Those that a departure has made void are ignored.
+            // It was checked before it was held, so there is no error. One that a departure has made
+            // void is ignored.
             let _ = self.announce_server(now, &announcement, out);
         }
         out.push(Effect::Changed);
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -63,6 +63,19 @@
         if announcement.draining && !was_draining {
             self.note_draining(now, announcement, out);
         }
+        let state = self.update_local_server(now, announcement, out);
+        self.publish_record(now, announcement, state);
+        self.reconcile(now, out);
+        Ok(())
+    }
+
+    /// Takes over an announcement that holds. Returns the state of the server from now on.
+    fn update_local_server(
+        &mut self,
+        now: Now,
+        announcement: &Announcement,
+        out: &mut Effects,
+    ) -> ServerState {
         let lease_ends = now.mono + self.settings.announcement_lease;
         let settings = self.slots_settings(&announcement.service, announcement.slots);
         let local =
@@ -96,9 +109,7 @@
             _ => local.slots.drain(),
         }
         run_queued(local.slots.run_waiting(now), out);
-        self.publish_record(now, announcement, state);
-        self.reconcile(now, out);
-        Ok(())
+        state
     }
 
     /// Withdraws a local backend server: it gets no new calls, and further announcements of the
@@ -167,7 +178,7 @@
         let Some(order) = announcement.order else {
             return Freshness::Current;
         };
-        if self.own_departures_precede(announcement, order) {
+        if self.is_void(announcement, order) {
             return Freshness::Stale;
         }
         for (name, local) in &self.local_servers {
