A leave without a start, of a server not known yet, is kept

Cause: a daemon that has just started knows no server until its first report. A leave that doesn't name the start of the server was answered 200 then and forgotten, and a late report brought the server into use.

Ruled out: the reports that are held after a start, and leaves that name the start (BORN=1 held before).

Change: such a leave withdraws all processes of that name that started by now, by this daemon's clock or a held report; it is stored and told to other daemons like any departure, and has a log line.

--- a/crates/cyclamenmoor/src/history.rs
+++ b/crates/cyclamenmoor/src/history.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// When the process started that made the held announcement of a server, in Unix milliseconds by
+    /// its own clock; `None` if no announcement of the server is held.
+    pub(crate) fn held_start_ms(&self, server: &ServerName) -> Option<u64> {
+        Some(self.held.get(server)?.order?.started_at_ms)
+    }
+
     /// Ends the wait and returns the announcements that were held, by name.
     fn release(&mut self) -> Vec<Announcement> {
         self.waits_until = None;
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -127,7 +127,8 @@
     /// Withdraws a local backend server: it gets no new calls, and further announcements of the
     /// same incarnation are ignored, except those without an order. `started_at_ms` is the start
     /// time of the incarnation to withdraw, in Unix milliseconds; a server that started later
-    /// stays. `None` withdraws whichever incarnation is known.
+    /// stays. `None` withdraws whichever incarnation is known, or all that have started by now if
+    /// none is.
     ///
     /// # Errors
     /// [`AnnounceError::Unknown`] if no local server has this name. The incarnation counts as
@@ -146,10 +147,9 @@
             return Err(AnnounceError::ImplausibleOrder(name.clone()));
         }
         let Some(local) = self.local_servers.get(name) else {
-            if let Some(started_at_ms) = started_at_ms {
-                self.note_left(now, name, started_at_ms, None, out);
-                self.reconcile(now, out);
-            }
+            let withdrawn = started_at_ms.unwrap_or_else(|| self.latest_start_by_now(now, name));
+            self.note_left(now, name, withdrawn, None, out);
+            self.reconcile(now, out);
             return Err(AnnounceError::Unknown(name.clone()));
         };
         let address = local.address;
@@ -166,6 +166,12 @@
         Ok(())
     }
 
+    /// The latest time, in Unix milliseconds, at which a process of a server that is not in use here
+    /// can have started: now, or by its own clock if a held announcement says more.
+    fn latest_start_by_now(&self, now: Now, name: &ServerName) -> u64 {
+        self.history.held_start_ms(name).map_or(now.wall.0, |held| held.max(now.wall.0))
+    }
+
     /// Ends or drains a local server by a departure that was acknowledged before this daemon's start,
     /// unless the server has been announced since by a later process or as drained.
     pub(crate) fn apply_departure(&mut self, now: Now, departure: &Departure, out: &mut Effects) {
--- a/crates/cyclamenmoor/tests/departures.rs
+++ b/crates/cyclamenmoor/tests/departures.rs
@@ -6,7 +6,7 @@
 use cyclamen_membership::{Departure, DepartureState, ServerState};
 use cyclamen_types::Incarnation;
 use cyclamenmoor::{
-    Announcement, Effect, Effects, Event, HistorySource, Instance, InstanceSettings,
+    AnnounceError, Announcement, Effect, Effects, Event, HistorySource, Instance, InstanceSettings,
 };
 use support::{START_MS, address, announce, announcement, server_state, settings, time};
 
@@ -99,6 +99,52 @@
     assert_eq!(server_state(&instance, "s-2"), Some(ServerState::Ready), "it was held till then");
 }
 
+/// Guards against the use of a server whose leave was acknowledged before its daemon, which had just
+/// started, knew it: the leave does not name the start of the server, and a late report arrives
+/// afterwards.
+#[test]
+fn withdraw_unknown_server_without_start() {
+    let name = "s-1".parse().unwrap();
+    for held in [false, true] {
+        let mut instance = restarted();
+        if held {
+            announce(&mut instance, RESTART_MS + 1, &announcement("s-1", "v1", 5, 2));
+        }
+        let result =
+            instance.withdraw_server(time(RESTART_MS + 2), &name, None, &mut Effects::new());
+        assert_eq!(result, Err(AnnounceError::Unknown(name.clone())));
+        learn(&mut instance, RESTART_MS + 3, HistorySource::Store, &[]);
+        learn(&mut instance, RESTART_MS + 4, NEW_PEER, &[]);
+        announce(&mut instance, RESTART_MS + 2_500, &announcement("s-1", "v1", 5, 3));
+        assert_eq!(server_state(&instance, "s-1"), None, "it has left");
+
+        let known = instance.own_departures();
+        assert_eq!(known.len(), 1, "for the next restart, and for the other daemons");
+        let mut after = restarted();
+        learn(&mut after, RESTART_MS + 3_000, HistorySource::Store, &known);
+        learn(&mut after, RESTART_MS + 3_000, NEW_PEER, &[]);
+        announce(&mut after, RESTART_MS + 3_001, &announcement("s-1", "v1", 5, 4));
+        assert_eq!(server_state(&after, "s-1"), None, "it has left");
+        let born = START_MS + RESTART_MS + 2_900;
+        announce(&mut after, RESTART_MS + 3_002, &announcement("s-1", "v1", born, 1));
+        assert_eq!(server_state(&after, "s-1"), Some(ServerState::Ready), "a new start of it");
+    }
+}
+
+/// Guards against the use of a server that left: its held report names a start that is ahead of this
+/// daemon's clock.
+#[test]
+fn withdraw_held_server_that_started_later_by_its_clock() {
+    let mut instance = restarted();
+    let born = START_MS + RESTART_MS + 500;
+    announce(&mut instance, RESTART_MS + 1, &announcement("s-1", "v1", born, 1));
+    let name = "s-1".parse().unwrap();
+    let result = instance.withdraw_server(time(RESTART_MS + 2), &name, None, &mut Effects::new());
+    assert!(result.is_err());
+    learn(&mut instance, RESTART_MS + 3, OLD_PEER, &[]);
+    assert_eq!(server_state(&instance, "s-1"), None, "it has left");
+}
+
 /// Guards against servers that live but are not used: the daemon waits for nobody who will not
 /// answer.
 #[test]
--- a/crates/daemon/src/http_endpoints.rs
+++ b/crates/daemon/src/http_endpoints.rs
@@ -202,8 +202,13 @@
             match shared.with(|instance, now, out| instance.withdraw_server(now, &name, born, out))
             {
                 Ok(()) => info!("backend server `{name}` announces that it is leaving"),
-                // An unknown server needs no withdrawal.
-                Err(AnnounceError::Unknown(_)) => {}
+                // It may have reported itself to an earlier process of this daemon. That it has left
+                // is noted, so that reports under way do not bring it back.
+                Err(AnnounceError::Unknown(_)) => {
+                    info!(
+                        "backend server `{name}`, not in use here yet, announces that it is leaving"
+                    );
+                }
                 Err(fault) => return refuse(shared, &fault),
             }
             StatusCode::OK
