Calls that wait for a leaving server start soon, or are refused as not run

What callers would see: a call, a nested one above all, that waited for a slot when its server said that it leaves could be sent to it seconds after the acknowledgement (DRAIN).

Cause: Slots::drain served the queue without a bound.

Evidence: calls_that_wait_for_a_leaving_server_start_soon_or_never failed without the bound (3 calls started late, none refused).

--- a/crates/cyclamenmoor/src/allowances/tests.rs
+++ b/crates/cyclamenmoor/src/allowances/tests.rs
@@ -70,6 +70,7 @@
         cold_overshoot: 1.0,
         adaptive_slots: false,
         retry_limits: Default::default(),
+        drain_time: Duration::from_secs(2),
     };
     let mut instance = Instance::new(settings, 1, time(0));
     assert!(instance.install_config(time(0), config(), &mut Vec::new()));
--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -82,6 +82,7 @@
         let settings = self.slots_settings(&announcement.service, announcement.slots);
         let cold_limit = self.cold_limit(&announcement.service);
         let emptied = self.domain_emptied;
+        let serves_queue_until = self.serves_queue_until(now);
         let is_new = !self.local_servers.contains_key(&announcement.name);
         let local =
             self.local_servers.entry(announcement.name.clone()).or_insert_with(|| LocalServer {
@@ -118,7 +119,7 @@
         };
         match state {
             ServerState::Ready => local.slots.resume(),
-            _ => local.slots.drain(),
+            _ => local.slots.drain(serves_queue_until),
         }
         run_queued(local.slots.run_waiting(now), out);
         state
@@ -396,6 +397,12 @@
         }
     }
 
+    /// Until when calls that wait for a server that leaves now may still start there. The other half
+    /// of the drain time is for sending them, and for the time that the daemon may be held up.
+    fn serves_queue_until(&self, now: Now) -> Mono {
+        now.mono + self.settings.drain_time / 2
+    }
+
     /// Publishes the record of a server through membership if anything but its sequence has
     /// changed.
     fn publish_record(&mut self, now: Now, announcement: &Announcement, state: ServerState) {
@@ -422,8 +429,9 @@
 
     /// Publishes a draining or gone state for a server and stops admitting calls to it.
     fn set_server_state(&mut self, now: Now, name: &ServerName, state: ServerState) {
+        let serves_queue_until = self.serves_queue_until(now);
         if let Some(local) = self.local_servers.get_mut(name) {
-            local.slots.drain();
+            local.slots.drain(serves_queue_until);
         }
         let Some(known) = self.membership.own_server(name) else {
             return;
--- a/crates/cyclamenmoor/src/settings.rs
+++ b/crates/cyclamenmoor/src/settings.rs
@@ -30,6 +30,8 @@
     pub default_queue_limit: u32,
     /// Maximum time that a call is queued for a local backend server, unless a policy sets another.
     pub default_queue_wait: Duration,
+    /// How long a backend server goes on to be sent calls after it said that it leaves.
+    pub drain_time: Duration,
     /// Whether the concurrency limit of a backend server is lowered below its announced slots
     /// while it responds slowly or sheds calls.
     pub adaptive_slots: bool,
--- a/crates/cyclamenmoor/tests/fleet/fleet.rs
+++ b/crates/cyclamenmoor/tests/fleet/fleet.rs
@@ -467,6 +467,7 @@
             adaptive_slots: true,
             cold_overshoot: 1.0,
             retry_limits: Default::default(),
+            drain_time: Duration::from_secs(2),
         }
     }
 
--- a/crates/cyclamenmoor/tests/queues.rs
+++ b/crates/cyclamenmoor/tests/queues.rs
@@ -9,10 +9,10 @@
 
 use cyclamen_declarations::Criticality;
 use cyclamen_membership::ServerState;
-use cyclamen_routing::{Admission, CallId, RunOutcome, SlotRequest};
+use cyclamen_routing::{Admission, AncestorCalls, CallId, RunOutcome, SlotRequest};
 use cyclamenmoor::{Announcement, Effect, Effects, Event, Instance};
 use proptest::prelude::*;
-use support::{address, announcement, new_instance, server_state, time};
+use support::{START_MS, address, announcement, new_instance, server_state, time};
 
 /// Time that a call has, in milliseconds.
 const CALL_MS: u64 = 4_000;
@@ -57,10 +57,20 @@
     }
 
     fn call(&mut self, millis: u64, name: &str) {
+        self.call_with(millis, name, AncestorCalls::default());
+    }
+
+    /// A call that another one made, which waits until its deadline.
+    fn call_nested(&mut self, millis: u64, name: &str) {
+        self.call_with(millis, name, AncestorCalls { depth: 1, same_service: false });
+    }
+
+    fn call_with(&mut self, millis: u64, name: &str, ancestors: AncestorCalls) {
         self.last += 1;
         let (call, deadline) = (CallId(self.last), millis + CALL_MS);
         let request = SlotRequest {
             target_at: time(millis + TARGET_MS).mono,
+            ancestors,
             ..SlotRequest::new(Criticality::Normal, time(deadline).mono)
         };
         let mut out = Effects::new();
@@ -167,6 +177,30 @@
     assert_eq!((calls.running.len(), calls.waiting.len()), (3, 1));
 }
 
+/// Guards against calls that reach a server long after its leave, or that it drains, was
+/// acknowledged: those that waited for it then.
+#[test]
+fn calls_that_wait_for_a_leaving_server_start_soon_or_never() {
+    let draining = Announcement { draining: true, ..server("s-1", 5, 2, 2) };
+    for leaves in [true, false] {
+        let mut calls = Calls::new(0, &server("s-1", 5, 1, 2));
+        for _ in 0..6 {
+            calls.call_nested(1, "s-1");
+        }
+        match leaves {
+            true => calls.withdraw(100, "s-1"),
+            false => calls.announce(100, &draining),
+        }
+        calls.finish_one(1_000, "s-1");
+        assert_eq!((calls.running.len(), calls.waiting.len()), (2, 3), "within half of the time");
+        calls.announce(1_050, &Announcement { draining: true, ..server("s-1", 5, 3, 2) });
+        calls.wake(1_100);
+        assert_eq!((calls.waiting.len(), calls.refused.len()), (0, 3), "refused as not run");
+        calls.finish_one(1_200, "s-1");
+        assert_eq!(calls.running.len(), 1);
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Call,
@@ -210,9 +244,9 @@
                 Step::Call => calls.call(millis, name),
                 Step::Finish => calls.finish_one(millis, name),
                 Step::Report { slots: now, draining: drains } => (slots, draining) = (now, drains),
-                Step::Restart { slots: now } => (born, slots) = (born + 1, now),
-                Step::RestartElsewhere => (born, port) = (born + 1, port + 1),
-                Step::ReplaceBy(other) => (born, name) = (born + 1, other),
+                Step::Restart { slots: now } => (born, slots) = (START_MS + millis, now),
+                Step::RestartElsewhere => (born, port) = (START_MS + millis, port + 1),
+                Step::ReplaceBy(other) => (born, name) = (START_MS + millis, other),
                 Step::Leave => calls.withdraw(millis, name),
                 Step::Wait(span) => millis += span,
             }
--- a/crates/cyclamenmoor/tests/support/mod.rs
+++ b/crates/cyclamenmoor/tests/support/mod.rs
@@ -68,6 +68,7 @@
         adaptive_slots: false,
         cold_overshoot: 1.0,
         retry_limits: Default::default(),
+        drain_time: Duration::from_secs(2),
     }
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -265,6 +265,7 @@
         evidence_period: limits.evidence_period,
         default_queue_limit: limits.queue,
         default_queue_wait: limits.queue_wait,
+        drain_time: limits.drain_time,
     }
 }
 
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -113,6 +113,8 @@
     /// that it stops. `None` ends this as soon as no connection is open, and at the latest after
     /// 2 seconds or a quarter of `stop_grace`, whichever is shorter.
     pub stop_linger: Option<Duration>,
+    /// How long a backend server goes on to be sent calls after it said that it leaves.
+    pub drain_time: Duration,
     /// Interval of gossip rounds and of membership probes.
     pub gossip_period: Duration,
     /// Maximum rate of gossip sent, in bytes per second.
@@ -143,6 +145,7 @@
             queue_wait: Duration::from_millis(200),
             stop_grace: Duration::from_secs(30),
             stop_linger: None,
+            drain_time: Duration::from_secs(2),
             gossip_period: Duration::from_secs(1),
             gossip_bytes_per_second: 2_048,
             announcement_lease: Duration::from_secs(6),
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -272,6 +272,9 @@
     });
     let linger = |value: &_| values::duration(value, Duration::ZERO..=MINUTE).map(Some);
     section.overwrite("stop_linger", &mut limits.stop_linger, linger);
+    section.overwrite("drain_time", &mut limits.drain_time, |value| {
+        values::duration(value, Duration::ZERO..=HOUR)
+    });
     section.overwrite("gossip_period", &mut limits.gossip_period, |value| {
         values::duration(value, 50 * MILLISECOND..=MINUTE)
     });
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -381,9 +381,11 @@
         self.room_in(now.mono, criticality)
     }
 
-    /// Refuses new calls from now on. Calls that are running or queued are still served.
-    pub fn drain(&mut self) {
+    /// Refuses new calls from now on. Calls that are running are still served, and queued ones if
+    /// they start before `serves_queue_until`; [`Slots::expire`] returns the others.
+    pub fn drain(&mut self, serves_queue_until: Mono) {
         self.draining = true;
+        self.queue.expire_by(serves_queue_until);
     }
 
     /// Accepts new calls again after [`Slots::drain`].
--- a/crates/routing/src/slots/queue.rs
+++ b/crates/routing/src/slots/queue.rs
@@ -307,6 +307,13 @@
         false
     }
 
+    /// Lets all calls expire by `until` at the latest.
+    pub(super) fn expire_by(&mut self, until: Mono) {
+        for queued in self.on_time.iter_mut().chain(&mut self.late).flatten() {
+            queued.expires_at = queued.expires_at.min(until);
+        }
+    }
+
     /// Moves all calls that expire by `now` to `out`.
     pub(super) fn expire(&mut self, now: Mono, out: &mut Vec<CallId>) {
         for class in self.on_time.iter_mut().chain(&mut self.late) {
--- a/crates/routing/tests/at_most_once.rs
+++ b/crates/routing/tests/at_most_once.rs
@@ -232,7 +232,7 @@
                 if server.ready {
                     slots.resume();
                 } else {
-                    slots.drain();
+                    slots.drain(cyclamen_types::Mono::NEVER);
                 }
                 self.set_servers();
             }
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -235,11 +235,32 @@
     let mut slots = slots(1, 10);
     admit(&mut slots, 0, 0, Normal);
     admit(&mut slots, 0, 1, Normal);
-    slots.drain();
+    slots.drain(Mono::NEVER);
     assert_eq!(refusal(admit(&mut slots, 0, 2, Critical)).kind, RefusalKind::Unavailable);
     assert_eq!(slots.finish(at(1), CallId(0), TEN_MS), [CallId(1)]);
 }
 
+/// Guards against calls that reach a server long after it said that it leaves: nested calls may wait
+/// for seconds, and were served whenever a slot became free.
+#[test]
+fn drain_bounds_the_wait_in_the_queue() {
+    let mut slots = slots(1, 10);
+    admit(&mut slots, 0, 0, Normal);
+    let ancestors = AncestorCalls { depth: 1, same_service: false };
+    let nested = SlotRequest { ancestors, ..SlotRequest::new(Normal, Mono(6_000_000)) };
+    for call in 1..3 {
+        let admission = slots.admit(at(0), CallId(call), &nested, &mut Vec::new());
+        assert_eq!(admission, Admission::Queued);
+    }
+    slots.drain(Mono(1_000_000));
+    assert_eq!(slots.finish(at(900_000), CallId(0), TEN_MS), [CallId(1)], "still in time");
+    assert_eq!(slots.next_expiry(), Mono(1_000_000));
+    assert_eq!(slots.finish(at(1_000_000), CallId(1), TEN_MS), [], "too late");
+    assert_eq!(slots.expire(at(1_000_000)), [CallId(2)]);
+    slots.drain(Mono(3_000_000));
+    assert_eq!(slots.next_expiry(), Mono::NEVER);
+}
+
 /// Keeps all slots in use for `span`, with calls that end like `outcome`, and returns the limit at
 /// the end.
 fn limit_after(slots: &mut Slots, start: u64, span: Duration, outcome: RunOutcome) -> u32 {
@@ -484,7 +505,7 @@
                     now += micros;
                     returned.extend(slots.expire(at(now)));
                 }
-                Step::Drain => slots.drain(),
+                Step::Drain => slots.drain(Mono::NEVER),
                 Step::Finish(_) | Step::Cancel(_) => {}
             }
             for call in started {
