A stop takes the time that the platform gives

Cause: deploy/node.yaml named 2.5 s and 3.2 s, so a daemon cut what was in progress 5.7 s after SIGTERM. The platform gives 6 s on small deployments, but 10 s on the large one, whose limits and route timeouts are 6 s and 3 s. The two spans also ran one after the other, so that a daemon that was held up ended later than meant.

Two daemons with the old times, a server that takes 3.6 s, calls with 6 s, one every 40 ms from the stop on: 6 of 59 that reached the server were cut.

Change: limits.stop_within, from the platform's bounds; all times of a stop count from the order to stop.

--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -30,29 +30,25 @@
 mod recent_breaks;
 mod response_writer;
 mod serve;
+mod stopping;
 mod tcp_options;
 #[cfg(test)]
 mod tests;
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
-
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::call_metrics::CallMetrics;
 use crate::calls::context::CallContext;
 use crate::calls::serve::{AcceptedClients, ShutdownPhase, accept};
+use crate::calls::stopping::StopSchedule;
 use crate::decision_log::DecisionLog;
 use crate::settings::Settings;
 use crate::shared::SharedInstance;
 
-/// Upper bound on the drain period at shutdown if `stop_linger` is not set; the other bound is a
-/// quarter of `stop_grace`. Connections stay open for it so that each can carry one more response,
-/// which tells the caller to close.
-const MAX_DRAIN_TIME: Duration = Duration::from_secs(2);
-
 /// The decision log and the metrics that the call proxy writes to.
 #[derive(Clone, Default)]
 pub struct CallObservers {
@@ -66,8 +62,9 @@
 pub struct CallServer {
     phase: watch::Sender<ShutdownPhase>,
     tasks: Mutex<JoinSet<()>>,
-    stop_grace: Duration,
-    stop_linger: Option<Duration>,
+    stop: StopSchedule,
+    /// Whether the listener stays open until the schedule closes it, even while nobody is connected.
+    lingers: bool,
 }
 
 impl CallServer {
@@ -94,27 +91,29 @@
         Self {
             phase,
             tasks: Mutex::new(tasks),
-            stop_grace: limits.stop_grace,
-            stop_linger: limits.stop_linger,
+            stop: StopSchedule::from(limits),
+            lingers: limits.stop_linger.is_some(),
         }
     }
 
-    /// Drains and shuts down: keeps accepting for the drain period while each response closes its
-    /// connection, then closes the listeners and waits up to the stop grace for calls in flight.
-    /// Calls that remain are aborted.
+    /// Drains and shuts down: keeps accepting for a while in which each response closes its
+    /// connection, then closes the listeners and waits for calls in flight, as the [`StopSchedule`]
+    /// says. Calls that remain are aborted.
     pub async fn stop(&self) {
+        let began = Instant::now();
         let mut tasks = std::mem::take(&mut *self.lock());
-        let drain_time = self.stop_linger.unwrap_or(MAX_DRAIN_TIME.min(self.stop_grace / 4));
-        let phase = match self.stop_linger {
-            Some(_) => ShutdownPhase::DrainingFullPeriod,
-            None => ShutdownPhase::Draining,
+        let phase = match self.lingers {
+            true => ShutdownPhase::DrainingFullPeriod,
+            false => ShutdownPhase::Draining,
         };
         self.phase.send_replace(phase);
-        let ended = tokio::time::timeout(drain_time, self.phase.closed()).await.is_ok();
+        let until = began + self.stop.listeners_close;
+        let ended = tokio::time::timeout_at(until, self.phase.closed()).await.is_ok();
         if !ended {
             self.phase.send_replace(ShutdownPhase::Closing);
-            // Calls still in flight after the grace are aborted below.
-            let _ = tokio::time::timeout(self.stop_grace, self.phase.closed()).await;
+            // Calls still in flight then are aborted below.
+            let until = began + self.stop.connections_close;
+            let _ = tokio::time::timeout_at(until, self.phase.closed()).await;
         }
         tasks.shutdown().await;
     }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -107,8 +107,12 @@
     pub queue: u32,
     /// Maximum time that a call waits in that queue.
     pub queue_wait: Duration,
-    /// Maximum time that a stopping daemon waits for calls in flight to end.
+    /// Maximum time that a stopping daemon waits for calls in flight to end, without
+    /// [`LimitSettings::stop_within`].
     pub stop_grace: Duration,
+    /// How long after the order to stop the process has to have ended; `None` bounds the stop by the
+    /// other two times, one after the other.
+    pub stop_within: Option<Duration>,
     /// How long a stopping daemon keeps accepting connections, for callers that do not know yet
     /// that it stops. `None` ends this as soon as no connection is open, and at the latest after
     /// 2 seconds or a quarter of `stop_grace`, whichever is shorter.
@@ -144,6 +148,7 @@
             queue: 32,
             queue_wait: Duration::from_millis(200),
             stop_grace: Duration::from_secs(30),
+            stop_within: None,
             stop_linger: None,
             drain_time: Duration::from_secs(2),
             gossip_period: Duration::from_secs(1),
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -270,6 +270,8 @@
     section.overwrite("stop_grace", &mut limits.stop_grace, |value| {
         values::duration(value, Duration::ZERO..=HOUR)
     });
+    let within = |value: &_| values::duration(value, SECOND..=HOUR).map(Some);
+    section.overwrite("stop_within", &mut limits.stop_within, within);
     let linger = |value: &_| values::duration(value, Duration::ZERO..=MINUTE).map(Some);
     section.overwrite("stop_linger", &mut limits.stop_linger, linger);
     section.overwrite("drain_time", &mut limits.drain_time, |value| {
