A daemon that stops refuses what it can't answer, and answers what it gives up

Cause: a call was passed on with its whole time limit whatever was left of the stop, and calls in progress at its end were aborted without a word.

Ruled out: ending such calls by a shorter limit only after they were passed on, since the answer of one's own in place of a call at work is a loss too; taking nothing from the order on, since callers learn of it up to 2.5 s later.

Change: StopTimes::decide, pure: an attempt is made if its limit ends before the stop, or if three times the average of its route (or service) fit, and then its server is told of the end; else it is refused as not run, with a hint. Calls under way 0.1 s before connections close get 502.

--- a/crates/cyclamenmoor/src/event.rs
+++ b/crates/cyclamenmoor/src/event.rs
@@ -9,7 +9,7 @@
 use cyclamen_distribution::{Fetch, LogBatch, LogReadError, PeerResponse};
 use cyclamen_ledger::{MoveId, MoveVerdict};
 use cyclamen_membership::Outgoing;
-use cyclamen_routing::CallId;
+use cyclamen_routing::{CallId, StopTimes};
 use cyclamen_types::{Offset, ServerName, ServiceName, VersionName, Wall};
 use derive_more::{Display, From, Into};
 use thiserror::Error;
@@ -133,9 +133,9 @@
         /// append or write is not known to have succeeded.
         result: Result<Offset, AppendError>,
     },
-    /// The process was asked to stop: all local backend servers drain, and this daemon announces
-    /// to its peers that it leaves.
-    Stop,
+    /// The process was asked to stop: all local backend servers drain, this daemon announces to its
+    /// peers that it leaves, and takes only calls that can be answered before it ends.
+    Stop(StopTimes),
 }
 
 /// Work that an instance asks its owner to do.
--- a/crates/cyclamenmoor/src/instance.rs
+++ b/crates/cyclamenmoor/src/instance.rs
@@ -16,7 +16,9 @@
     AppliedConfig, Broadcast, BroadcastKind, Membership, Outgoing, ServerState, ServerView,
 };
 use cyclamen_moves::{Moves, MovesEffect, MovesSettings};
-use cyclamen_routing::{QueueOrder, RouteTable, Router, RouterSettings, ServerInfo, VersionSplit};
+use cyclamen_routing::{
+    QueueOrder, RouteTable, Router, RouterSettings, ServerInfo, StopTimes, VersionSplit,
+};
 use cyclamen_types::{ConfigVersion, FastMap, InstanceName, Mono, Now, Offset, ServerName};
 
 use crate::allowances::AccountAllowances;
@@ -131,7 +133,7 @@
             Event::LogRead(answer) => self.on_log_read(now, answer),
             Event::PeerResponse { from, response } => self.on_peer_response(now, from, response),
             Event::Appended { ticket, result } => self.on_appended(now, ticket, &result),
-            Event::Stop => self.stop(now),
+            Event::Stop(times) => self.stop(now, times),
         }
         self.reconcile(now, out);
     }
@@ -377,8 +379,9 @@
         }
     }
 
-    fn stop(&mut self, now: Now) {
+    fn stop(&mut self, now: Now, times: StopTimes) {
         self.stopping = true;
+        self.router.stop(times);
         self.drain_local_servers(now);
         self.membership.leave(now, &mut self.outgoing);
     }
--- a/crates/cyclamenmoor/src/lib.rs
+++ b/crates/cyclamenmoor/src/lib.rs
@@ -25,6 +25,7 @@
 mod settings;
 
 pub use calls::{BodyEnd, LocalCallResult};
+pub use cyclamen_routing::StopTimes;
 pub use dump::{MemberDump, ServerDump, SlotsDump, StateDump};
 pub use event::{
     AnnounceError, Announcement, AnnouncementOrder, AppendError, AppendTicket, Effect, Effects,
--- a/crates/daemon/src/calls/context.rs
+++ b/crates/daemon/src/calls/context.rs
@@ -21,6 +21,7 @@
 use crate::calls::hop::HopSeal;
 use crate::calls::nested_calls::{ParentCall, RunningCalls};
 use crate::calls::pool::{self, Pool, PoolLimits};
+use crate::calls::stopping::CallsEnd;
 use crate::decision_log::DecisionLog;
 use crate::settings::Settings;
 use crate::shared::SharedInstance;
@@ -68,6 +69,8 @@
     pub(super) body_budget: Arc<Semaphore>,
     /// One permit per byte of response that may still be held.
     pub(super) held_response_budget: Arc<Semaphore>,
+    /// When calls are given up because the daemon stops.
+    pub(super) calls_end: CallsEnd,
     /// Calls running on local backend servers, by request id.
     pub(super) running_calls: RunningCalls,
     last_call_id: AtomicU64,
@@ -95,6 +98,7 @@
             crash_checks: CrashChecks::default(),
             body_budget: Arc::new(Semaphore::new(MAX_TOTAL_BUFFERED_BODY_BYTES)),
             held_response_budget: Arc::new(Semaphore::new(MAX_TOTAL_HELD_RESPONSE_BYTES)),
+            calls_end: CallsEnd::default(),
             running_calls: RunningCalls::default(),
             last_call_id: AtomicU64::new(0),
             max_caller_connections,
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -238,7 +238,11 @@
         return hop_response(&ctx, &hop_call, InboundOutcome::Unavailable);
     };
     call.digest = call_identity::digest(&ctx, &parts, &body);
-    let end = run(&ctx, call, Request::from_parts(parts, attempt_body)).await;
+    let end = tokio::select! {
+        end = run(&ctx, call, Request::from_parts(parts, attempt_body)) => end,
+        // The calls that wait for a slot were refused before.
+        () = ctx.calls_end.reached() => InboundOutcome::Unknown,
+    };
     hop_response(&ctx, &hop_call, end)
 }
 
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -35,6 +35,8 @@
 #[cfg(test)]
 mod tests;
 
+use cyclamen_types::Mono;
+use cyclamenmoor::StopTimes;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -61,6 +63,7 @@
 /// The listeners and connections of the call proxy of one daemon.
 pub struct CallServer {
     phase: watch::Sender<ShutdownPhase>,
+    ctx: CallContext,
     tasks: Mutex<JoinSet<()>>,
     stop: StopSchedule,
     /// Whether the listener stays open until the schedule closes it, even while nobody is connected.
@@ -86,21 +89,28 @@
         if let Some(hops) = hops {
             tasks.spawn(accept(ctx.clone(), AcceptedClients::Daemons, hops, phase.subscribe()));
         }
-        tasks.spawn(accept(ctx, clients, listener, phase.subscribe()));
+        tasks.spawn(accept(ctx.clone(), clients, listener, phase.subscribe()));
         let limits = &settings.limits;
         Self {
             phase,
+            ctx,
             tasks: Mutex::new(tasks),
             stop: StopSchedule::from(limits),
             lingers: limits.stop_linger.is_some(),
         }
     }
 
+    /// The times of a stop that is ordered at `now`.
+    pub fn stop_times(&self, now: Mono) -> StopTimes {
+        self.stop.times(now)
+    }
+
     /// Drains and shuts down: keeps accepting for a while in which each response closes its
     /// connection, then closes the listeners and waits for calls in flight, as the [`StopSchedule`]
-    /// says. Calls that remain are aborted.
+    /// says. Calls that remain get an answer that says that they may have run.
     pub async fn stop(&self) {
         let began = Instant::now();
+        self.ctx.calls_end.set(began + self.stop.calls_end);
         let mut tasks = std::mem::take(&mut *self.lock());
         let phase = match self.lingers {
             true => ShutdownPhase::DrainingFullPeriod,
@@ -111,7 +121,7 @@
         let ended = tokio::time::timeout_at(until, self.phase.closed()).await.is_ok();
         if !ended {
             self.phase.send_replace(ShutdownPhase::Closing);
-            // Calls still in flight then are aborted below.
+            // What is still in flight then is aborted below.
             let until = began + self.stop.connections_close;
             let _ = tokio::time::timeout_at(until, self.phase.closed()).await;
         }
--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -32,7 +32,11 @@
     let arrived = ctx.mono_now();
     let (parts, incoming) = req.into_parts();
     let until = Instant::now() + BODY_TIMEOUT;
-    match RequestBody::receive(incoming, &ctx.body_budget, until).await {
+    let received = tokio::select! {
+        received = RequestBody::receive(incoming, &ctx.body_budget, until) => received,
+        () = ctx.calls_end.reached() => Err(Rejection::BodyTimeout),
+    };
+    match received {
         Ok(body) => serve_call(ctx, arrived, parts, body).await,
         Err(rejection) => reject(&ctx, rejection),
     }
@@ -199,7 +203,14 @@
         if let Some(trace) = &mut trace {
             trace.record_placed(current.attempt());
         }
-        let result = current.send_request(parts, attempt_body).await;
+        let result = tokio::select! {
+            result = current.send_request(parts, attempt_body) => result,
+            () = ctx.calls_end.reached() => {
+                // The drop reports the attempt as cancelled: the server did not fail.
+                drop(current);
+                return refuse_or_fall_back(ctx, arrived, trace, fallback, &Refusal::stopped());
+            }
+        };
         ctx.metrics.record_attempt(attempt_end(result.outcome));
         if let Some(trace) = &mut trace {
             trace.record_attempt(number, &server, result.outcome, began);
--- a/crates/daemon/src/calls/stopping.rs
+++ b/crates/daemon/src/calls/stopping.rs
@@ -3,6 +3,11 @@
 
 use std::time::Duration;
 
+use cyclamen_types::Mono;
+use cyclamenmoor::StopTimes;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
 use crate::settings::LimitSettings;
 
 /// Upper bound on the drain period at shutdown if `stop_linger` is not set; the other bound is a
@@ -29,6 +34,13 @@
     pub(crate) connections_close: Duration,
 }
 
+impl StopSchedule {
+    /// The times of a stop that is ordered at `now`, for the decisions about calls.
+    pub(crate) fn times(&self, now: Mono) -> StopTimes {
+        StopTimes { callers_leave_by: now + self.listeners_close, calls_end: now + self.calls_end }
+    }
+}
+
 impl From<&LimitSettings> for StopSchedule {
     fn from(limits: &LimitSettings) -> Self {
         let linger = limits.stop_linger.unwrap_or(MAX_DRAIN_TIME.min(limits.stop_grace / 4));
@@ -44,5 +56,27 @@
     }
 }
 
+/// Tells the tasks of calls when calls that are still under way are given up.
+#[derive(Debug, Default)]
+pub(crate) struct CallsEnd(watch::Sender<Option<Instant>>);
+
+impl CallsEnd {
+    /// Has calls given up at this time.
+    pub(crate) fn set(&self, at: Instant) {
+        self.0.send_replace(Some(at));
+    }
+
+    /// Completes when calls are given up; never while the daemon does not stop.
+    pub(crate) async fn reached(&self) {
+        let mut times = self.0.subscribe();
+        // The sender lives as long as `self`, so there is no error.
+        let at = times.wait_for(Option::is_some).await.ok().and_then(|at| *at);
+        match at {
+            Some(at) => tokio::time::sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -176,9 +176,12 @@
 
 impl RunningDaemon {
     /// Stops gracefully: the instance leaves the mesh, and the call server drains (see
-    /// [`CallServer::stop`]). Calls still in flight after the stop grace are aborted.
+    /// [`CallServer::stop`]).
     pub async fn stop(mut self) {
-        self.shared.with(|instance, now, out| instance.handle(now, Event::Stop, out));
+        self.shared.with(|instance, now, out| {
+            let times = self.calls.stop_times(now.mono);
+            instance.handle(now, Event::Stop(times), out);
+        });
         self.calls.stop().await;
         tokio::time::sleep(GOSSIP_FLUSH_TIME).await;
         self.admin.stop().await;
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -16,6 +16,7 @@
 };
 use cyclamenmoor::{
     Announcement, AppendError, AppendTicket, Effect, Effects, Event, Instance, InstanceSettings,
+    StopTimes,
 };
 use derive_more::{Display, From, Into};
 use rand::rngs::StdRng;
@@ -193,7 +194,8 @@
 
     /// Stops the daemon of an instance gracefully; its last words are sent.
     pub fn stop(&mut self, index: NodeIndex) {
-        self.tell(index, Event::Stop);
+        let at_once = StopTimes { callers_leave_by: Mono(0), calls_end: Mono(0) };
+        self.tell(index, Event::Stop(at_once));
         self.kill(index);
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod call;
 mod router;
 mod slots;
+mod stop;
 mod table;
 
 pub use call::{
@@ -27,6 +28,7 @@
     Admission, AncestorCalls, CallId, QueueOrder, RunOutcome, RunningRepeats, SlotRequest, Slots,
     SlotsCounters, SlotsSettings, TurnedAway, TurnedAwayByClass,
 };
+pub use stop::{StopDecision, StopTimes};
 pub use table::{
     AccountTable, RouteIndex, RouteTable, ServiceIndex, ServiceLimits, ServiceRetries, TableFault,
 };
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -46,6 +46,7 @@
     RouterCounters, RouterMode, RouterSettings, ServerInfo, VersionSplit,
 };
 use crate::router::version_choice::{PPM, SplitPoint, VersionChoice};
+use crate::stop::{StopDecision, StopTimes};
 use crate::table::{CallAccount, CompiledRoute, NoAccount, RouteTable};
 
 /// Largest number of load reports of other servers sent along with an answer to another daemon.
@@ -65,6 +66,8 @@
 #[derive(Debug)]
 struct ActiveCall {
     attempt: Attempt,
+    /// When the call is given up; its attempts may have to end earlier if the daemon stops.
+    deadline: Mono,
     route: Arc<CompiledRoute>,
     split_point: SplitPoint,
     /// Servers of earlier attempts.
@@ -125,6 +128,8 @@
     route_bytes: FastMap<RouteName, f64>,
     route_times: RouteTimes,
     nested_calls: NestedCalls,
+    /// The times of the stop that the daemon was ordered to make.
+    stop: Option<StopTimes>,
     last_attempt_id: u64,
     rng: SmallRng,
     counters: RouterCounters,
@@ -147,6 +152,7 @@
             route_bytes: Default::default(),
             route_times: Default::default(),
             nested_calls: Default::default(),
+            stop: None,
             last_attempt_id: 0,
             rng: SmallRng::seed_from_u64(seed),
             counters: Default::default(),
@@ -213,6 +219,12 @@
         }
     }
 
+    /// Takes over that the daemon stops. From now on attempts are made only if they are expected to be
+    /// answered before, and none outlasts the stop.
+    pub fn stop(&mut self, times: StopTimes) {
+        self.stop = Some(times);
+    }
+
     /// Matches a route and picks a service, a version and a backend server for a new call.
     ///
     /// # Errors
@@ -493,6 +505,7 @@
     /// Picks a version and a server for an attempt and registers it as under way.
     fn start_attempt(&mut self, now: Mono, plan: AttemptPlan) -> Result<Attempt, Refusal> {
         let service = &plan.service;
+        let deadline = self.deadline_before_stop(&plan)?;
         let Some(compiled) = self.table.service(service) else {
             return Err(refusals::no_route());
         };
@@ -522,7 +535,7 @@
             route_timeout_at: plan.route_timeout_at,
             criticality: plan.criticality,
             idempotent: plan.idempotent,
-            deadline: plan.deadline,
+            deadline,
             previous_attempts: plan.previous_attempts,
             moves_left: if server.says_pace() { moves_left } else { 0 },
             repeat: if plan.reached_attempts > 0 { 1.0 } else { plan.inherited_repeat },
@@ -533,6 +546,7 @@
         };
         let call = ActiveCall {
             attempt: attempt.clone(),
+            deadline: plan.deadline,
             route: plan.route,
             split_point: plan.split_point,
             tried: plan.tried,
@@ -550,6 +564,22 @@
         Ok(attempt)
     }
 
+    /// The deadline of an attempt: that of its call, or an earlier one while the daemon stops. An error
+    /// is the refusal of a call that would probably get no answer before the daemon ends.
+    fn deadline_before_stop(&self, plan: &AttemptPlan) -> Result<Mono, Refusal> {
+        let Some(stop) = &self.stop else {
+            return Ok(plan.deadline);
+        };
+        let average = self
+            .route_times
+            .average(&plan.route.name)
+            .or_else(|| self.route_times.average_of_service(&plan.service));
+        match stop.decide(plan.starts_at, plan.deadline, average) {
+            StopDecision::Make(deadline) => Ok(deadline),
+            StopDecision::Refuse(retry_after) => Err(refusals::stopping(retry_after)),
+        }
+    }
+
     /// Picks a server that the call has not tried. A call that is sent on goes back to the server that
     /// sent it on only if no other is left.
     fn choose_server(
--- a/crates/routing/src/router/refusals.rs
+++ b/crates/routing/src/router/refusals.rs
@@ -43,6 +43,13 @@
     refusal(RefusalKind::OutcomeUnknown, "the caller went away before the answer", None)
 }
 
+/// The refusal of a call that would probably get no answer before this daemon ends.
+pub(super) fn stopping(retry_after: Duration) -> Refusal {
+    let reason = "this daemon stops before the call could be answered; the call was not run: send it \
+                  to another daemon";
+    refusal(RefusalKind::Unavailable, reason, Some(retry_after))
+}
+
 /// The refusal of a call under which backend servers crashed. Without a retry hint, since it would
 /// be refused again.
 pub(super) fn blocked() -> Refusal {
@@ -58,6 +65,13 @@
 }
 
 impl Refusal {
+    /// The refusal of a call that is under way when the daemon has to end.
+    pub fn stopped() -> Self {
+        let reason = "this daemon had to stop before the answer came; the call may have run: look up \
+                      whether it did";
+        refusal(RefusalKind::OutcomeUnknown, reason, None)
+    }
+
     /// The refusal of a call that may have run in an attempt with this outcome, and that no answer
     /// is left of.
     pub fn outcome_unknown(outcome: Outcome) -> Self {
--- a/crates/routing/src/router/retries.rs
+++ b/crates/routing/src/router/retries.rs
@@ -83,7 +83,7 @@
             split_point: call.split_point,
             tried,
             idempotent: true,
-            deadline: last.deadline,
+            deadline: call.deadline,
             previous_attempts: last.previous_attempts + 1,
             crashed_server: last.crashed_server.clone(),
             earlier_run: Some(Outcome::Answered { status }),
@@ -181,7 +181,7 @@
             service: last.service.clone(),
             target_at: last.target_at,
             route_timeout_at: last.route_timeout_at,
-            deadline: last.deadline,
+            deadline: call.deadline,
             idempotent: last.idempotent,
             previous_attempts: last.previous_attempts + 1,
             crashed_server: match crashed {
--- a/crates/routing/src/router/route_times.rs
+++ b/crates/routing/src/router/route_times.rs
@@ -71,6 +71,20 @@
         Duration::try_from_secs_f64(time.seconds).ok()
     }
 
+    /// Average time of a call of a service, over all its routes; `None` below [`MIN_SAMPLES`] calls.
+    pub(super) fn average_of_service(&self, service: &ServiceName) -> Option<Duration> {
+        Duration::try_from_secs_f64(self.average_seconds_of_service(service)?).ok()
+    }
+
+    fn average_seconds_of_service(&self, service: &ServiceName) -> Option<f64> {
+        let (mut seconds, mut calls) = (0.0, 0.0);
+        for time in self.routes.values().filter(|time| time.service == *service) {
+            seconds += time.calls * time.seconds;
+            calls += time.calls;
+        }
+        (calls >= MIN_SAMPLES).then(|| seconds / calls)
+    }
+
     /// Forgets all routes but those to `keep`.
     pub(super) fn retain(&mut self, keep: impl Fn(&RouteName) -> bool) {
         self.routes.retain(|route, _| keep(route));
@@ -91,13 +105,9 @@
             measured += hold.calls * hold.seconds;
             expected += hold.calls * time.seconds;
         }
-        let (mut seconds, mut calls) = (0.0, 0.0);
-        for time in self.routes.values().filter(|time| time.service == *service) {
-            seconds += time.calls * time.seconds;
-            calls += time.calls;
-        }
-        let known = measured > 0.0 && expected > 0.0 && calls >= MIN_SAMPLES;
-        known.then(|| measured / expected * (seconds / calls))
+        let average = self.average_seconds_of_service(service)?;
+        let known = measured > 0.0 && expected > 0.0;
+        known.then(|| measured / expected * average)
     }
 
     fn halve(&mut self) {
