A call isn't sent again to a server that leaves

What callers would see: an idempotent call under way on a kept connection was sent to its server again when that connection broke, though the server's leave had been acknowledged meanwhile (DRAIN where it comes late enough).

Cause: whether a call may be resent was decided when it was first sent.

Not seen on a deployment.

Change: ResendPolicy asks when the connection breaks whether the server still takes calls.

--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -315,6 +315,11 @@
         (record.state != ServerState::Gone).then_some(record)
     }
 
+    /// Whether a local backend server is ready for calls: it neither leaves nor drains.
+    pub fn takes_calls(&self, server: &ServerName) -> bool {
+        self.membership.own_server(server).is_some_and(|own| own.state == ServerState::Ready)
+    }
+
     /// Sorted addresses of the local backend servers that are ready.
     pub fn ready_server_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = Vec::new();
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -330,7 +330,12 @@
         slot.running = request_id.clone().map(start);
     }
     let until = ctx.to_instant(call.deadline);
-    let resend = resend_policy(ctx, &call);
+    // What the server said since the call was sent counts: it may be leaving by now.
+    let takes_calls = || ctx.shared.read(|instance| instance.takes_calls(&call.server));
+    let resend = match may_be_resent(ctx, &call) {
+        true => ResendPolicy::AllowedWhile(&takes_calls),
+        false => ResendPolicy::Never,
+    };
     let sent = ctx.server_pool.send(call.address, req, until, resend).await;
     let latency = ctx.mono_now().since(started);
     if may_have_run(&ctx.headers, &sent) {
@@ -400,13 +405,10 @@
 }
 
 /// A call at a cold server is not resent: the server would get two for the one that was admitted.
-fn resend_policy(ctx: &CallContext, call: &InboundCall) -> ResendPolicy {
+fn may_be_resent(ctx: &CallContext, call: &InboundCall) -> bool {
     let now = ctx.shared.now();
     let is_cold = || ctx.shared.read(|instance| instance.is_server_cold(now, &call.server));
-    match call.idempotent && !is_cold() {
-        true => ResendPolicy::Allowed,
-        false => ResendPolicy::Never,
-    }
+    call.idempotent && !is_cold()
 }
 
 /// The process that answers after this one has ended is a new one, and cold.
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -116,14 +116,24 @@
 }
 
 /// Whether a call may be resent after a reused connection broke without a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ResendPolicy {
-    /// Allowed: the call is idempotent.
-    Allowed,
+#[derive(Clone, Copy)]
+pub(super) enum ResendPolicy<'a> {
+    /// Allowed if this holds then: the call is idempotent, and the target still takes calls.
+    AllowedWhile(&'a (dyn Fn() -> bool + Sync)),
     /// Not allowed: the call must not run twice.
     Never,
 }
 
+impl ResendPolicy<'_> {
+    /// Whether a call may be resent now.
+    fn holds(self) -> bool {
+        match self {
+            Self::AllowedWhile(holds) => holds(),
+            Self::Never => false,
+        }
+    }
+}
+
 struct IdleConnection {
     sender: SendRequest<AttemptBody>,
     receive_limit: ReceiveLimit,
@@ -177,7 +187,7 @@
         to: SocketAddr,
         mut req: Request<AttemptBody>,
         until: Instant,
-        resend: ResendPolicy,
+        resend: ResendPolicy<'_>,
     ) -> Result<Exchange, SendFailure> {
         let target = self.target(to);
         loop {
@@ -195,7 +205,7 @@
                 Sent::Broken if new_connection => return Err(SendFailure::Reset),
                 Sent::Broken => {
                     target.record_reuse_break();
-                    let copy = copy.ok_or(SendFailure::Reset)?;
+                    let copy = copy.filter(|_| resend.holds()).ok_or(SendFailure::Reset)?;
                     return target.resend_over_new(copy, until).await;
                 }
             };
@@ -257,14 +267,14 @@
 
 impl Target {
     /// The idle connection used most recently, if one is usable for the call.
-    fn idle_lease(self: &Arc<Self>, resend: ResendPolicy) -> Option<Lease> {
+    fn idle_lease(self: &Arc<Self>, resend: ResendPolicy<'_>) -> Option<Lease> {
         let max_idle = match resend {
             ResendPolicy::Never if self.drops_idle() => SAFE_IDLE_TIME,
-            ResendPolicy::Never | ResendPolicy::Allowed => IDLE_TIMEOUT,
+            ResendPolicy::Never | ResendPolicy::AllowedWhile(_) => IDLE_TIMEOUT,
         };
         let doubted_before = match resend {
             ResendPolicy::Never => lock(&self.breaks).doubted_before(Instant::now()),
-            ResendPolicy::Allowed => None,
+            ResendPolicy::AllowedWhile(_) => None,
         };
         let mut idle = lock(&self.idle);
         let trusted = |since: Instant| doubted_before.is_none_or(|before| since >= before);
@@ -326,12 +336,12 @@
 /// A copy of a call to resend; `None` if that is not allowed or the body is streamed.
 fn copy_to_resend(
     req: &Request<AttemptBody>,
-    resend: ResendPolicy,
+    resend: ResendPolicy<'_>,
 ) -> Option<Request<AttemptBody>> {
     let AttemptBody::Buffered(body) = req.body() else {
         return None;
     };
-    if resend == ResendPolicy::Never {
+    if matches!(resend, ResendPolicy::Never) {
         return None;
     }
     let mut copy = Request::new(AttemptBody::Buffered(body.clone()));
