What stood in large files goes where it belongs: refusals, server's answers, departures

The refusals of the slots stand in slots/refusals.rs, as those of the router do; what the head of a server's answer says of the call in calls/server_answer.rs, with no network; the withdrawal of a server beside the other departures.

--- a/crates/cyclamenmoor/src/local_servers.rs
+++ b/crates/cyclamenmoor/src/local_servers.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use cyclamen_membership::{Departure, DepartureState, ServerRecord, ServerState};
+use cyclamen_membership::{ServerRecord, ServerState};
 use cyclamen_routing::{CallId, Slots, SlotsSettings};
 use cyclamen_types::{Mono, Now, ServerName, ServiceName};
 
@@ -16,9 +16,9 @@
     pub(crate) slots: Slots,
     pub(crate) service: ServiceName,
     pub(crate) announced_slots: u32,
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
     /// Order of the latest announcement.
-    order: Option<AnnouncementOrder>,
+    pub(crate) order: Option<AnnouncementOrder>,
     /// When the lease ends and the server is marked gone, unless it is announced again before;
     /// `Mono::NEVER` after the lease has ended.
     lease_ends: Mono,
@@ -125,73 +125,6 @@
         state
     }
 
-    /// Withdraws a local backend server: it gets no new calls, and further announcements of the
-    /// same incarnation are ignored, except those without an order. `started_at_ms` is the start
-    /// time of the incarnation to withdraw, in Unix milliseconds; a server that started later
-    /// stays. `None` withdraws whichever incarnation is known, or all that have started by now if
-    /// none is.
-    ///
-    /// # Errors
-    /// [`AnnounceError::Unknown`] if no local server has this name. The incarnation counts as
-    /// withdrawn all the same, so that its announcements are ignored if they arrive late.
-    /// [`AnnounceError::ImplausibleOrder`] if the incarnation is of the future; nothing changes then.
-    pub fn withdraw_server(
-        &mut self,
-        now: Now,
-        name: &ServerName,
-        started_at_ms: Option<u64>,
-        out: &mut Effects,
-    ) -> Result<(), AnnounceError> {
-        let started =
-            started_at_ms.map(|started_at_ms| AnnouncementOrder { started_at_ms, sequence: 0 });
-        if started.is_some_and(|started| !started.is_plausible(now.wall)) {
-            return Err(AnnounceError::ImplausibleOrder(name.clone()));
-        }
-        let Some(local) = self.local_servers.get(name) else {
-            let withdrawn = started_at_ms.unwrap_or_else(|| self.latest_start_by_now(now, name));
-            self.note_left(now, name, withdrawn, None, out);
-            self.reconcile(now, out);
-            return Err(AnnounceError::Unknown(name.clone()));
-        };
-        let address = local.address;
-        let known = local.order.map(|order| order.started_at_ms);
-        if started_at_ms.zip(known).is_some_and(|(withdrawn, known)| withdrawn < known) {
-            return Ok(());
-        }
-        if let Some(withdrawn) = started_at_ms.or(known) {
-            self.note_left(now, name, withdrawn, Some(address), out);
-        }
-        self.set_server_state(now, name, ServerState::Gone);
-        self.remove_if_gone_and_idle(name, out);
-        self.reconcile(now, out);
-        Ok(())
-    }
-
-    /// The latest time, in Unix milliseconds, at which a process of a server that is not in use here
-    /// can have started: now, or by its own clock if a held announcement says more.
-    fn latest_start_by_now(&self, now: Now, name: &ServerName) -> u64 {
-        self.history.held_start_ms(name).map_or(now.wall.0, |held| held.max(now.wall.0))
-    }
-
-    /// Ends or drains a local server by a departure that was acknowledged before this daemon's start,
-    /// unless the server has been announced since by a later process or as drained.
-    pub(crate) fn apply_departure(&mut self, now: Now, departure: &Departure, out: &mut Effects) {
-        let name = &departure.server;
-        let order = self.local_servers.get(name).and_then(|local| local.order);
-        if !order.is_some_and(|order| departure.covers(order.started_at_ms, order.sequence)) {
-            return;
-        }
-        match departure.state {
-            DepartureState::Draining { .. } => {
-                self.set_server_state(now, name, ServerState::Draining);
-            }
-            DepartureState::Left => {
-                self.set_server_state(now, name, ServerState::Gone);
-                self.remove_if_gone_and_idle(name, out);
-            }
-        }
-    }
-
     /// Checks an announcement against the ones known for its name and address.
     fn freshness(&self, announcement: &Announcement) -> Freshness {
         let Some(order) = announcement.order else {
@@ -433,7 +366,7 @@
     }
 
     /// Publishes a draining or gone state for a server and stops admitting calls to it.
-    fn set_server_state(&mut self, now: Now, name: &ServerName, state: ServerState) {
+    pub(crate) fn set_server_state(&mut self, now: Now, name: &ServerName, state: ServerState) {
         let serves_queue_until = self.serves_queue_until(now);
         if let Some(local) = self.local_servers.get_mut(name) {
             local.slots.drain(serves_queue_until);
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -9,13 +9,12 @@
 use cyclamen_blocklist::{CallDigest, CallKey, Denial, Scope};
 use cyclamen_decisions::SlotAnswer;
 use cyclamen_declarations::Criticality;
-use cyclamen_port::CallHeaders;
 use cyclamen_routing::{
     Admission, AncestorCalls, CallId, Outcome, Refusal, RefusalKind, RunOutcome, SlotRequest,
 };
 use cyclamen_types::{AccountName, Mono, RouteName, ServerName, ServiceName, VersionName};
 use cyclamenmoor::{Instance, LocalCallResult};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use log::{error, info, warn};
 use tokio::sync::oneshot;
@@ -28,6 +27,7 @@
 use crate::calls::hop::{HOP_RESPONSE_HEADER, HopCall, HopOutcome, HopResponse};
 use crate::calls::nested_calls::{AncestorServices, ParentCall, RunningCallGuard};
 use crate::calls::pool::{Exchange, ResendPolicy, SendFailure};
+use crate::calls::server_answer::{belongs_to, has_proof, may_have_run, reports_not_run, says_run};
 use crate::shared::SlotOutcome;
 
 /// Time after which a server that cannot be reached may be retried.
@@ -41,14 +41,6 @@
 /// instance ends that time by the deadline.
 const SLOT_WAIT_GRACE: Duration = Duration::from_millis(100);
 
-/// Statuses by which a server may say that it did not run a call.
-const NOT_RUN_STATUSES: [StatusCode; 4] = [
-    StatusCode::REQUEST_TIMEOUT,
-    StatusCode::MISDIRECTED_REQUEST,
-    StatusCode::TOO_MANY_REQUESTS,
-    StatusCode::SERVICE_UNAVAILABLE,
-];
-
 /// A call for a local backend server.
 pub(super) struct InboundCall {
     pub(super) server: ServerName,
@@ -385,7 +377,7 @@
     if status.is_success() && !has_proof(&ctx.headers, response_headers) {
         return InboundOutcome::Unknown;
     }
-    slot.ran = !NOT_RUN_STATUSES.contains(&status);
+    slot.ran = says_run(status);
     slot.outcome = match exchange.response.status() {
         _ if slot.running.as_ref().is_some_and(RunningCallGuard::made_nested_calls) => {
             RunOutcome::Unmeasured
@@ -586,43 +578,6 @@
     Some(Request::from_parts(parts, body))
 }
 
-/// Whether a response belongs to this call. A response without the id of the call is assumed to,
-/// unless it says that the call was not run where servers name the calls that they did not run.
-fn belongs_to(
-    names: &CallHeaders,
-    status: StatusCode,
-    headers: &HeaderMap,
-    request_id: Option<&HeaderValue>,
-) -> bool {
-    let says_not_run = reports_not_run(names, headers) || NOT_RUN_STATUSES.contains(&status);
-    match (headers.get(&names.request_id), request_id) {
-        (Some(echo), id) => Some(echo) == id,
-        (None, Some(_)) => names.not_run.is_none() || !says_not_run,
-        (None, None) => true,
-    }
-}
-
-/// Whether the backend server may have run the call, by how sending it ended.
-fn may_have_run(names: &CallHeaders, sent: &Result<Exchange, SendFailure>) -> bool {
-    match sent {
-        Ok(exchange) => exchange.resent || !reports_not_run(names, exchange.response.headers()),
-        Err(SendFailure::Reset | SendFailure::TimedOut) => true,
-        Err(SendFailure::NotConnected | SendFailure::Unsent) => false,
-    }
-}
-
-/// Whether a response carries the header by which a backend server reports that it did not run the
-/// call; false if no such header is configured.
-fn reports_not_run(names: &CallHeaders, headers: &HeaderMap) -> bool {
-    names.not_run.as_ref().is_some_and(|name| headers.contains_key(name))
-}
-
-/// Whether a response carries the header that proves that a backend server created it; true if no
-/// such header is configured.
-fn has_proof(names: &CallHeaders, headers: &HeaderMap) -> bool {
-    names.proof.as_ref().is_none_or(|proof| headers.contains_key(proof))
-}
-
 /// The response that reports to the sending daemon how its call ended.
 fn hop_response(
     ctx: &CallContext,
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -30,6 +30,7 @@
 mod recent_breaks;
 mod response_writer;
 mod serve;
+mod server_answer;
 mod stopping;
 mod tcp_options;
 #[cfg(test)]
--- a/crates/routing/src/slots/mod.rs
+++ b/crates/routing/src/slots/mod.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod rate_limit;
 mod reentry;
+mod refusals;
 mod turned_away;
 mod types;
 
@@ -24,7 +25,7 @@
 use cyclamen_declarations::Criticality;
 use cyclamen_types::{AccountName, FastMap, Mono, Now, RouteName};
 
-use crate::call::{Refusal, RefusalKind};
+use crate::call::Refusal;
 use crate::router::{RouteHoldTime, ServerLoad};
 use crate::slots::adaptive_limit::AdaptiveLimit;
 use crate::slots::cold_limit::ColdLimit;
@@ -36,6 +37,7 @@
 use crate::slots::queue::{CLASSES, Queue, QueuePriority, QueuedCall};
 use crate::slots::rate_limit::RateLimit;
 use crate::slots::reentry::ReentryReserve;
+use crate::slots::refusals::{cold, draining, emptied, expired, overloaded, rate_limited};
 use crate::slots::turned_away::TurnAwayReason;
 pub use crate::slots::turned_away::{TurnedAway, TurnedAwayByClass};
 pub use crate::slots::types::{
@@ -49,10 +51,6 @@
 /// Cap on the expected wait in the queue, and on the retry hint that is given to refused calls.
 const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(5);
 
-/// When a call may come back that was refused because the failure domain of its server is emptied,
-/// if no other server takes it meanwhile.
-const EMPTIED_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Time that it may take to send a call on to another server.
 const SEND_ON_TIME: Duration = Duration::from_millis(20);
 
@@ -669,54 +667,3 @@
     let reserved = limit.div_ceil(BULK_RESERVE_DIVISOR);
     limit.saturating_sub(reserved).max(1)
 }
-
-fn overloaded(retry_after: Duration) -> Refusal {
-    let reason = "the backend server is full; the call was not run: come back later".into();
-    Refusal { kind: RefusalKind::Overloaded, reason, retry_after: Some(retry_after) }
-}
-
-fn rate_limited(wait: Duration) -> Refusal {
-    Refusal {
-        kind: RefusalKind::Overloaded,
-        reason: "the backend server takes fewer calls a second at present; the call was not run: \
-                 come back later"
-            .into(),
-        retry_after: Some(wait),
-    }
-}
-
-fn cold(wait: Duration) -> Refusal {
-    Refusal {
-        kind: RefusalKind::Overloaded,
-        reason: "the backend server is cold and bears few calls; the call was not run: come back \
-                 later"
-            .into(),
-        retry_after: Some(wait.max(MIN_RETRY_AFTER)),
-    }
-}
-
-fn emptied() -> Refusal {
-    Refusal {
-        kind: RefusalKind::Overloaded,
-        reason: "the failure domain of the backend server is emptied; the call was not run: try \
-                 another"
-            .into(),
-        retry_after: Some(EMPTIED_RETRY_AFTER),
-    }
-}
-
-fn draining() -> Refusal {
-    Refusal {
-        kind: RefusalKind::Unavailable,
-        reason: "the backend server is leaving; the call was not run: try another".into(),
-        retry_after: None,
-    }
-}
-
-fn expired() -> Refusal {
-    Refusal {
-        kind: RefusalKind::Expired,
-        reason: "the deadline passed before the call was run: send it again with more time".into(),
-        retry_after: None,
-    }
-}
