The platform's bounds stand in a text that need not be filled in

Change: platform.bounds, lines in the platform's words, decoded in platform/. A place that isn't filled in, or left out, counts as not given; a value that is no number is a fault. A daemon that stops writes how long that takes at most.

--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -36,9 +36,11 @@
 #[cfg(test)]
 mod tests;
 
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
 use cyclamen_types::Mono;
 use cyclamenmoor::StopTimes;
-use std::sync::{Arc, Mutex, PoisonError};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -101,6 +103,11 @@
         }
     }
 
+    /// Longest time of a stop, until the connections that are still open are closed.
+    pub fn longest_stop(&self) -> Duration {
+        self.stop.connections_close
+    }
+
     /// The times of a stop that is ordered at `now`.
     pub fn stop_times(&self, now: Mono) -> StopTimes {
         self.stop.times(now)
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -75,7 +75,8 @@
         () = reloads => {}
         () = report_changes(shared.clone(), metrics, decision_log.clone()) => {}
     }
-    info!("stopping: waiting for calls in flight");
+    let longest = running.longest_stop().as_millis();
+    info!("stopping: waiting for calls in flight, {longest} ms at most");
     report(Belief::Stopping);
     running.stop().await;
     info!("stopped");
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -175,6 +175,11 @@
 }
 
 impl RunningDaemon {
+    /// Longest time of a graceful stop, until the connections that are still open are closed.
+    pub fn longest_stop(&self) -> Duration {
+        self.calls.longest_stop()
+    }
+
     /// Stops gracefully: the instance leaves the mesh, and the call server drains (see
     /// [`CallServer::stop`]).
     pub async fn stop(mut self) {
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -10,6 +10,7 @@
 
 use cyclamen_declarations::Labels;
 use cyclamen_membership::{Addresses, MeshKey};
+use cyclamen_platform::bounds::Bounds;
 use cyclamen_types::{FailureDomain, InstanceName, RegionName};
 use derive_more::Debug;
 use serde_yaml_ng::Value;
@@ -101,14 +102,18 @@
     let instance = read_instance(root.section("instance"));
     let listen = read_listen(root.section("listen"));
     let peers = read_peers(root.items("peers"), faults);
-    let platform = root.section_if_present("platform").map(read_platform);
+    let mut bounds = Bounds::default();
+    let platform = root.section_if_present("platform");
+    let platform = platform.map(|section| read_platform(section, &mut bounds));
     let log_service = match &platform {
         Some(platform) => platform.as_ref().map(|platform| platform.store),
         None => root.required("log_service", ADDRESS_REMEDY, values::destination),
     };
     let mesh_key = read_mesh_key(raw, root.section("mesh_key"));
     let tokens = read_tokens(root.items("tokens"), faults);
-    let limits = read_limits(root.section("limits"));
+    let mut limits = read_limits(root.section("limits"));
+    limits.stop_within = bounds.stop_within.or(limits.stop_within);
+    limits.drain_time = bounds.drain_time.unwrap_or(limits.drain_time);
     let metrics = root.section_if_present("metrics").map(read_metrics).unwrap_or_default();
     let decision_log = root.section_if_present("decisions").map(read_decisions);
     let logging = root.section_if_present("logging").map(read_logging);
@@ -179,13 +184,15 @@
     Some(Addresses { calls: calls?, peer: peer?, admin: admin? })
 }
 
-fn read_platform(mut section: Section<'_>) -> Option<PlatformSettings> {
+/// The `platform` section. The bounds that it names go to `bounds`.
+fn read_platform(mut section: Section<'_>, bounds: &mut Bounds) -> Option<PlatformSettings> {
     let store = section.required("store", ADDRESS_REMEDY, values::destination);
     let hops = section.required("hops", ADDRESS_REMEDY, values::listen_address);
     let ready = section.required("ready", ADDRESS_REMEDY, values::listen_address);
     let announcements = section.required("announcements", ADDRESS_REMEDY, values::listen_address);
     let service = section.required("service", NAME_REMEDY, values::name);
     let server = section.optional("server", values::destination);
+    *bounds = section.optional("bounds", values::bounds).unwrap_or_default();
     section.finish();
     Some(PlatformSettings {
         store: store?,
--- a/crates/daemon/src/settings/values.rs
+++ b/crates/daemon/src/settings/values.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cyclamen_declarations::Labels;
+use cyclamen_platform::bounds::Bounds;
 use cyclamen_types::NameError;
 use serde_yaml_ng::Value;
 
@@ -140,6 +141,16 @@
     Ok(duration)
 }
 
+/// The bounds of the platform, in its own words.
+pub(super) fn bounds(value: &Value) -> Result<Bounds, InvalidValue> {
+    cyclamen_platform::bounds::decode(string(value)?).map_err(|line| {
+        InvalidValue::new(
+            format!("`{line}` is not a bound"),
+            "write a number of seconds, as in `name=2.5`",
+        )
+    })
+}
+
 /// Proxy labels: a mapping of strings to strings.
 pub(super) fn labels(value: &Value) -> Result<Labels, InvalidValue> {
     let remedy = "write `key: value` lines with strings as values";
