An answer that is there goes before the end of the daemon

Where a call is given up because the daemon ends and its answer is ready at the same moment, the answer is delivered; the order in which the two were looked at was random. Found by reading the diff. The tests of planned_stop pass.

--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -231,6 +231,7 @@
     };
     call.digest = call_identity::digest(&ctx, &parts, &body);
     let end = tokio::select! {
+        biased;
         end = run(&ctx, call, Request::from_parts(parts, attempt_body)) => end,
         // The calls that wait for a slot were refused before.
         () = ctx.calls_end.reached() => InboundOutcome::Unknown,
--- a/crates/daemon/src/calls/outbound.rs
+++ b/crates/daemon/src/calls/outbound.rs
@@ -33,6 +33,7 @@
     let (parts, incoming) = req.into_parts();
     let until = Instant::now() + BODY_TIMEOUT;
     let received = tokio::select! {
+        biased;
         received = RequestBody::receive(incoming, &ctx.body_budget, until) => received,
         () = ctx.calls_end.reached() => Err(Rejection::BodyTimeout),
     };
@@ -204,6 +205,8 @@
             trace.record_placed(current.attempt());
         }
         let result = tokio::select! {
+            // An answer that is there goes before the end of the daemon.
+            biased;
             result = current.send_request(parts, attempt_body) => result,
             () = ctx.calls_end.reached() => {
                 // The drop reports the attempt as cancelled: the server did not fail.
