--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -20,9 +20,9 @@
 use crate::calls::attempt::BodyEndGuard;
 use crate::calls::body_expiry::{BodyExpiry, BodyExpiryGuard};
 use crate::calls::delivery::Delivery;
-use crate::calls::inbound::SlotGuard;
 use crate::calls::local_reply::Rejection;
 use crate::calls::pool::Lease;
+use crate::calls::slot_guard::SlotGuard;
 
 /// Largest request body, in bytes, that is buffered so that the call can be retried.
 const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
--- a/crates/daemon/src/calls/inbound.rs
+++ b/crates/daemon/src/calls/inbound.rs
@@ -1,38 +1,33 @@
-//! The inbound side: runs calls on local backend servers, for this daemon's callers and for other
-//! daemons. Acquires a concurrency slot, forwards the call to the server, and tells the outbound
-//! side, here or at the daemon that sent the call, how it ended.
+//! The inbound side: runs calls on local backend servers, for this daemon's callers and, by
+//! [`hop_calls`](super::hop_calls), for other daemons. Acquires a concurrency slot, forwards the call
+//! to the server, and returns how it ended.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cyclamen_blocklist::{CallDigest, CallKey, Denial, Scope};
 use cyclamen_decisions::SlotAnswer;
 use cyclamen_declarations::Criticality;
 use cyclamen_routing::{
-    Admission, AncestorCalls, CallId, Outcome, Refusal, RefusalKind, RunOutcome, SlotRequest,
+    Admission, AncestorCalls, Outcome, Refusal, RefusalKind, RunOutcome, SlotRequest,
 };
 use cyclamen_types::{AccountName, Mono, RouteName, ServerName, ServiceName, VersionName};
 use cyclamenmoor::{Instance, LocalCallResult};
-use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version};
-use hyper::body::Incoming;
-use log::{error, info, warn};
+use http::{HeaderMap, Request, Response, StatusCode, Version};
+use log::{error, info};
 use tokio::sync::oneshot;
 
-use crate::calls::body::{AttemptBody, RequestBody, ResponseBody};
+use crate::calls::body::{AttemptBody, ResponseBody};
 use crate::calls::call_identity;
 use crate::calls::context::CallContext;
 use crate::calls::decision_trace::{DecisionTrace, attempt_end};
 use crate::calls::headers;
-use crate::calls::hop::{HOP_RESPONSE_HEADER, HopCall, HopOutcome, HopResponse};
 use crate::calls::nested_calls::{AncestorServices, ParentCall, RunningCallGuard};
 use crate::calls::pool::{Exchange, ResendPolicy, SendFailure};
 use crate::calls::server_answer::{belongs_to, has_proof, may_have_run, reports_not_run, says_run};
+use crate::calls::slot_guard::SlotGuard;
 use crate::shared::SlotOutcome;
 
-/// Time after which a server that cannot be reached may be retried.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Time after which a call that ran out of time, found no free connection, or was shed by its
 /// server may be retried.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -117,133 +112,6 @@
     }
 }
 
-/// Holds a slot, or a place in the queue for one, until dropped.
-pub(super) struct SlotGuard {
-    ctx: CallContext,
-    server: ServerName,
-    route: RouteName,
-    call: CallId,
-    address: SocketAddr,
-    outcome: RunOutcome,
-    /// Whether the head of the response says that the server has run the call.
-    ran: bool,
-    /// Whether the server has run the call and answered it whole.
-    answered: bool,
-    /// Registers the running call, so that its nested calls are recognised. The latency of a call
-    /// with nested calls is not measured, since it says nothing about the speed of its server.
-    running: Option<RunningCallGuard>,
-}
-
-impl SlotGuard {
-    /// Records that the response has arrived whole.
-    pub(super) fn complete(mut self) {
-        self.answered = self.ran;
-    }
-
-    /// Reports that the response body failed after the head had arrived. The call counts as running
-    /// until it is known whether the server crashed.
-    pub(super) fn report_truncated_response(self) {
-        self.report(LocalCallResult::failed(Duration::ZERO));
-        tokio::spawn(async move { self.has_server_crashed().await });
-    }
-
-    /// Whether the server, to which the connection of this call broke, has crashed.
-    async fn has_server_crashed(&self) -> bool {
-        let ctx = &self.ctx;
-        let crashed =
-            ctx.crash_checks.has_crashed(&ctx.server_pool, &self.server, self.address).await;
-        if !crashed {
-            return false;
-        }
-        let suspects = ctx
-            .shared
-            .with(|instance, now, effects| instance.server_crashed(now, &self.server, effects));
-        if suspects > 0 {
-            warn!(
-                "backend server `{}` crashed while it ran {suspects} different calls",
-                self.server
-            );
-        }
-        true
-    }
-
-    fn report(&self, sample: LocalCallResult) {
-        self.ctx.shared.with(|instance, now, effects| {
-            instance.record_call_result(now, &self.server, &self.route, sample, effects);
-        });
-    }
-}
-
-impl Drop for SlotGuard {
-    fn drop(&mut self) {
-        let (call, outcome, answered) = (self.call, self.outcome, self.answered);
-        self.ctx.shared.cancel_slot_wait(call);
-        self.ctx.shared.with(|instance, now, effects| {
-            instance.end_run(now, &self.server, call, answered, effects);
-            instance.release_call(now, &self.server, call, outcome, effects);
-        });
-    }
-}
-
-/// Serves a call that another daemon sent; `hop_call` comes from its verified hop header.
-pub(super) async fn serve(
-    ctx: CallContext,
-    hop_call: HopCall,
-    req: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let local_server = |instance: &Instance| {
-        let record = instance.local_server(&hop_call.server)?;
-        let version = instance.local_server_version(&hop_call.server);
-        let version = version.unwrap_or_else(|| record.version.clone());
-        Some((record.address, record.service.clone(), version))
-    };
-    let Some((address, service, version)) = ctx.shared.read(local_server) else {
-        return hop_response(&ctx, &hop_call, InboundOutcome::Unavailable);
-    };
-    let mut call = InboundCall {
-        server: hop_call.server.clone(),
-        service,
-        version,
-        digest: None,
-        ancestors: hop_call.ancestors.clone(),
-        route: hop_call.route.clone(),
-        address,
-        criticality: hop_call.criticality,
-        idempotent: hop_call.idempotent,
-        caller_service: headers::caller_service(&ctx.headers, req.headers()),
-        latency_target_at: hop_call
-            .latency_target_left
-            .map_or(Mono::NEVER, |left| ctx.mono_now() + left),
-        deadline: ctx.mono_now() + hop_call.time_left,
-        repeat: hop_call.repeat,
-        crashed_server: hop_call.crashed_server.clone(),
-        account: hop_call.account.clone(),
-        moves_left: hop_call.moves_left,
-    };
-    let (parts, incoming) = req.into_parts();
-    // A small body is buffered, so that the call can be resent over a new connection.
-    let until = ctx.to_instant(call.deadline);
-    let Ok(body) = RequestBody::receive(incoming, &ctx.body_budget, until).await else {
-        return hop_response(&ctx, &hop_call, InboundOutcome::Unavailable);
-    };
-    let Some(attempt_body) = body.for_attempt() else {
-        return hop_response(&ctx, &hop_call, InboundOutcome::Unavailable);
-    };
-    call.digest = call_identity::digest(&ctx, &parts, &body);
-    let end = tokio::select! {
-        biased;
-        end = run(&ctx, call, Request::from_parts(parts, attempt_body)) => end,
-        // The calls that wait for a slot were refused before.
-        () = ctx.calls_end.reached() => InboundOutcome::Unknown,
-    };
-    hop_response(&ctx, &hop_call, end)
-}
-
-/// Refuses a call that counts as a replay; not run.
-pub(super) fn refuse_replayed(ctx: &CallContext, hop_call: &HopCall) -> Response<ResponseBody> {
-    hop_response(ctx, hop_call, InboundOutcome::Unavailable)
-}
-
 /// Runs a call on a local backend server: waits for a slot, then forwards the request.
 pub(super) async fn run(
     ctx: &CallContext,
@@ -578,51 +446,3 @@
     headers::replace(&mut parts.headers, ctx.headers.account.as_ref(), account);
     Some(Request::from_parts(parts, body))
 }
-
-/// The response that reports to the sending daemon how its call ended.
-fn hop_response(
-    ctx: &CallContext,
-    hop_call: &HopCall,
-    end: InboundOutcome,
-) -> Response<ResponseBody> {
-    let (outcome, retry_after) = match &end {
-        InboundOutcome::Answered(_) => (HopOutcome::Ran, Duration::ZERO),
-        InboundOutcome::NoSlot(retry_after) => (HopOutcome::Full, *retry_after),
-        InboundOutcome::Shed(retry_after) => (HopOutcome::Shed, *retry_after),
-        InboundOutcome::Blocked => (HopOutcome::Blocked, Duration::ZERO),
-        InboundOutcome::Unavailable => (HopOutcome::Down, UNAVAILABLE_RETRY_AFTER),
-        InboundOutcome::Unknown => (HopOutcome::Unknown, Duration::ZERO),
-        InboundOutcome::Crashed => (HopOutcome::Crashed, Duration::ZERO),
-        InboundOutcome::TimedOut => (HopOutcome::Late, Duration::ZERO),
-    };
-    let nested_failure = matches!(&end, InboundOutcome::Answered(answer) if answer.nested_failure);
-    let mut response = match end {
-        InboundOutcome::Answered(answer) => answer.response,
-        InboundOutcome::NoSlot(_)
-        | InboundOutcome::Shed(_)
-        | InboundOutcome::Blocked
-        | InboundOutcome::Unavailable => empty_response(StatusCode::SERVICE_UNAVAILABLE),
-        InboundOutcome::Unknown | InboundOutcome::Crashed | InboundOutcome::TimedOut => {
-            empty_response(StatusCode::BAD_GATEWAY)
-        }
-    };
-    let hop_response = ctx.shared.with(|instance, now, _| HopResponse {
-        outcome,
-        retry_after,
-        load: instance.load_to_report(now, &hop_call.server),
-        others: instance.loads_to_share(now, &hop_call.server),
-        nested_route: instance.is_nested_route(&hop_call.server, &hop_call.route),
-        nested_failure,
-    });
-    if let Some(header) = ctx.hop_seal.seal_response(hop_call.id, response.status(), &hop_response)
-    {
-        response.headers_mut().insert(HeaderName::from_static(HOP_RESPONSE_HEADER), header);
-    }
-    response
-}
-
-fn empty_response(status: StatusCode) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::buffered(Bytes::new()));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -5,7 +5,7 @@
 //! makes attempts until one gets a response or the call is refused. [`inbound`] runs on the daemon
 //! that hosts the chosen backend server: it acquires a concurrency slot and forwards the call to
 //! the server. When the two are different daemons, the call travels between them over HTTP with an
-//! authenticated [`hop`] header. Routing, admission and retry decisions are all made by the
+//! authenticated [`hop`] header, and [`hop_calls`] takes it there. Routing, admission and retry decisions are all made by the
 //! instance; the modules here do the I/O.
 
 mod attempt;
@@ -19,6 +19,7 @@
 mod delivery;
 mod headers;
 mod hop;
+mod hop_calls;
 mod inbound;
 mod lingering;
 mod local_reply;
@@ -31,6 +32,7 @@
 mod response_writer;
 mod serve;
 mod server_answer;
+mod slot_guard;
 mod stopping;
 mod tcp_options;
 #[cfg(test)]
--- a/crates/daemon/src/calls/serve.rs
+++ b/crates/daemon/src/calls/serve.rs
@@ -1,5 +1,5 @@
 //! Accepts connections and dispatches their calls: hop calls from other daemons to
-//! [`inbound`], callers' calls to [`outbound`].
+//! [`hop_calls`], callers' calls to [`outbound`].
 
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -24,7 +24,7 @@
 use crate::calls::hop::HopError;
 use crate::calls::lingering::LingeringStream;
 use crate::calls::local_reply::{self, Rejection};
-use crate::calls::{inbound, outbound, pipeline, tcp_options};
+use crate::calls::{hop_calls, outbound, pipeline, tcp_options};
 
 /// Longest time for a request head to arrive, and for a connection to stay idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
@@ -264,8 +264,8 @@
         AcceptedClients::Any | AcceptedClients::Daemons => {}
     }
     match ctx.hop_seal.verify_call(ctx.wall_now(), &req) {
-        Ok(hop_call) => inbound::serve(ctx, hop_call, req).await,
-        Err(HopError::Replayed(hop_call)) => inbound::refuse_replayed(&ctx, &hop_call),
+        Ok(hop_call) => hop_calls::serve(ctx, hop_call, req).await,
+        Err(HopError::Replayed(hop_call)) => hop_calls::refuse_replayed(&ctx, &hop_call),
         Err(HopError::Missing | HopError::Forged) if clients == AcceptedClients::Daemons => {
             reject_connection(&ctx)
         }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -5,9 +5,11 @@
 //! delivered, the call is retried, or the caller gets a refusal. [`Router::end_body`] ends an
 //! attempt whose answer was delivered, once its body has been passed on.
 
+mod attempts;
 mod cold;
 mod connect_backoff;
 mod nested_calls;
+mod observations;
 mod placement;
 mod pool;
 mod refusals;
@@ -21,47 +23,33 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamen_declarations::{Criticality, Idempotence};
+use cyclamen_declarations::Idempotence;
 use cyclamen_types::{
     AccountName, ConfigVersion, FastMap, FastSet, Mono, Now, RouteName, ServerName, ServiceName,
-    VersionName,
 };
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::call::{
-    Attempt, AttemptId, CallHead, MIN_SERVER_ERROR_STATUS, Next, Outcome, Refusal, ServerSelection,
-};
+use crate::call::{Attempt, AttemptId, CallHead, MIN_SERVER_ERROR_STATUS, Next, Outcome, Refusal};
+use crate::router::attempts::AttemptPlan;
 use crate::router::nested_calls::NestedCalls;
-use crate::router::placement::CallNeeds;
-use crate::router::pool::{ServerIndex, ServerPool, ServerRequest};
+use crate::router::pool::ServerPool;
 use crate::router::retry_budget::RetryBudget;
 pub use crate::router::retry_budget::RetryLimits;
 pub use crate::router::route_times::RouteHoldTime;
 use crate::router::route_times::RouteTimes;
-use crate::router::server::EjectionAdvice;
 pub use crate::router::server::{ServerLoad, SharedLoad};
 pub use crate::router::types::{
     RouterCounters, RouterMode, RouterSettings, ServerInfo, VersionSplit,
 };
-use crate::router::version_choice::{PPM, SplitPoint, VersionChoice};
-use crate::stop::{StopDecision, StopTimes};
+use crate::router::version_choice::{PPM, SplitPoint};
+use crate::stop::StopTimes;
 use crate::table::{CallAccount, CompiledRoute, NoAccount, RouteTable};
 
-/// Largest number of load reports of other servers sent along with an answer to another daemon.
-const MAX_SHARED_LOADS: usize = 4;
-
-/// Load reports at least this old are not shared with other daemons.
-const MAX_SHARED_LOAD_AGE: Duration = Duration::from_secs(3);
-
 /// Time after this daemon learned of the first servers in which those that it learns of are not taken
 /// for new ones.
 const JOINING: Duration = Duration::from_secs(5);
 
-/// Weight of a new sample in the moving average of the bytes of a route's call and its answer.
-const ROUTE_BYTES_GAIN: f64 = 0.1;
-
 /// State of a call whose latest attempt, or the body of its answer, is under way.
 #[derive(Debug)]
 struct ActiveCall {
@@ -329,87 +317,6 @@
         }
     }
 
-    /// Records the load that the daemon that hosts a backend server reported with an answer.
-    pub fn observe_load(&mut self, now: Now, server: &ServerName, load: ServerLoad) {
-        if let Some(server) = self.pool.find_mut(server) {
-            server.observe_load(now.mono, load);
-            cold::observe_report(now.mono, server, &self.table, self.daemons, &mut self.rng);
-        }
-    }
-
-    /// A random sample of the recent load reports of a service's servers, leaving out `except`, to
-    /// be sent to another daemon. Without shared reports, a daemon that spreads few calls over many
-    /// servers would pick them by outdated loads.
-    pub fn loads_to_share(
-        &mut self,
-        now: Now,
-        service: &ServiceName,
-        except: &ServerName,
-    ) -> Vec<SharedLoad> {
-        let others = self.pool.of_service(service).filter(|server| server.name() != except);
-        let known = others.filter_map(|server| server.share_load(now.mono, MAX_SHARED_LOAD_AGE));
-        known.choose_multiple(&mut self.rng, MAX_SHARED_LOADS)
-    }
-
-    /// Records the load reports that another daemon shared, where they are newer than those known.
-    pub fn observe_shared_loads(&mut self, now: Now, loads: &[SharedLoad]) {
-        for shared in loads {
-            if let Some(server) = self.pool.find_mut(&shared.server) {
-                server.observe_shared_load(now.mono, shared);
-                cold::observe_report(now.mono, server, &self.table, self.daemons, &mut self.rng);
-            }
-        }
-    }
-
-    /// Estimates the average hold time of a call of the service at one server, in seconds. The hold
-    /// time of a call is the time for which it occupies a slot; `hold_times` are those of the calls
-    /// at that server, by route. `None` while there are too few samples.
-    ///
-    /// The plain average at a server depends on which routes its calls happened to be of. The
-    /// estimate relates the hold times to the average times of the same routes over all servers, so
-    /// that servers can be compared.
-    pub fn average_hold_seconds<'a>(
-        &self,
-        service: &ServiceName,
-        hold_times: impl Iterator<Item = RouteHoldTime<'a>>,
-    ) -> Option<f64> {
-        self.route_times.average_hold_seconds(service, hold_times)
-    }
-
-    /// Records the total bytes of a call of a route and its answer.
-    pub fn observe_bytes(&mut self, route: &RouteName, bytes: u64) {
-        let bytes = bytes as f64;
-        match self.route_bytes.get_mut(route) {
-            Some(average) => *average += ROUTE_BYTES_GAIN * (bytes - *average),
-            None => {
-                self.route_bytes.insert(route.clone(), bytes);
-            }
-        }
-    }
-
-    /// Records whether the daemon that hosts a server of this route takes its calls for nested
-    /// ones, see [`Slots::is_nested_route`](crate::Slots::is_nested_route).
-    pub fn observe_nested_route(&mut self, route: &RouteName, nested: bool) {
-        self.nested_calls.observe_route(route, nested);
-    }
-
-    /// Whether a call that a local backend server made has failed since then, after all its
-    /// attempts. A server error of a call that began at that time is then taken for a consequence:
-    /// which of the running calls made the failed one is not known.
-    pub fn nested_call_failed_since(&self, since: Mono) -> bool {
-        self.nested_calls.failed_since(since)
-    }
-
-    /// Records, before [`Router::finish`], that the server error of an attempt is a consequence of a
-    /// failed call that the server made, as the hosting daemon reports by
-    /// [`Router::nested_call_failed_since`]. The attempt is not retried: the failed call was, as far
-    /// as the retry budget of its service allows, and another server would make it again.
-    pub fn observe_nested_failure(&mut self, attempt: AttemptId) {
-        if let Some(call) = self.calls.get_mut(&attempt) {
-            call.nested_failure = true;
-        }
-    }
-
     /// Selects the algorithms that the router uses.
     pub fn set_mode(&mut self, mode: RouterMode) {
         self.mode = mode;
@@ -502,150 +409,6 @@
         }
     }
 
-    /// Picks a version and a server for an attempt and registers it as under way.
-    fn start_attempt(&mut self, now: Mono, plan: AttemptPlan) -> Result<Attempt, Refusal> {
-        let service = &plan.service;
-        let deadline = self.deadline_before_stop(&plan)?;
-        let Some(compiled) = self.table.service(service) else {
-            return Err(refusals::no_route());
-        };
-        let split = self.splits.get(service);
-        let choice = version_choice::choose_version(&plan.route, compiled, split, plan.split_point);
-        let version = self.version_with_servers(service, choice);
-        let chosen = match self.mode {
-            RouterMode::Full => self.choose_server(now, &plan, &version),
-            RouterMode::Baseline => self.pool.choose_uniform(service, &version, &mut self.rng),
-        };
-        let Some((chosen, selection)) = chosen else {
-            return Err(refusals::unavailable(service, &version, !plan.tried.is_empty()));
-        };
-        let moves_left = self.moves_left(&plan, &selection);
-        let server = self.pool.get_mut(chosen);
-        let connect_trial = server.begin_attempt();
-        server.cold.take(now);
-        self.last_attempt_id += 1;
-        let attempt = Attempt {
-            id: AttemptId(self.last_attempt_id),
-            hop: server.info.hop,
-            server: server.info.name.clone(),
-            service: server.info.service.clone(),
-            version,
-            route: plan.route.name.clone(),
-            target_at: plan.target_at,
-            route_timeout_at: plan.route_timeout_at,
-            criticality: plan.criticality,
-            idempotent: plan.idempotent,
-            deadline,
-            previous_attempts: plan.previous_attempts,
-            moves_left: if server.says_pace() { moves_left } else { 0 },
-            repeat: if plan.reached_attempts > 0 { 1.0 } else { plan.inherited_repeat },
-            crashed_server: plan.crashed_server,
-            account: plan.account.clone(),
-            config: self.table.version(),
-            selection,
-        };
-        let call = ActiveCall {
-            attempt: attempt.clone(),
-            deadline: plan.deadline,
-            route: plan.route,
-            split_point: plan.split_point,
-            tried: plan.tried,
-            attempt_started: plan.starts_at,
-            answered: false,
-            connect_trial,
-            reached_attempts: plan.reached_attempts,
-            moves: plan.moves,
-            earlier_run: plan.earlier_run,
-            inherited_repeat: plan.inherited_repeat,
-            nested: plan.nested,
-            nested_failure: false,
-        };
-        self.calls.insert(attempt.id, call);
-        Ok(attempt)
-    }
-
-    /// The deadline of an attempt: that of its call, or an earlier one while the daemon stops. An error
-    /// is the refusal of a call that would probably get no answer before the daemon ends.
-    fn deadline_before_stop(&self, plan: &AttemptPlan) -> Result<Mono, Refusal> {
-        let Some(stop) = &self.stop else {
-            return Ok(plan.deadline);
-        };
-        let average = self
-            .route_times
-            .average(&plan.route.name)
-            .or_else(|| self.route_times.average_of_service(&plan.service));
-        match stop.decide(plan.starts_at, plan.deadline, average) {
-            StopDecision::Make(deadline) => Ok(deadline),
-            StopDecision::Refuse(retry_after) => Err(refusals::stopping(retry_after)),
-        }
-    }
-
-    /// Picks a server that the call has not tried. A call that is sent on goes back to the server that
-    /// sent it on only if no other is left.
-    fn choose_server(
-        &mut self,
-        now: Mono,
-        plan: &AttemptPlan,
-        version: &VersionName,
-    ) -> Option<(ServerIndex, ServerSelection)> {
-        let bytes = self.route_bytes.get(&plan.route.name).copied().unwrap_or_default();
-        let needs = CallNeeds { bytes, target: plan.route.target.unwrap_or_default() };
-        let (service, tried) = (&plan.service, &plan.tried);
-        let request = ServerRequest { service, version, tried, needs };
-        if let Some(server) = &plan.sent_on_by {
-            let mut tried = tried.clone();
-            tried.insert(server.clone());
-            let request = ServerRequest { tried: &tried, ..request };
-            if let Some(chosen) = self.pool.choose(now, &request, &mut self.rng) {
-                return Some(chosen);
-            }
-        }
-        self.pool.choose(now, &request, &mut self.rng)
-    }
-
-    /// The chosen version, or its fallback if only that one has servers that accept calls.
-    fn version_with_servers(&self, service: &ServiceName, choice: VersionChoice) -> VersionName {
-        if self.pool.has_ready_server(service, &choice.version) {
-            return choice.version;
-        }
-        match choice.fallback {
-            Some(other) if self.pool.has_ready_server(service, &other) => other,
-            _ => choice.version,
-        }
-    }
-
-    /// Records an outcome in the state of the server, and ejects the server if that state advises
-    /// it. The first answer of an attempt also marks the call as answered and is added to the
-    /// average time of the route.
-    fn observe_outcome(&mut self, now: Mono, attempt: AttemptId, outcome: Outcome) {
-        let Some(call) = self.calls.get_mut(&attempt) else {
-            return;
-        };
-        if let Outcome::Answered { .. } = outcome
-            && !call.answered
-        {
-            call.answered = true;
-            let took = now.since(call.attempt_started).as_secs_f64();
-            self.route_times.observe(&call.attempt.route, &call.attempt.service, took);
-        }
-        let connect_trial = std::mem::take(&mut call.connect_trial);
-        let name = &call.attempt.server;
-        let Some(server) = self.pool.find_mut(name) else {
-            return;
-        };
-        if connect_trial {
-            server.end_trial();
-        }
-        let advice = server.observe_outcome(now, outcome, now.since(call.attempt_started));
-        let taken_out = match advice {
-            _ if self.mode == RouterMode::Baseline => false,
-            EjectionAdvice::Keep => false,
-            EjectionAdvice::Eject => self.pool.eject(now, name),
-            EjectionAdvice::BackedOff => true,
-        };
-        self.counters.ejections += u64::from(taken_out);
-    }
-
     fn count_refusal(&mut self, next: &Next) {
         let Next::Refuse(refusal) = next else {
             return;
@@ -658,34 +421,6 @@
     }
 }
 
-/// Inputs of [`Router::start_attempt`]: what all attempts of a call share, and the results of the
-/// earlier ones.
-struct AttemptPlan {
-    route: Arc<CompiledRoute>,
-    service: ServiceName,
-    target_at: Mono,
-    route_timeout_at: Mono,
-    reached_attempts: u32,
-    /// Earlier attempts that were sent on, see [`Attempt::moves_left`].
-    moves: u32,
-    /// The server of the last attempt, if the call was sent on there.
-    sent_on_by: Option<ServerName>,
-    split_point: SplitPoint,
-    tried: FastSet<ServerName>,
-    idempotent: bool,
-    deadline: Mono,
-    previous_attempts: u32,
-    /// The server that crashed during an earlier attempt, if one did.
-    crashed_server: Option<ServerName>,
-    earlier_run: Option<Outcome>,
-    inherited_repeat: f64,
-    nested: bool,
-    criticality: Criticality,
-    account: Option<AccountName>,
-    /// When the attempt is sent.
-    starts_at: Mono,
-}
-
 fn idempotent(rule: Idempotence, method: &str) -> bool {
     match rule {
         Idempotence::Always => true,
--- a/crates/routing/src/router/retries.rs
+++ b/crates/routing/src/router/retries.rs
@@ -11,7 +11,8 @@
 use crate::call::{
     Attempt, AttemptId, MIN_SERVER_ERROR_STATUS, Next, Outcome, Refusal, ServerSelection,
 };
-use crate::router::{ActiveCall, AttemptPlan, Router, RouterMode, refusals};
+use crate::router::attempts::AttemptPlan;
+use crate::router::{ActiveCall, Router, RouterMode, refusals};
 
 /// HTTP status of a server that ran out of time. An answer with it is delivered without a retry.
 const GATEWAY_TIMEOUT: u16 = 504;
