--- a/crates/daemon/src/calls/stopping/tests.rs
+++ b/crates/daemon/src/calls/stopping/tests.rs
@@ -25,6 +25,7 @@
     assert_eq!(schedule(within(100)), [0, 0, 0]);
 }
 
+/// Guards against a stop that changes where nothing says how long it may take.
 #[test]
 fn schedule_without_a_bound_on_the_stop() {
     let limits = LimitSettings { stop_grace: 4_000 * MS, ..LimitSettings::default() };
